--- /dev/null
+++ b/control/command.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"time"
+
+	"wasabirelay/inventory"
+)
+
+// Command is one entry of the replicated log. Exactly one pointer is set.
+type Command struct {
+	// At is the leader's time when it proposed the command. It never decreases.
+	At        time.Time       `json:"at"`
+	Inventory *ApplyInventory `json:"inventory,omitempty"`
+	Announce  *Announce       `json:"announce,omitempty"`
+	Leave     *Leave          `json:"leave,omitempty"`
+	Claim     *Claim          `json:"claim,omitempty"`
+	Finish    *Finish         `json:"finish,omitempty"`
+	Grant     *AcquireGrant   `json:"grant,omitempty"`
+	Release   *ReleaseGrant   `json:"release,omitempty"`
+	Suspect   *SuspectRequest `json:"suspect,omitempty"`
+	Move      *StepMove       `json:"move,omitempty"`
+}
+
+// ApplyInventory replaces the inventory if its version is still Base.
+type ApplyInventory struct {
+	Base uint64 `json:"base"`
+	// Change identifies the change, so that a resend gets the first outcome.
+	Change   string `json:"change"`
+	Operator string `json:"operator"`
+	// Text is the document as the operator wrote it.
+	Text string `json:"text"`
+}
+
+// Announce adds a target or replaces what it said before.
+type Announce struct {
+	Target Target `json:"target"`
+}
+
+// Leave removes a target.
+type Leave struct {
+	Target      string      `json:"target"`
+	Incarnation string      `json:"incarnation"`
+	Reason      LeaveReason `json:"reason"`
+}
+
+// LeaveReason is why a target was removed.
+type LeaveReason string
+
+// Values of LeaveReason.
+const (
+	Left    LeaveReason = "left"
+	Expired LeaveReason = "expired"
+	Crashed LeaveReason = "crashed"
+)
+
+// Claim reserves an idempotency key for one run on one host.
+type Claim struct {
+	Key         string `json:"key"`
+	Fingerprint string `json:"fingerprint"`
+	Service     string `json:"service"`
+	Host        string `json:"host"`
+}
+
+// Outcome is what became of a claimed request.
+type Outcome string
+
+// Values of Outcome. Pending is the outcome of a claim that is not finished.
+const (
+	Pending        Outcome = "pending"
+	OutcomeRan     Outcome = "ran"
+	OutcomeNone    Outcome = "none"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Finish records the outcome of a claimed request.
+type Finish struct {
+	Key     string  `json:"key"`
+	Host    string  `json:"host"`
+	Outcome Outcome `json:"outcome"`
+}
+
+// AcquireGrant asks for a part of an allowance that all hosts share.
+type AcquireGrant struct {
+	// Name identifies the allowance, for example "cold/od-3-1/5f0c".
+	Name string `json:"name"`
+	// Limit is the size of the whole allowance, Amount the part asked for.
+	Limit  int           `json:"limit"`
+	Amount int           `json:"amount"`
+	Holder string        `json:"holder"`
+	Term   time.Duration `json:"term"`
+}
+
+// ReleaseGrant gives a grant back before its end.
+type ReleaseGrant struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+}
+
+// SuspectRequest reports that a target died with a request in flight.
+type SuspectRequest struct {
+	Fingerprint string `json:"fingerprint"`
+	Service     string `json:"service"`
+	Target      string `json:"target"`
+	Incarnation string `json:"incarnation"`
+	Shard       int    `json:"shard"`
+}
+
+// StepMove changes the state of a version move.
+type StepMove struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Step is the new step; see package move.
+	Step   string  `json:"step"`
+	Share  float64 `json:"share"`
+	Reason string  `json:"reason"`
+	// Operator and Change are set when an operator reverts the move.
+	Operator string `json:"operator,omitempty"`
+	Change   string `json:"change,omitempty"`
+}
+
+// Result is the outcome of a command.
+type Result struct {
+	// Index is the index of the command in the log.
+	Index uint64 `json:"index"`
+	// Version is the inventory version after the command.
+	Version uint64   `json:"version,omitempty"`
+	Refusal *Refusal `json:"refusal,omitempty"`
+	// Holder and Outcome answer a claim that was not the first.
+	Holder  string  `json:"holder,omitempty"`
+	Outcome Outcome `json:"outcome,omitempty"`
+	// Granted is the amount that a grant was given.
+	Granted int `json:"granted,omitempty"`
+}
+
+// RefusalKind is why a command was refused.
+type RefusalKind string
+
+// Values of RefusalKind.
+const (
+	Conflict RefusalKind = "conflict"
+	Invalid  RefusalKind = "invalid"
+	Stale    RefusalKind = "stale"
+	Taken    RefusalKind = "taken"
+	Absent   RefusalKind = "absent"
+)
+
+// Refusal is why the state machine refused a command.
+type Refusal struct {
+	Kind   RefusalKind `json:"kind"`
+	Detail string      `json:"detail"`
+	// Operator and Change identify the change that won.
+	Operator string `json:"operator,omitempty"`
+	Change   string `json:"change,omitempty"`
+	// Differences lists what differs between the winner and the loser.
+	Differences []inventory.Change `json:"differences,omitempty"`
+}
+
+func (r *Refusal) Error() string { return string(r.Kind) + ": " + r.Detail }
--- /dev/null
+++ b/inventory/inventory.go
@@ -0,0 +1,221 @@
+// Package inventory defines the operators' document: data centres, entry hosts,
+// services and rules. The document is JSON with comments and is kept as written.
+package inventory
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"wasabirelay/document"
+)
+
+// Document is a checked inventory.
+type Document struct {
+	Region   string             `json:"region"`
+	Centres  map[string]Centre  `json:"centres"`
+	Hosts    map[string]Host    `json:"hosts"`
+	Services map[string]Service `json:"services"`
+	Rules    Rules              `json:"rules"`
+}
+
+// Centre is a data centre.
+type Centre struct {
+	// Out takes the data centre out: its targets get no new work.
+	Out bool `json:"out,omitempty"`
+}
+
+// Host is an entry host.
+type Host struct {
+	Centre string `json:"centre"`
+	// Caller, Operator and Peer are the addresses of the three listeners.
+	Caller   netip.AddrPort `json:"caller"`
+	Operator netip.AddrPort `json:"operator"`
+	Peer     netip.AddrPort `json:"peer"`
+	// Control states that the host keeps the control state on its disk.
+	Control bool `json:"control,omitempty"`
+	// Out takes the host out of the address list.
+	Out bool `json:"out,omitempty"`
+}
+
+// Service is a set of shards that callers query by one name.
+type Service struct {
+	// Slots, Connections and Bears stand in for what targets do not announce.
+	Slots       int `json:"slots,omitempty"`
+	Connections int `json:"connections,omitempty"`
+	Bears       int `json:"bears,omitempty"`
+	// Deadline bounds a query that comes without one.
+	Deadline document.Duration `json:"deadline,omitzero"`
+	// Routes names the routes on which version evidence is kept apart.
+	Routes []string `json:"routes,omitempty"`
+}
+
+// Rules are the operators' rules.
+type Rules struct {
+	// Keep is how long callers may keep an address list.
+	Keep document.Duration `json:"keep,omitzero"`
+	// Lease is how long an entry host may give out work without a renewal.
+	Lease document.Duration `json:"lease,omitzero"`
+	// Renew is how often targets renew; Expire is when a silent one is removed.
+	Renew  document.Duration `json:"renew,omitzero"`
+	Expire document.Duration `json:"expire,omitzero"`
+	// Lost states what entry hosts do without a quorum: "survive" or "stop".
+	Lost   string          `json:"lost,omitempty"`
+	Hedge  Hedge           `json:"hedge,omitzero"`
+	Poison Poison          `json:"poison,omitzero"`
+	Moves  map[string]Move `json:"moves,omitempty"`
+}
+
+// Hedge bounds the extra sub-requests of hedges and retries.
+type Hedge struct {
+	// Budget is the share of extra sub-requests, of all sub-requests.
+	Budget float64 `json:"budget,omitempty"`
+	// Quantile is the latency quantile after which a hedge is sent.
+	Quantile float64 `json:"quantile,omitempty"`
+}
+
+// Poison states when a request that crashes targets is refused.
+type Poison struct {
+	// Deaths is the number of targets that a request may crash before it is refused.
+	Deaths int `json:"deaths,omitempty"`
+	// Hold is how long it is refused.
+	Hold document.Duration `json:"hold,omitzero"`
+}
+
+// Move asks for a service's traffic to go to a version by a time.
+type Move struct {
+	Version string    `json:"version"`
+	By      time.Time `json:"by"`
+	// Trial is the share of the service's traffic that the version gets on trial.
+	Trial float64 `json:"trial,omitempty"`
+}
+
+// Values of Rules.Lost.
+const (
+	Survive = "survive"
+	Stop    = "stop"
+)
+
+// Defaults of the rules.
+const (
+	DefaultKeep     = 5 * time.Second
+	DefaultLease    = 2 * time.Second
+	DefaultRenew    = 2 * time.Second
+	DefaultExpire   = 6 * time.Second
+	DefaultBudget   = 0.05
+	DefaultQuantile = 0.95
+	DefaultDeaths   = 2
+	DefaultHold     = 10 * time.Minute
+	DefaultTrial    = 0.02
+	DefaultDeadline = time.Second
+	DefaultBears    = 1
+)
+
+// Parse reads and checks a document. name stands for the file in errors. The
+// error is a *document.FaultsError that holds every fault.
+func Parse(name string, text []byte) (*Document, error) {
+	var d Document
+	s, err := document.Read(name, text, &d)
+	if err != nil {
+		return nil, err
+	}
+	check(s, &d)
+	if err := s.Err(); err != nil {
+		return nil, err
+	}
+	d.setDefaults()
+	return &d, nil
+}
+
+func check(s *document.Source, d *Document) {
+	s.Require(d.Region != "", "a name", "region")
+	s.Require(len(d.Centres) > 0, "at least one data centre", "centres")
+	s.Require(len(d.Hosts) > 0, "at least one host", "hosts")
+	checkHosts(s, d)
+	for name, service := range d.Services {
+		at := func(field string) []string { return []string{"services", name, field} }
+		s.Require(service.Slots >= 0, "0 or more", at("slots")...)
+		s.Require(service.Connections >= 0, "0 or more", at("connections")...)
+		s.Require(service.Bears >= 0, "0 or more", at("bears")...)
+		s.Require(service.Deadline.Duration >= 0, "a duration that is not negative", at("deadline")...)
+	}
+	checkRules(s, d)
+}
+
+func checkHosts(s *document.Source, d *Document) {
+	owner := map[netip.AddrPort]string{}
+	control := 0
+	for name, host := range d.Hosts {
+		_, known := d.Centres[host.Centre]
+		s.Require(known, "a name listed in centres", "hosts", name, "centre")
+		if host.Control {
+			control++
+		}
+		for field, address := range map[string]netip.AddrPort{"caller": host.Caller, "operator": host.Operator, "peer": host.Peer} {
+			path := []string{"hosts", name, field}
+			s.Require(address.IsValid() && address.Port() != 0, "an IP address with a port", path...)
+			if other, taken := owner[address]; taken {
+				s.Require(false, "an address that no other listener has, here "+other+" has it", path...)
+			}
+			owner[address] = name + "." + field
+		}
+	}
+	s.Require(control == 0 || control%2 == 1, "an odd number of control hosts, here "+strconv.Itoa(control), "hosts")
+}
+
+func checkRules(s *document.Source, d *Document) {
+	r := &d.Rules
+	for field, v := range map[string]document.Duration{"keep": r.Keep, "lease": r.Lease, "renew": r.Renew, "expire": r.Expire} {
+		s.Require(v.Duration >= 0, "a duration that is not negative", "rules", field)
+	}
+	if r.Renew.Duration > 0 && r.Expire.Duration > 0 {
+		s.Require(r.Expire.Duration >= 2*r.Renew.Duration, "at least twice renew", "rules", "expire")
+	}
+	s.Require(r.Lost == "" || r.Lost == Survive || r.Lost == Stop, `"survive" or "stop"`, "rules", "lost")
+	s.Require(r.Hedge.Budget >= 0 && r.Hedge.Budget <= 1, "a share from 0 to 1", "rules", "hedge", "budget")
+	s.Require(r.Hedge.Quantile >= 0 && r.Hedge.Quantile < 1, "a quantile from 0 to below 1", "rules", "hedge", "quantile")
+	s.Require(r.Poison.Deaths >= 0, "0 or more", "rules", "poison", "deaths")
+	s.Require(r.Poison.Hold.Duration >= 0, "a duration that is not negative", "rules", "poison", "hold")
+	for name, move := range r.Moves {
+		_, known := d.Services[name]
+		s.Require(known, "a name listed in services", "rules", "moves", name)
+		s.Require(move.Version != "", "a version", "rules", "moves", name, "version")
+		s.Require(!move.By.IsZero(), "a time such as 2026-12-04T18:00:00Z", "rules", "moves", name, "by")
+		s.Require(move.Trial >= 0 && move.Trial <= 1, "a share from 0 to 1", "rules", "moves", name, "trial")
+	}
+}
+
+func (d *Document) setDefaults() {
+	r := &d.Rules
+	setDuration(&r.Keep, DefaultKeep)
+	setDuration(&r.Lease, DefaultLease)
+	setDuration(&r.Renew, DefaultRenew)
+	setDuration(&r.Expire, max(DefaultExpire, 3*r.Renew.Duration))
+	setDuration(&r.Poison.Hold, DefaultHold)
+	setValue(&r.Lost, Survive)
+	setValue(&r.Hedge.Budget, DefaultBudget)
+	setValue(&r.Hedge.Quantile, DefaultQuantile)
+	setValue(&r.Poison.Deaths, DefaultDeaths)
+	for name, move := range r.Moves {
+		setValue(&move.Trial, DefaultTrial)
+		r.Moves[name] = move
+	}
+	for name, service := range d.Services {
+		setDuration(&service.Deadline, DefaultDeadline)
+		setValue(&service.Bears, DefaultBears)
+		d.Services[name] = service
+	}
+}
+
+func setDuration(d *document.Duration, v time.Duration) {
+	if d.Duration == 0 {
+		d.Duration = v
+	}
+}
+
+func setValue[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,120 @@
+// Package settings reads the settings of the daemon: JSON with comments that is
+// checked whole before anything starts.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"wasabirelay/document"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// Host is the name of this host in the inventory.
+	Host string `json:"host"`
+	// Centre is the data centre of this host.
+	Centre string `json:"centre"`
+	// Caller serves callers and targets, Operator serves operators and metrics,
+	// Peer serves the other daemons.
+	Caller   Listener `json:"caller"`
+	Operator Listener `json:"operator"`
+	Peer     Listener `json:"peer"`
+	// Data is the folder of the control state. It is empty on a host that is an
+	// entry host only.
+	Data string `json:"data,omitempty"`
+	// Control holds the peer addresses of the control hosts by name, this one
+	// included if it is one.
+	Control map[string]netip.AddrPort `json:"control"`
+	// Log is the lowest level that is logged: debug, info, warn or error.
+	Log string `json:"log,omitempty"`
+	// Trace is where spans go: "", "stdout", a file path, or the URL of an OTLP/HTTP collector.
+	Trace string `json:"trace,omitempty"`
+}
+
+// Listener is an address with its TLS files.
+type Listener struct {
+	Address netip.AddrPort `json:"address"`
+	TLS     *TLS           `json:"tls,omitempty"`
+	// Plain permits plain text on an address that is not loopback.
+	Plain bool `json:"plain,omitempty"`
+}
+
+// TLS names the files of a TLS configuration. They are read again when they change.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	// Authority is the CA file that client certificates must be signed by, and
+	// that this daemon checks other servers against.
+	Authority string `json:"authority,omitempty"`
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+// Load reads and checks the settings in a file.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks settings. The error is a *document.FaultsError that
+// holds every fault.
+func Parse(name string, text []byte) (*Settings, error) {
+	var v Settings
+	s, err := document.Read(name, text, &v)
+	if err != nil {
+		return nil, err
+	}
+	s.Require(v.Host != "", "the name of this host in the inventory", "host")
+	s.Require(v.Centre != "", "the data centre of this host", "centre")
+	checkListeners(s, &v)
+	checkControl(s, &v)
+	if v.Log == "" {
+		v.Log = "info"
+	}
+	s.Require(slices.Contains(levels, v.Log), strings.Join(levels, ", "), "log")
+	if err := s.Err(); err != nil {
+		return nil, err
+	}
+	return &v, nil
+}
+
+func checkListeners(s *document.Source, v *Settings) {
+	taken := map[netip.AddrPort]bool{}
+	for _, l := range []struct {
+		name string
+		Listener
+	}{{"caller", v.Caller}, {"operator", v.Operator}, {"peer", v.Peer}} {
+		s.Require(l.Address.IsValid() && l.Address.Port() != 0, "an IP address with a port", l.name, "address")
+		s.Require(!taken[l.Address], "an address that no other listener has", l.name, "address")
+		taken[l.Address] = true
+		s.Require(l.TLS != nil || l.Plain || l.Address.Addr().IsLoopback(),
+			`"tls", or "plain": true for plain text on an address that is not loopback`, l.name)
+		if l.TLS != nil {
+			s.Require(l.TLS.Certificate != "", "a file", l.name, "tls", "certificate")
+			s.Require(l.TLS.Key != "", "a file", l.name, "tls", "key")
+		}
+	}
+}
+
+func checkControl(s *document.Source, v *Settings) {
+	s.Require(len(v.Control) > 0, "the peer address of at least one control host", "control")
+	for name, address := range v.Control {
+		s.Require(address.IsValid() && address.Port() != 0, "an IP address with a port", "control", name)
+	}
+	own, listed := v.Control[v.Host]
+	if v.Data != "" {
+		s.Require(listed, "this host's own entry, because data is set", "control")
+	}
+	if listed {
+		s.Require(v.Data != "", "a folder, because control lists this host", "data")
+		s.Require(own == v.Peer.Address, "the address of the peer listener", "control", v.Host)
+	}
+}
