--- /dev/null
+++ b/certificate/certificate_test.go
@@ -0,0 +1,124 @@
+package certificate
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// write makes a self-signed certificate with the serial number and writes it as
+// certificate, key and CA.
+func write(t *testing.T, dir string, serial int64, now time.Time) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotBefore: now.Add(-time.Hour), NotAfter: now.Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	secret, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, block := range map[string]*pem.Block{
+		"cert.pem": {Type: "CERTIFICATE", Bytes: der}, "key.pem": {Type: "EC PRIVATE KEY", Bytes: secret},
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func store(dir string, clock clockwork.Clock) *Store {
+	cert := filepath.Join(dir, "cert.pem")
+	return &Store{
+		Certificate: cert, Key: filepath.Join(dir, "key.pem"), Authority: cert, Clock: clock, Log: zerolog.Nop(),
+	}
+}
+
+// handshake connects a client of one store to a server of another and returns
+// the serial number of the server's certificate.
+func handshake(server, client *Store) (int64, error) {
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server.Server())
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	go func() {
+		if nc, err := l.Accept(); err == nil {
+			_ = nc.(*tls.Conn).Handshake()
+			nc.Close()
+		}
+	}()
+	c, err := tls.Dial("tcp", l.Addr().String(), client.Client())
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+// Guards against a renewed certificate that is used only after a restart, and
+// against a half-written file that takes a working listener down.
+func TestStoreReloadsChangedFiles(t *testing.T) {
+	is := is.New(t)
+	dir, clock := t.TempDir(), clockwork.NewFakeClockAt(time.Now())
+	write(t, dir, 1, clock.Now())
+	s := store(dir, clock)
+	is.NoErr(s.Load())
+	serial, err := handshake(s, s)
+	is.NoErr(err)
+	is.Equal(serial, int64(1))
+
+	write(t, dir, 22, clock.Now())
+	clock.Advance(checkInterval)
+	serial, err = handshake(s, s)
+	is.NoErr(err)
+	is.Equal(serial, int64(22))
+
+	is.NoErr(os.WriteFile(s.Certificate, []byte("torn"), 0o600))
+	clock.Advance(checkInterval)
+	serial, err = handshake(s, s)
+	is.NoErr(err)
+	is.Equal(serial, int64(22)) // the last good certificate stays in use
+}
+
+// Guards against a client that accepts a server of another authority.
+func TestClientRefusesUnknownAuthority(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClockAt(time.Now())
+	one, two := t.TempDir(), t.TempDir()
+	write(t, one, 1, clock.Now())
+	write(t, two, 2, clock.Now())
+	server, client := store(one, clock), store(two, clock)
+	is.NoErr(server.Load())
+	is.NoErr(client.Load())
+	_, err := handshake(server, client)
+	is.True(err != nil)
+}
+
+func TestLoadReportsBadFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.True(store(dir, clockwork.NewFakeClock()).Load() != nil)
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// dialTimeout bounds a connection attempt to another daemon.
+const dialTimeout = time.Second
+
+// Client keeps one connection to another daemon and opens it again after a
+// failure. Exported fields are set before use.
+type Client struct {
+	Address netip.AddrPort
+	TLS     *tls.Config
+	// Handlers serve what the other daemon sends over this connection.
+	Handlers map[string]Handler
+
+	mu   sync.Mutex
+	conn *Conn
+}
+
+// Call sends a request and decodes the reply into result.
+func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	conn, err := c.Connect(ctx)
+	if err != nil {
+		return err
+	}
+	return conn.Call(ctx, method, params, result)
+}
+
+// Notify sends a notification.
+func (c *Client) Notify(ctx context.Context, method string, params any) error {
+	conn, err := c.Connect(ctx)
+	if err != nil {
+		return err
+	}
+	return conn.Notify(ctx, method, params)
+}
+
+// Connect returns the connection and opens it if there is none.
+func (c *Client) Connect(ctx context.Context) (*Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		select {
+		case <-c.conn.Done():
+		default:
+			return c.conn, nil
+		}
+	}
+	ctx2, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := c.dial(ctx2)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to peer %s", c.Address)
+	}
+	c.conn = newConn(context.WithoutCancel(ctx), nc, c.Handlers)
+	return c.conn, nil
+}
+
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	if c.TLS != nil {
+		d := tls.Dialer{Config: c.TLS}
+		return d.DialContext(ctx, "tcp", c.Address.String())
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", c.Address.String())
+}
+
+// Close ends the connection. A later call opens a new one.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,183 @@
+// Package peer is the JSON-RPC 2.0 transport between the daemons.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// writeTimeout closes a connection whose peer no longer reads, so that a silent
+// network cut does not block the sender.
+const writeTimeout = 2 * time.Second
+
+// Code classifies a RemoteError.
+type Code int64
+
+// Codes of errors between daemons.
+const (
+	CodeInvalid     Code = jsonrpc2.CodeInvalidParams
+	CodeMethod      Code = jsonrpc2.CodeMethodNotFound
+	CodeInternal    Code = jsonrpc2.CodeInternalError
+	CodeNotLeader   Code = -32001
+	CodeUnavailable Code = -32002
+)
+
+// RemoteError is an error that the other daemon returned.
+type RemoteError struct {
+	Code    Code
+	Message string
+}
+
+func (e *RemoteError) Error() string { return fmt.Sprintf("peer error %d: %s", e.Code, e.Message) }
+
+// Handler serves one method. params is the JSON of the request; the result is
+// encoded as JSON. Notifications are handled in their order, calls concurrently.
+type Handler func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
+
+// Conn is a connection to another daemon.
+type Conn struct {
+	rpc *jsonrpc2.Conn
+	tcp *timedConn
+}
+
+// Call sends a request and decodes the reply into result. A connection that has
+// received nothing during a call that timed out is closed.
+func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	received := c.tcp.received.Load()
+	err := c.rpc.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() != nil && c.tcp.received.Load() == received {
+		c.Close()
+	}
+	var remote *jsonrpc2.Error
+	if errors.As(err, &remote) {
+		return &RemoteError{Code: Code(remote.Code), Message: remote.Message}
+	}
+	return errors.Wrap(err, method)
+}
+
+// Notify sends a notification. It can block until the write times out.
+func (c *Conn) Notify(ctx context.Context, method string, params any) error {
+	return errors.Wrap(c.rpc.Notify(ctx, method, params), method)
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	c.tcp.Close()
+	_ = c.rpc.Close() // It reports that the connection is closed already.
+}
+
+func newConn(ctx context.Context, nc net.Conn, handlers map[string]Handler) *Conn {
+	c := &Conn{tcp: &timedConn{Conn: nc}}
+	ready := make(chan struct{})
+	stream := jsonrpc2.NewBufferedStream(c.tcp, jsonrpc2.VarintObjectCodec{})
+	c.rpc = jsonrpc2.NewConn(ctx, stream, &dispatcher{conn: c, handlers: handlers, ready: ready})
+	close(ready)
+	return c
+}
+
+// timedConn bounds each write and counts what was received.
+type timedConn struct {
+	net.Conn
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+func (c *timedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	totalSent.Add(int64(n))
+	return n, err
+}
+
+func (c *timedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	totalReceived.Add(int64(n))
+	return n, err
+}
+
+var totalSent, totalReceived atomic.Int64
+
+// Traffic returns the bytes that this process has sent to and received from
+// other daemons.
+func Traffic() (sent, received int64) { return totalSent.Load(), totalReceived.Load() }
+
+type dispatcher struct {
+	conn     *Conn
+	handlers map[string]Handler
+	ready    chan struct{}
+}
+
+// Handle implements jsonrpc2.Handler.
+func (d *dispatcher) Handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	<-d.ready
+	if r.Notif {
+		d.notified(ctx, r)
+		return
+	}
+	go d.called(ctx, r)
+}
+
+func (d *dispatcher) notified(ctx context.Context, r *jsonrpc2.Request) {
+	if h, ok := d.handlers[r.Method]; ok {
+		_, _ = h(ctx, d.conn, params(r)) // A notification has no reply.
+	}
+}
+
+func (d *dispatcher) called(ctx context.Context, r *jsonrpc2.Request) {
+	h, ok := d.handlers[r.Method]
+	if !ok {
+		d.fail(ctx, r, &RemoteError{Code: CodeMethod, Message: "unknown method " + r.Method})
+		return
+	}
+	result, err := h(ctx, d.conn, params(r))
+	if err != nil {
+		d.fail(ctx, r, err)
+		return
+	}
+	_ = d.conn.rpc.Reply(ctx, r.ID, result) // The caller has gone if this fails.
+}
+
+func (d *dispatcher) fail(ctx context.Context, r *jsonrpc2.Request, err error) {
+	code := CodeInternal
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		code = remote.Code
+	}
+	message := err.Error()
+	if remote != nil {
+		message = remote.Message
+	}
+	_ = d.conn.rpc.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: int64(code), Message: message})
+}
+
+func params(r *jsonrpc2.Request) json.RawMessage {
+	if r.Params == nil {
+		return json.RawMessage("null")
+	}
+	return *r.Params
+}
+
+// Decode reads the params of a request. The error is a *RemoteError for the sender.
+func Decode(params json.RawMessage, into any) error {
+	if err := json.Unmarshal(params, into); err != nil {
+		return &RemoteError{Code: CodeInvalid, Message: err.Error()}
+	}
+	return nil
+}
