--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,176 @@
+package consensus
+
+import "time"
+
+// follow begins a term, or the knowledge of its leader, as a follower.
+func (n *Node) follow(term uint64, leader string) {
+	if term > n.hard.Term {
+		n.hard = HardState{Term: term}
+	}
+	if n.role == Leader {
+		n.abortReads()
+		// The timer does not run while a node leads.
+		n.resetDeadline()
+	}
+	n.role, n.leader, n.votes, n.leading = Follower, leader, nil, leading{}
+}
+
+// sticky reports whether the node trusts a leader: it leads itself, or has heard
+// from the leader within the election timeout.
+func (n *Node) sticky() bool {
+	return n.role == Leader || n.now.Sub(n.heard) < n.Election
+}
+
+// campaign asks the voters whether they would vote for this node (PreCandidate)
+// or to vote for it (Candidate). Only a pre-vote that a majority grants leads to
+// a new term, so an isolated member cannot raise terms.
+func (n *Node) campaign(role Role, force bool) {
+	kind, term := PreVote, n.hard.Term+1
+	if role == Candidate {
+		kind = Vote
+		n.hard = HardState{Term: term, Vote: n.ID}
+	}
+	n.role, n.leader = role, ""
+	n.votes = map[string]bool{n.ID: true}
+	if n.elected() {
+		return
+	}
+	last := n.log.last()
+	for _, id := range n.members().Voters {
+		if id != n.ID {
+			n.send(Message{Kind: kind, To: id, Term: term, Index: last.index, Prior: last.term, Force: force})
+		}
+	}
+}
+
+// elected moves to the next role if a majority has granted its vote.
+func (n *Node) elected() bool {
+	if !n.members().majority(func(id string) bool { return n.votes[id] }) {
+		return false
+	}
+	if n.role == PreCandidate {
+		n.campaign(Candidate, false)
+	} else {
+		n.takeOffice()
+	}
+	return true
+}
+
+// mayVote reports whether this member may vote, or promise to, for a candidate
+// whose log ends at p. A member that its own log does not list as an elector
+// never votes: it may have lost the log with which it voted before.
+func (n *Node) mayVote(p position) bool {
+	return n.members().Elector(n.ID) && n.log.upToDate(p)
+}
+
+func (n *Node) stepPreVote(m Message) {
+	grant := m.Term > n.hard.Term && !n.sticky() && n.mayVote(position{m.Index, m.Prior})
+	ack := Message{Kind: AckPreVote, To: m.From, Reject: !grant}
+	if grant {
+		ack.Term = m.Term
+	}
+	n.send(ack)
+}
+
+func (n *Node) stepVote(m Message) {
+	free := n.hard.Vote == "" && n.leader == "" || n.hard.Vote == m.From
+	grant := free && n.mayVote(position{m.Index, m.Prior})
+	if grant {
+		n.hard.Vote = m.From
+		n.resetDeadline()
+	}
+	n.send(Message{Kind: AckVote, To: m.From, Reject: !grant})
+}
+
+// stepAckVote counts a vote for the campaign of the given role. Terms need no
+// check: a granted pre-vote names the next term, and a vote of an earlier term
+// is stale.
+func (n *Node) stepAckVote(m Message, role Role) {
+	if n.role != role || m.Reject {
+		return
+	}
+	if role == PreCandidate && m.Term != n.hard.Term+1 {
+		return
+	}
+	n.votes[m.From] = true
+	n.elected()
+}
+
+// takeOffice begins the leadership of the current term with an empty entry.
+// Entries of earlier terms are committed only together with it.
+func (n *Node) takeOffice() {
+	n.role, n.leader, n.votes = Leader, n.ID, nil
+	n.leading = leading{beat: n.now, opened: n.log.last().index + 1}
+	n.track()
+	n.extend(Entry{Kind: Empty})
+}
+
+// ready reports whether an entry of the leader's own term is committed.
+func (n *Node) ready() bool { return n.commit >= n.opened }
+
+// lead performs the periodic work of a leader.
+func (n *Node) lead() {
+	if !n.backed() {
+		n.follow(n.hard.Term, "")
+		return
+	}
+	if n.transfer.to != "" && !n.now.Before(n.transfer.deadline) {
+		n.transfer = transfer{}
+	}
+	if n.now.Sub(n.beat) < n.Heartbeat {
+		return
+	}
+	n.beat = n.now
+	n.heartbeat()
+	n.resend()
+}
+
+// backed reports whether a majority was heard from within the election timeout.
+// A leader without one steps down, so that callers learn of the partition.
+func (n *Node) backed() bool {
+	return n.members().majority(n.reachable)
+}
+
+// reachable reports whether a member was heard from within the election timeout.
+func (n *Node) reachable(id string) bool {
+	return id == n.ID || n.now.Sub(n.progress[id].heard) < n.Election
+}
+
+// transfer is a handover of leadership in progress.
+type transfer struct {
+	to       string
+	deadline time.Time
+}
+
+// Transfer hands leadership over to a voter. The node refuses proposals until
+// the voter has been elected, or an election timeout has passed. The errors are
+// *NotLeaderError, *TransferringError and *TransferError.
+func (n *Node) Transfer(now time.Time, to string) (Output, error) {
+	n.now = now
+	if err := n.accepting(); err != nil {
+		return Output{}, err
+	}
+	if to == n.ID {
+		return Output{}, &TransferError{To: to, Reason: "already the leader"}
+	}
+	if !n.members().Voter(to) {
+		return Output{}, &TransferError{To: to, Reason: "not a voter"}
+	}
+	n.transfer = transfer{to: to, deadline: now.Add(n.Election)}
+	n.handOver()
+	return n.take(), nil
+}
+
+// handOver asks the voter to campaign once its log is complete.
+func (n *Node) handOver() {
+	if p := n.progress[n.transfer.to]; p != nil && p.match == n.log.last().index {
+		n.send(Message{Kind: Campaign, To: n.transfer.to})
+	}
+}
+
+// stepCampaign starts an election without a pre-vote, at the leader's request.
+func (n *Node) stepCampaign(m Message) {
+	if n.voter() && n.role == Follower && n.leader == m.From {
+		n.campaign(Candidate, true)
+	}
+}
--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,185 @@
+package consensus
+
+import "sort"
+
+// trailing is the number of entries kept in memory below a snapshot, so that a
+// follower that is slightly behind needs entries instead of a whole snapshot.
+// It equals the interval at which the control replica takes snapshots.
+const trailing = 256
+
+// batchBytes limits the payload of one Append message. A single larger entry is
+// still sent on its own.
+const batchBytes = 1 << 20
+
+// position is an index with its term.
+type position struct{ index, term uint64 }
+
+// configured is a configuration and the index from which it applies.
+type configured struct {
+	index   uint64
+	members Members
+}
+
+// replica is the log of one member: entries after base, the newest snapshot
+// (at or after base) and the configurations since the snapshot.
+type replica struct {
+	base     position
+	entries  []Entry
+	snapshot *Snapshot
+	configs  []configured
+}
+
+func newReplica(saved Saved) (*replica, error) {
+	l := &replica{configs: []configured{{}}}
+	if saved.Snapshot != nil {
+		l.reset(saved.Snapshot)
+	}
+	for _, e := range saved.Entries {
+		switch {
+		case e.Index != l.last().index+1:
+			return nil, &SavedError{Index: e.Index, Reason: "does not follow the entry before it"}
+		case e.Term < l.last().term:
+			return nil, &SavedError{Index: e.Index, Reason: "has a smaller term than the entry before it"}
+		case (e.Kind == Configuration) != (e.Members != nil):
+			return nil, &SavedError{Index: e.Index, Reason: "kind and content differ"}
+		}
+		l.append(e)
+	}
+	if l.last().term > saved.Hard.Term {
+		return nil, &SavedError{Index: l.last().index, Reason: "has a larger term than the hard state"}
+	}
+	return l, nil
+}
+
+// reset replaces the whole log with a snapshot.
+func (l *replica) reset(s *Snapshot) {
+	l.base = position{s.Index, s.Term}
+	l.entries = nil
+	l.snapshot = s
+	l.configs = []configured{{s.Index, s.Members.clone()}}
+}
+
+func (l *replica) last() position {
+	if k := len(l.entries); k > 0 {
+		return position{l.entries[k-1].Index, l.entries[k-1].Term}
+	}
+	return l.base
+}
+
+// term returns the term at index; ok is false outside the log.
+func (l *replica) term(index uint64) (term uint64, ok bool) {
+	switch {
+	case index == l.base.index:
+		return l.base.term, true
+	case index < l.base.index || index > l.last().index:
+		return 0, false
+	}
+	return l.entries[index-l.base.index-1].Term, true
+}
+
+func (l *replica) matches(p position) bool {
+	term, ok := l.term(p.index)
+	return ok && term == p.term
+}
+
+// upToDate reports whether a log that ends at p holds at least what this one
+// holds, as far as elections are concerned.
+func (l *replica) upToDate(p position) bool {
+	last := l.last()
+	return p.term > last.term || p.term == last.term && p.index >= last.index
+}
+
+// append adds an entry at the end.
+func (l *replica) append(e Entry) {
+	l.entries = append(l.entries, e)
+	if e.Kind == Configuration {
+		l.configs = append(l.configs, configured{e.Index, e.Members.clone()})
+	}
+}
+
+// truncate removes the entry at index and all later ones. The capacity is cut
+// as well, so that later appends do not overwrite entries that outputs and
+// messages still refer to.
+func (l *replica) truncate(index uint64) {
+	k := index - l.base.index - 1
+	l.entries = l.entries[:k:k]
+	for len(l.configs) > 1 && l.configs[len(l.configs)-1].index >= index {
+		l.configs = l.configs[:len(l.configs)-1]
+	}
+}
+
+// conflict returns the first of the entries that is missing from the log, or
+// that differs from it; ok is false if there is none.
+func (l *replica) conflict(entries []Entry) (at int, ok bool) {
+	for i, e := range entries {
+		if e.Index > l.base.index && !l.matches(position{e.Index, e.Term}) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// between returns the entries from index from up to and including to.
+func (l *replica) between(from, to uint64) []Entry {
+	if from > to {
+		return nil
+	}
+	return l.entries[from-l.base.index-1 : to-l.base.index : to-l.base.index]
+}
+
+// batch returns at most count entries from index from on, limited by batchBytes.
+func (l *replica) batch(from uint64, count int) []Entry {
+	list := l.between(from, min(l.last().index, from+uint64(count)-1))
+	size := 0
+	for i, e := range list {
+		size += len(e.Data)
+		if size > batchBytes && i > 0 {
+			return list[:i:i]
+		}
+	}
+	return list
+}
+
+// guess returns the largest position at or before index whose term is not
+// larger than term. Terms never decrease along a log, so everything after it
+// conflicts with a log that has term at index; whole terms are skipped at once.
+func (l *replica) guess(index, term uint64) position {
+	index = min(index, l.last().index)
+	if index < l.base.index {
+		return position{index: index}
+	}
+	k := sort.Search(int(index-l.base.index), func(i int) bool { return l.entries[i].Term > term })
+	if k == 0 {
+		return l.base
+	}
+	return position{l.entries[k-1].Index, l.entries[k-1].Term}
+}
+
+func (l *replica) members() configured { return l.configs[len(l.configs)-1] }
+
+func (l *replica) membersAt(index uint64) Members {
+	k := sort.Search(len(l.configs), func(i int) bool { return l.configs[i].index > index })
+	return l.configs[max(k, 1)-1].members
+}
+
+// compact records a snapshot at index and drops the entries more than trailing
+// below it.
+func (l *replica) compact(index uint64, state []byte) {
+	term, _ := l.term(index)
+	members := l.membersAt(index).clone()
+	l.snapshot = &Snapshot{Index: index, Term: term, Members: members, Data: state}
+	kept := []configured{{index, members}}
+	for _, c := range l.configs {
+		if c.index > index {
+			kept = append(kept, c)
+		}
+	}
+	l.configs = kept
+	if index <= l.base.index+trailing {
+		return
+	}
+	base := position{index: index - trailing}
+	base.term, _ = l.term(base.index)
+	l.entries = append([]Entry(nil), l.between(base.index+1, l.last().index)...)
+	l.base = base
+}
--- /dev/null
+++ b/consensus/members.go
@@ -0,0 +1,125 @@
+package consensus
+
+import "slices"
+
+// Members is a configuration: disjoint, sorted sets of identities.
+//
+// A learner is promoted in two entries. The first moves it to Joining: it may
+// now give votes, but no majority counts it. The second, which the leader
+// appends once the member holds the first, makes it a voter. With a single
+// entry, a group could depend on the vote of a member that does not know of its
+// promotion, and so never votes: if the leader fails before the entry reaches
+// that member, and one more disk is lost, no election ever succeeds.
+type Members struct {
+	Voters   []string `json:"voters,omitempty"`
+	Joining  []string `json:"joining,omitempty"`
+	Learners []string `json:"learners,omitempty"`
+}
+
+// Action is the type of a membership change.
+type Action string
+
+// The membership changes. A new member always joins as a learner.
+const (
+	Add     Action = "add"
+	Promote Action = "promote"
+	Remove  Action = "remove"
+)
+
+// Membership changes one member of the configuration.
+type Membership struct {
+	Action Action `json:"action"`
+	ID     string `json:"id"`
+}
+
+func sortedSet(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	set := slices.Clone(list)
+	slices.Sort(set)
+	return slices.Compact(set)
+}
+
+func (m Members) clone() Members {
+	return Members{Voters: slices.Clone(m.Voters), Joining: slices.Clone(m.Joining), Learners: slices.Clone(m.Learners)}
+}
+
+// Voter reports whether majorities count id.
+func (m Members) Voter(id string) bool { return slices.Contains(m.Voters, id) }
+
+// Elector reports whether id may give votes: a voter or a joining voter.
+func (m Members) Elector(id string) bool { return m.Voter(id) || slices.Contains(m.Joining, id) }
+
+// Learner reports whether id is a member without a vote.
+func (m Members) Learner(id string) bool { return slices.Contains(m.Learners, id) }
+
+// Contains reports whether id is a member of any kind.
+func (m Members) Contains(id string) bool { return m.Elector(id) || m.Learner(id) }
+
+// Quorum is the number of voters that form a majority.
+func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
+
+// majority reports whether a majority of the voters satisfies has. It is false
+// without voters.
+func (m Members) majority(has func(id string) bool) bool {
+	count := 0
+	for _, id := range m.Voters {
+		if has(id) {
+			count++
+		}
+	}
+	return count >= m.Quorum()
+}
+
+// others lists all members except id.
+func (m Members) others(id string) []string {
+	all := slices.Concat(m.Voters, m.Joining, m.Learners)
+	return slices.DeleteFunc(all, func(member string) bool { return member == id })
+}
+
+// with returns the configuration after the change. The error is a
+// *MembershipError.
+func (m Members) with(c Membership) (Members, error) {
+	refuse := func(reason string) (Members, error) {
+		return Members{}, &MembershipError{Change: c, Reason: reason}
+	}
+	rest := m.without(c.ID)
+	switch {
+	case c.ID == "":
+		return refuse("the identity is empty")
+	case c.Action == Add && m.Contains(c.ID):
+		return refuse("already a member")
+	case c.Action == Promote && !m.Learner(c.ID):
+		return refuse("not a learner")
+	case c.Action == Remove && !m.Contains(c.ID):
+		return refuse("not a member")
+	case c.Action == Remove && len(rest.Voters) == 0:
+		return refuse("the last voter cannot be removed")
+	}
+	switch c.Action {
+	case Add:
+		rest.Learners = sortedSet(append(rest.Learners, c.ID))
+	case Promote:
+		rest.Joining = sortedSet(append(rest.Joining, c.ID))
+	case Remove:
+	default:
+		return refuse("unknown action")
+	}
+	return rest, nil
+}
+
+// admitted returns the configuration in which the joining member is a voter.
+func (m Members) admitted(id string) Members {
+	rest := m.without(id)
+	rest.Voters = sortedSet(append(rest.Voters, id))
+	return rest
+}
+
+// without returns a copy of the configuration without id.
+func (m Members) without(id string) Members {
+	drop := func(list []string) []string {
+		return slices.DeleteFunc(slices.Clone(list), func(member string) bool { return member == id })
+	}
+	return Members{Voters: drop(m.Voters), Joining: drop(m.Joining), Learners: drop(m.Learners)}
+}
--- /dev/null
+++ b/consensus/node.go
@@ -0,0 +1,234 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// PromoteDistance is the largest number of entries by which a learner's log
+	// may end behind the leader's when it is promoted.
+	PromoteDistance = 64
+
+	defaultBatch    = 64
+	defaultInflight = 8
+)
+
+// Node is one member of a group. The exported fields are set before Start. A
+// Node is not safe for concurrent use.
+type Node struct {
+	// ID is the identity of this member. It must not be reused after the
+	// member's persisted state was lost.
+	ID   string
+	Rand *rand.Rand
+	// Election is the shortest election timeout; the actual one is random
+	// between Election and twice Election. Heartbeat is the interval of a
+	// leader's heartbeats, at most half of Election.
+	Election, Heartbeat time.Duration
+	// MaxBatch limits the entries in one message (64 if zero), MaxInflight the
+	// unacknowledged Append messages per member (8 if zero).
+	MaxBatch, MaxInflight int
+
+	now     time.Time
+	role    Role
+	hard    HardState
+	saved   HardState
+	leader  string
+	log     *replica
+	commit  uint64
+	applied uint64
+	fault   string
+	out     Output
+
+	// deadline is when a voter that is not the leader starts an election.
+	deadline time.Time
+	// heard is when the node last heard from the leader, for stickiness.
+	heard time.Time
+	votes map[string]bool
+
+	leading
+}
+
+// leading is the state of a leader. It is cleared when a term begins.
+type leading struct {
+	progress map[string]*progress
+	// opened is the index of the empty entry with which the term began.
+	opened   uint64
+	beat     time.Time
+	transfer transfer
+	reading
+}
+
+// Start begins with the state recovered from the journal, which is zero for a
+// blank member. The errors are *FieldError and *SavedError.
+func (n *Node) Start(now time.Time, saved Saved) error {
+	if err := n.validate(); err != nil {
+		return err
+	}
+	log, err := newReplica(saved)
+	if err != nil {
+		return err
+	}
+	n.log, n.hard, n.saved = log, saved.Hard, saved.Hard
+	n.commit, n.applied = log.base.index, log.base.index
+	n.now, n.role = now, Follower
+	// A member that restarts within a leader's term must not help to replace
+	// that leader, so it behaves as if it had just heard from it.
+	n.heard = now
+	n.resetDeadline()
+	return nil
+}
+
+func (n *Node) validate() error {
+	switch {
+	case n.ID == "":
+		return &FieldError{Field: "ID", Reason: "is empty"}
+	case n.Rand == nil:
+		return &FieldError{Field: "Rand", Reason: "is nil"}
+	case n.Heartbeat <= 0:
+		return &FieldError{Field: "Heartbeat", Reason: "is not positive"}
+	case n.Election < 2*n.Heartbeat:
+		return &FieldError{Field: "Election", Reason: "is shorter than two heartbeats"}
+	case n.MaxBatch < 0:
+		return &FieldError{Field: "MaxBatch", Reason: "is negative"}
+	case n.MaxInflight < 0:
+		return &FieldError{Field: "MaxInflight", Reason: "is negative"}
+	}
+	if n.MaxBatch == 0 {
+		n.MaxBatch = defaultBatch
+	}
+	if n.MaxInflight == 0 {
+		n.MaxInflight = defaultInflight
+	}
+	return nil
+}
+
+// Tick handles the passing of time. It must be called at least once per
+// heartbeat, or at the time that Next returns.
+func (n *Node) Tick(now time.Time) Output {
+	n.now = now
+	switch {
+	case n.role == Leader:
+		n.lead()
+	case !now.Before(n.deadline):
+		n.resetDeadline()
+		if n.voter() {
+			n.campaign(PreCandidate, false)
+		}
+	}
+	return n.take()
+}
+
+// Next returns when Tick has something to do, unless another event comes first.
+func (n *Node) Next() time.Time {
+	if n.role == Leader {
+		return n.beat.Add(n.Heartbeat)
+	}
+	return n.deadline
+}
+
+// Propose appends a command to the log. The errors are *NotLeaderError and
+// *TransferringError; after an error nothing was appended.
+func (n *Node) Propose(now time.Time, data []byte) (Proposal, Output, error) {
+	n.now = now
+	if err := n.accepting(); err != nil {
+		return Proposal{}, Output{}, err
+	}
+	p := n.extend(Entry{Kind: Command, Data: data})
+	return p, n.take(), nil
+}
+
+// accepting returns an error unless the node accepts new entries.
+func (n *Node) accepting() error {
+	if n.role != Leader {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if n.transfer.to != "" {
+		return &TransferringError{To: n.transfer.to}
+	}
+	return nil
+}
+
+// extend appends an entry of the leader's own term and replicates it.
+func (n *Node) extend(e Entry) Proposal {
+	e.Index, e.Term = n.log.last().index+1, n.hard.Term
+	n.log.append(e)
+	n.out.Entries = append(n.out.Entries, e)
+	if e.Kind == Configuration {
+		n.track()
+	}
+	n.advance()
+	n.replicate()
+	return Proposal{Index: e.Index, Term: e.Term}
+}
+
+// Compact records that the caller has the encoded state machine as of index,
+// which must be an applied index above the previous snapshot. The caller
+// persists the result of Snapshot. The error is a *CompactError.
+func (n *Node) Compact(index uint64, state []byte) error {
+	first := n.log.base.index + 1
+	if n.log.snapshot != nil {
+		first = n.log.snapshot.Index + 1
+	}
+	if index < first || index > n.applied {
+		return &CompactError{Index: index, First: first, Applied: n.applied}
+	}
+	n.log.compact(index, state)
+	return nil
+}
+
+// Snapshot returns the newest snapshot, or nil.
+func (n *Node) Snapshot() *Snapshot { return n.log.snapshot }
+
+// Status returns a copy of the node's state.
+func (n *Node) Status() Status {
+	s := Status{
+		ID: n.ID, Role: n.role, Term: n.hard.Term, Leader: n.leader, Commit: n.commit,
+		First: n.log.base.index + 1, Last: n.log.last().index,
+		Members: n.members().clone(), Transfer: n.transfer.to, Fault: n.fault,
+	}
+	if n.changing() {
+		s.Pending = n.log.members().index
+	}
+	if n.role != Leader {
+		return s
+	}
+	s.Ready = n.ready()
+	s.Progress = make(map[string]Progress, len(n.progress))
+	for id, p := range n.progress {
+		s.Progress[id] = p.status()
+	}
+	return s
+}
+
+func (n *Node) members() Members { return n.log.members().members }
+
+func (n *Node) voter() bool { return n.members().Voter(n.ID) }
+
+func (n *Node) resetDeadline() {
+	n.deadline = n.now.Add(n.Election + time.Duration(n.Rand.Int64N(int64(n.Election))))
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.ID
+	if m.Term == 0 {
+		m.Term = n.hard.Term
+	}
+	n.out.Messages = append(n.out.Messages, m)
+}
+
+// take returns the collected output and starts a new one.
+func (n *Node) take() Output {
+	if n.hard != n.saved {
+		n.saved = n.hard
+		hard := n.hard
+		n.out.Hard = &hard
+	}
+	if n.applied < n.commit {
+		n.out.Committed = n.log.between(n.applied+1, n.commit)
+		n.applied = n.commit
+	}
+	out := n.out
+	n.out = Output{}
+	return out
+}
--- /dev/null
+++ b/consensus/replicate.go
@@ -0,0 +1,281 @@
+package consensus
+
+import (
+	"fmt"
+	"time"
+)
+
+// Phase tells how a leader sends entries to a member.
+type Phase string
+
+const (
+	// Probing sends one batch and waits, because the end of the member's log is
+	// not known.
+	Probing Phase = "probing"
+	// Streaming sends up to MaxInflight batches without waiting.
+	Streaming Phase = "streaming"
+	// Installing waits for the acknowledgement of a snapshot.
+	Installing Phase = "installing"
+)
+
+// progress is what a leader knows about another member.
+type progress struct {
+	match, next uint64
+	phase       Phase
+	// inflight holds the last index of each unacknowledged Append.
+	inflight []uint64
+	// moved is when the member last acknowledged something, or when the first
+	// unacknowledged message was sent.
+	moved time.Time
+	heard time.Time
+	round uint64
+}
+
+func (p *progress) status() Progress {
+	return Progress{Match: p.match, Next: p.next, Inflight: len(p.inflight), Phase: p.phase, Heard: p.heard}
+}
+
+// probe restarts replication after the last known match.
+func (p *progress) probe(next uint64) {
+	p.phase, p.next, p.inflight = Probing, max(next, p.match+1), nil
+}
+
+// track adjusts the progress records to the configuration. New members count
+// as heard from, which gives them an election timeout to answer.
+func (n *Node) track() {
+	old := n.progress
+	n.progress = map[string]*progress{}
+	for _, id := range n.members().others(n.ID) {
+		if n.progress[id] = old[id]; old[id] == nil {
+			n.progress[id] = &progress{phase: Probing, next: n.log.last().index + 1, heard: n.now, moved: n.now}
+		}
+	}
+}
+
+// replicate sends what each member is ready to receive. It does nothing if the
+// leader has just left office.
+func (n *Node) replicate() {
+	if n.role != Leader {
+		return
+	}
+	for _, id := range n.members().others(n.ID) {
+		n.feed(id, n.progress[id])
+	}
+}
+
+// feed sends a member the entries that its window allows, or the snapshot if
+// the log no longer holds them.
+func (n *Node) feed(id string, p *progress) {
+	for p.phase != Installing {
+		if p.next <= n.log.base.index {
+			n.install(id, p)
+			return
+		}
+		limit := 1
+		if p.phase == Streaming {
+			limit = n.MaxInflight
+		}
+		sent := p.next > n.log.last().index && (p.phase == Streaming || p.match+1 == p.next)
+		if sent || len(p.inflight) >= limit {
+			return
+		}
+		n.sendAppend(id, p)
+	}
+}
+
+// sendAppend sends one batch. A probe may be empty: it only finds the match.
+func (n *Node) sendAppend(id string, p *progress) {
+	prior, _ := n.log.term(p.next - 1)
+	m := Message{Kind: Append, To: id, Index: p.next - 1, Prior: prior, Commit: n.commit}
+	m.Entries = n.log.batch(p.next, n.MaxBatch)
+	if len(p.inflight) == 0 {
+		p.moved = n.now
+	}
+	end := p.next - 1 + uint64(len(m.Entries))
+	p.inflight = append(p.inflight, end)
+	if p.phase == Streaming {
+		p.next = end + 1
+	}
+	n.send(m)
+}
+
+func (n *Node) install(id string, p *progress) {
+	p.phase, p.inflight, p.moved = Installing, nil, n.now
+	n.send(Message{Kind: Install, To: id, Snapshot: n.log.snapshot})
+}
+
+// heartbeat tells every member that the leader is alive, which entries it may
+// apply, and the round of the current leadership confirmation.
+func (n *Node) heartbeat() {
+	for _, id := range n.members().others(n.ID) {
+		commit := min(n.commit, n.progress[id].match)
+		n.send(Message{Kind: Heartbeat, To: id, Commit: commit, Round: n.round})
+	}
+}
+
+// resend restarts replication to members that left a message unanswered for
+// too long: an interval of heartbeats for entries, an election timeout for a
+// snapshot, which takes longer to send and to persist.
+func (n *Node) resend() {
+	for _, id := range n.members().others(n.ID) {
+		p := n.progress[id]
+		wait := n.Heartbeat
+		if p.phase == Installing {
+			wait = n.Election
+		}
+		waiting := p.phase == Installing || len(p.inflight) > 0
+		if waiting && n.now.Sub(p.moved) >= wait {
+			p.probe(p.match + 1)
+		}
+		n.feed(id, p)
+	}
+}
+
+// stepAppend handles entries from the leader.
+func (n *Node) stepAppend(m Message) {
+	prev := position{m.Index, m.Prior}
+	if prev.index < n.commit {
+		// The entries up to commit agree with every leader's log.
+		m.Entries = after(m.Entries, n.commit)
+		prev = position{index: n.commit}
+		prev.term, _ = n.log.term(n.commit)
+	}
+	if !n.log.matches(prev) {
+		hint := n.log.guess(m.Index, m.Prior)
+		n.send(Message{Kind: AckAppend, To: m.From, Reject: true, Index: m.Index, Hint: hint.index, Prior: hint.term})
+		return
+	}
+	if !n.store(prev, m.Entries) {
+		return
+	}
+	end := prev.index + uint64(len(m.Entries))
+	n.commitTo(min(m.Commit, end))
+	n.send(Message{Kind: AckAppend, To: m.From, Index: end})
+}
+
+// after returns the entries with an index larger than index.
+func after(entries []Entry, index uint64) []Entry {
+	for len(entries) > 0 && entries[0].Index <= index {
+		entries = entries[1:]
+	}
+	return entries
+}
+
+// store appends entries that follow prev, replacing those that differ. It
+// refuses entries with gaps, and entries that contradict committed ones.
+func (n *Node) store(prev position, entries []Entry) bool {
+	for i, e := range entries {
+		if e.Index != prev.index+1+uint64(i) || (e.Kind == Configuration) != (e.Members != nil) {
+			n.fault = fmt.Sprintf("malformed entry %d after %d", e.Index, prev.index)
+			return false
+		}
+	}
+	at, ok := n.log.conflict(entries)
+	if !ok {
+		return true
+	}
+	entries = entries[at:]
+	if first := entries[0].Index; first <= n.log.last().index {
+		if first <= n.commit {
+			n.fault = fmt.Sprintf("entry %d contradicts a committed entry", first)
+			return false
+		}
+		n.log.truncate(first)
+	}
+	for _, e := range entries {
+		n.log.append(e)
+	}
+	n.out.Entries = append(n.out.Entries, entries...)
+	return true
+}
+
+// stepInstall replaces the log with the leader's snapshot, unless the log
+// already contains the snapshot's last entry.
+func (n *Node) stepInstall(m Message) {
+	s := m.Snapshot
+	if s == nil {
+		return
+	}
+	switch {
+	case s.Index <= n.commit:
+	case n.log.matches(position{s.Index, s.Term}):
+		n.commitTo(s.Index)
+	default:
+		n.log.reset(s)
+		n.commit, n.applied = s.Index, s.Index
+		n.out.Snapshot = s
+	}
+	n.send(Message{Kind: AckAppend, To: m.From, Index: s.Index})
+}
+
+// stepAckAppend handles the answer to Append or Install.
+func (n *Node) stepAckAppend(m Message, p *progress) {
+	if m.Reject {
+		n.backtrack(m, p)
+		return
+	}
+	if m.Index > n.log.last().index {
+		return
+	}
+	p.acknowledge(m.Index, n.now)
+	if p.phase == Probing || p.phase == Installing && p.match >= n.log.base.index {
+		p.phase, p.inflight = Streaming, nil
+		p.next = max(p.next, p.match+1)
+	}
+	if n.advance() {
+		n.replicate()
+	} else {
+		n.feed(m.From, p)
+	}
+	n.admit()
+	n.handOver()
+}
+
+// acknowledge records that the member's log matches up to index.
+func (p *progress) acknowledge(index uint64, now time.Time) {
+	if index > p.match {
+		p.match, p.moved = index, now
+	}
+	p.next = max(p.next, p.match+1)
+	for len(p.inflight) > 0 && p.inflight[0] <= index {
+		p.inflight = p.inflight[1:]
+	}
+}
+
+// backtrack moves back to the largest index at which the logs may match. An
+// answer to anything but the newest probe is ignored, because it is out of date.
+func (n *Node) backtrack(m Message, p *progress) {
+	stale := m.Index <= p.match || p.phase == Installing || p.phase == Probing && m.Index != p.next-1
+	if stale {
+		return
+	}
+	guess := n.log.guess(m.Hint, m.Prior)
+	p.probe(min(guess.index+1, m.Index))
+	n.feed(m.From, p)
+}
+
+// advance commits the largest index that a majority holds, if its term is the
+// current one: an entry of an earlier term can still be replaced, even if a
+// majority holds it (Ongaro and Ousterhout 2014, section 5.4.2).
+func (n *Node) advance() bool {
+	for index := n.log.last().index; index > n.commit && index >= n.opened; index-- {
+		held := func(id string) bool { return id == n.ID || n.progress[id].match >= index }
+		if n.members().majority(held) {
+			n.commitTo(index)
+			return true
+		}
+	}
+	return false
+}
+
+// commitTo raises the commit index.
+func (n *Node) commitTo(index uint64) {
+	if index <= n.commit {
+		return
+	}
+	n.commit = index
+	if n.role == Leader {
+		n.answerReads()
+		n.leave()
+	}
+}
--- /dev/null
+++ b/consensus/request.go
@@ -0,0 +1,172 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// Change changes one member. A new member is added as a learner. A learner is
+// promoted only if its log ends within PromoteDistance of the leader's; the
+// promotion is complete when Status lists it as a voter and Pending is 0, which
+// takes an entry more than the returned one. The errors are *NotLeaderError,
+// *TransferringError, *NotReadyError, *PendingChangeError, *MembershipError and
+// *BehindError.
+func (n *Node) Change(now time.Time, c Membership) (Proposal, Output, error) {
+	n.now = now
+	members, err := n.changed(c)
+	if err != nil {
+		return Proposal{}, Output{}, err
+	}
+	p := n.extend(Entry{Kind: Configuration, Members: &members})
+	return p, n.take(), nil
+}
+
+// changed returns the configuration after the change, if it is acceptable now.
+// Majorities of successive configurations intersect only if the earlier one is
+// committed, and only an entry of the leader's own term proves that no other
+// leader's change is still uncommitted.
+func (n *Node) changed(c Membership) (Members, error) {
+	if err := n.accepting(); err != nil {
+		return Members{}, err
+	}
+	if !n.ready() {
+		return Members{}, &NotReadyError{Term: n.hard.Term}
+	}
+	members, err := n.members().with(c)
+	// A joining member that has failed can still be removed.
+	last := n.log.members()
+	abandon := err == nil && c.Action == Remove && slices.Contains(last.members.Joining, c.ID)
+	switch {
+	case last.index > n.commit, n.changing() && !abandon:
+		return Members{}, &PendingChangeError{Index: last.index}
+	case err != nil:
+		return Members{}, err
+	case c.Action == Promote:
+		return members, n.caughtUp(c.ID)
+	case c.Action == Remove && !members.majority(n.reachable):
+		return Members{}, &MembershipError{Change: c, Reason: "a majority of the remaining voters cannot be reached"}
+	}
+	return members, nil
+}
+
+// changing reports whether a membership change is in progress.
+func (n *Node) changing() bool {
+	last := n.log.members()
+	return last.index > n.commit || len(last.members.Joining) > 0
+}
+
+// caughtUp returns an error unless the member is reachable and its log ends
+// within PromoteDistance of the leader's.
+func (n *Node) caughtUp(id string) error {
+	p, last := n.progress[id], n.log.last().index
+	if silent := !n.reachable(id); silent || p.match+PromoteDistance < last {
+		return &BehindError{ID: id, Match: p.match, Last: last, Silent: silent}
+	}
+	return nil
+}
+
+// admit makes a joining member a voter once it holds the entry that lets it vote.
+func (n *Node) admit() {
+	if n.accepting() != nil || !n.ready() {
+		return
+	}
+	last := n.log.members()
+	if last.index > n.commit || len(last.members.Joining) == 0 {
+		return
+	}
+	id := last.members.Joining[0]
+	if n.progress[id].match < last.index || n.caughtUp(id) != nil {
+		return
+	}
+	members := last.members.admitted(id)
+	n.extend(Entry{Kind: Configuration, Members: &members})
+}
+
+// leave steps down once the configuration that removes the leader is committed.
+// It asks the voter with the longest log to campaign, which saves the group an
+// election timeout.
+func (n *Node) leave() {
+	c := n.log.members()
+	if c.index > n.commit || c.members.Voter(n.ID) {
+		return
+	}
+	next, match := "", uint64(0)
+	for _, id := range c.members.Voters {
+		if p := n.progress[id]; p.match > match {
+			next, match = id, p.match
+		}
+	}
+	n.send(Message{Kind: Campaign, To: next})
+	n.follow(n.hard.Term, "")
+}
+
+// reading is the state of leadership confirmation. A round is confirmed once a
+// majority has answered a heartbeat that carries it.
+type reading struct {
+	// round is the newest round that was started, confirmed the newest one that
+	// a majority has answered.
+	round, confirmed uint64
+	reads            []pendingRead
+}
+
+// pendingRead waits for a round that started after the read, and for the commit
+// of its index.
+type pendingRead struct {
+	Read
+	round uint64
+}
+
+// Read requests the index that a linearizable read has to wait for. It is
+// returned in Output.Reads, with the same id, once a majority has confirmed
+// that this node was still the leader after the request. The error is a
+// *NotLeaderError.
+func (n *Node) Read(now time.Time, id uint64) (Output, error) {
+	n.now = now
+	if n.role != Leader {
+		return Output{}, &NotLeaderError{Leader: n.leader}
+	}
+	// Before an entry of its own term is committed, a leader does not know what
+	// earlier leaders have committed, except that it precedes its first entry.
+	index := max(n.commit, n.opened)
+	// A round that is in flight may have been answered before this read, so the
+	// read waits for the next one. Reads share rounds.
+	n.reads = append(n.reads, pendingRead{Read: Read{ID: id, Index: index}, round: n.round + 1})
+	if n.round == n.confirmed {
+		n.startRound()
+	}
+	return n.take(), nil
+}
+
+func (n *Node) startRound() {
+	n.round++
+	n.heartbeat()
+	n.confirm()
+}
+
+// confirm checks whether a majority has answered the current round.
+func (n *Node) confirm() {
+	answered := func(id string) bool { return id == n.ID || n.progress[id].round >= n.round }
+	if n.confirmed == n.round || !n.members().majority(answered) {
+		return
+	}
+	n.confirmed = n.round
+	n.answerReads()
+	if k := len(n.reads); k > 0 && n.reads[k-1].round > n.round {
+		n.startRound()
+	}
+}
+
+// answerReads answers the reads whose round is confirmed and whose index is
+// committed. Both grow along the list.
+func (n *Node) answerReads() {
+	for len(n.reads) > 0 && n.reads[0].round <= n.confirmed && n.reads[0].Index <= n.commit {
+		n.out.Reads = append(n.out.Reads, n.reads[0].Read)
+		n.reads = n.reads[1:]
+	}
+}
+
+func (n *Node) abortReads() {
+	for _, r := range n.reads {
+		n.out.Aborted = append(n.out.Aborted, r.ID)
+	}
+}
--- /dev/null
+++ b/consensus/step.go
@@ -0,0 +1,101 @@
+package consensus
+
+import "time"
+
+// Step handles a message. Messages for other identities are dropped: they were
+// sent to an earlier member at the same address, whose state is lost.
+func (n *Node) Step(now time.Time, m Message) Output {
+	n.now = now
+	if m.To != n.ID || m.From == n.ID || m.From == "" {
+		return Output{}
+	}
+	switch {
+	case m.Term < n.hard.Term:
+		n.stepStale(m)
+	case m.Term == n.hard.Term || n.adopt(m):
+		n.dispatch(m)
+	}
+	return n.take()
+}
+
+// adopt handles the larger term of m and reports whether m is to be handled.
+func (n *Node) adopt(m Message) bool {
+	switch {
+	case m.Kind == PreVote, m.Kind == AckPreVote && !m.Reject:
+		return true // asks or answers about a term that has not begun
+	case m.Kind == Vote && n.sticky() && !m.Force:
+		return false
+	}
+	n.follow(m.Term, "")
+	return true
+}
+
+// stepStale answers a message of an earlier term. The sender learns the current
+// term: without that, a member whose term is ahead could neither follow the
+// leader nor win a pre-vote.
+func (n *Node) stepStale(m Message) {
+	switch m.Kind {
+	case PreVote:
+		n.send(Message{Kind: AckPreVote, To: m.From, Reject: true})
+	case Vote:
+		n.send(Message{Kind: AckVote, To: m.From, Reject: true})
+	case Append, Install, Heartbeat:
+		n.send(Message{Kind: AckAppend, To: m.From, Reject: true, Index: m.Index, Hint: n.log.last().index})
+	}
+}
+
+func (n *Node) dispatch(m Message) {
+	switch m.Kind {
+	case PreVote:
+		n.stepPreVote(m)
+	case Vote:
+		n.stepVote(m)
+	case AckPreVote:
+		n.stepAckVote(m, PreCandidate)
+	case AckVote:
+		n.stepAckVote(m, Candidate)
+	case Append, Install, Heartbeat:
+		n.stepLeader(m)
+	case AckAppend, AckHeartbeat:
+		n.stepAck(m)
+	case Campaign:
+		n.stepCampaign(m)
+	}
+}
+
+// stepLeader handles a message of the leader of the current term.
+func (n *Node) stepLeader(m Message) {
+	if n.role == Leader {
+		n.fault = "a second leader " + m.From + " in the same term"
+		return
+	}
+	if n.role != Follower || n.leader != m.From {
+		n.follow(n.hard.Term, m.From)
+	}
+	n.heard = n.now
+	n.resetDeadline()
+	switch m.Kind {
+	case Append:
+		n.stepAppend(m)
+	case Install:
+		n.stepInstall(m)
+	case Heartbeat:
+		n.commitTo(min(m.Commit, n.log.last().index))
+		n.send(Message{Kind: AckHeartbeat, To: m.From, Round: m.Round})
+	}
+}
+
+// stepAck handles a follower's answer to the leader.
+func (n *Node) stepAck(m Message) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.heard = n.now
+	if m.Kind == AckHeartbeat {
+		p.round = max(p.round, m.Round)
+		n.confirm()
+		return
+	}
+	n.stepAckAppend(m, p)
+}
--- /dev/null
+++ b/journal/identity.go
@@ -0,0 +1,72 @@
+package journal
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+const identityFile = "identity"
+
+// Identity names a member. A host whose folder was lost gets a new incarnation,
+// so that the group does not take it for the member that it was before.
+type Identity struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+}
+
+// NewIdentity returns an identity of the host with a random incarnation.
+func NewIdentity(host string) Identity {
+	return Identity{Host: host, Incarnation: uuid.NewString()}
+}
+
+// String returns the identity as consensus uses it: host/incarnation.
+func (i Identity) String() string { return i.Host + "/" + i.Incarnation }
+
+// ReadIdentity reads the identity file of a folder without opening the journal.
+// ok is false if there is none. The error may be a *CorruptError.
+func ReadIdentity(dir string) (identity Identity, ok bool, err error) {
+	path := filepath.Join(dir, identityFile)
+	text, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return Identity{}, false, nil
+	}
+	if err != nil {
+		return Identity{}, false, errors.Wrap(err, "read identity")
+	}
+	if err := json.Unmarshal(text, &identity); err != nil {
+		return Identity{}, false, &CorruptError{File: path, Reason: err.Error()}
+	}
+	if identity.Host == "" || identity.Incarnation == "" {
+		return Identity{}, false, &CorruptError{File: path, Reason: "host or incarnation is missing"}
+	}
+	return identity, true, nil
+}
+
+// Identity returns the identity; ok is false if none has been written.
+func (j *Journal) Identity() (identity Identity, ok bool) {
+	return j.identity, j.identity != Identity{}
+}
+
+// WriteIdentity writes the identity of a new journal. It must precede the first
+// Save. The error is an *IdentityError if there is an identity already.
+func (j *Journal) WriteIdentity(identity Identity) error {
+	if _, ok := j.Identity(); ok {
+		return &IdentityError{Folder: j.dir, Reason: "the identity has already been written"}
+	}
+	if identity.Host == "" || identity.Incarnation == "" {
+		return &IdentityError{Folder: j.dir, Reason: "host or incarnation is missing"}
+	}
+	text, err := json.Marshal(identity)
+	if err != nil {
+		return errors.Wrap(err, "encode identity")
+	}
+	if err := j.place(identityFile, append(text, '\n')); err != nil {
+		return err
+	}
+	j.identity = identity
+	return nil
+}
