Add leases of entry hosts

Cause: a change can only be called in force when it is known which hosts may still give out work, and a cut-off host has to stop by itself.

--- /dev/null
+++ b/lease/table.go
@@ -0,0 +1,138 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Table is the leader's side: which hosts may hold a lease, and which commands
+// each of them has applied. The zero value knows no host. It is not safe for
+// concurrent use.
+type Table struct {
+	// Length is the length of the leases that Renew grants.
+	Length time.Duration
+
+	hosts map[string]entry
+	// settled is when the leases of previous leaders have ended.
+	settled time.Time
+}
+
+type entry struct {
+	applied uint64
+	// acknowledged states that the host has renewed with this leader.
+	acknowledged bool
+	expiry       time.Time
+}
+
+// State is what is known of a host with regard to a command.
+type State string
+
+// Values of State.
+const (
+	// Acknowledged means that the host has applied the command.
+	Acknowledged State = "acknowledged"
+	// Expired means that the host holds no lease and gives out no work.
+	Expired State = "expired"
+	// Open means that the host may hold a lease and may not have applied the command.
+	Open State = "open"
+)
+
+// Status is the state of one host.
+type Status struct {
+	Host  string `json:"host"`
+	State State  `json:"state"`
+	// Applied is the index of the last command that the host has applied; 0 if it
+	// has not renewed with this leader.
+	Applied uint64 `json:"applied"`
+	// Live states that the host may hold a lease.
+	Live bool `json:"live"`
+	// Until is when the lease of the host ends or ended; zero if this leader knows
+	// of none.
+	Until time.Time `json:"until,omitzero"`
+}
+
+// Report states whether a command is in force.
+type Report struct {
+	Index uint64 `json:"index"`
+	// InForce is true if no host that may hold a lease lacks the command.
+	InForce bool     `json:"force"`
+	Hosts   []Status `json:"hosts"`
+	// Settled is when the leases of previous leaders have ended. Until then hosts
+	// that are no longer in the inventory may hold one, so nothing is in force.
+	Settled time.Time `json:"settled,omitzero"`
+}
+
+// Elect starts a term of leadership. Every host of the inventory counts as
+// holding a lease for length, which is the longest lease that a previous leader
+// may have granted.
+func (t *Table) Elect(now time.Time, length time.Duration, hosts []string) {
+	t.settled = now.Add(length)
+	t.hosts = make(map[string]entry, len(hosts))
+	for _, host := range hosts {
+		t.hosts[host] = entry{expiry: t.settled}
+	}
+}
+
+// Renew grants or renews the lease of a host that has applied the commands up to
+// an index, and returns when the lease ends at the leader. A lease never ends
+// earlier than one that was granted before, because the reply may be lost.
+func (t *Table) Renew(host string, applied uint64, now time.Time) time.Time {
+	if t.hosts == nil {
+		t.hosts = map[string]entry{}
+	}
+	expiry := now.Add(t.Length)
+	if old := t.hosts[host].expiry; old.After(expiry) {
+		expiry = old
+	}
+	t.hosts[host] = entry{applied: applied, acknowledged: true, expiry: expiry}
+	return expiry
+}
+
+// Live returns the hosts that may hold a lease, in order of their names.
+func (t *Table) Live(now time.Time) []string {
+	var live []string
+	for _, host := range slices.Sorted(maps.Keys(t.hosts)) {
+		if now.Before(t.hosts[host].expiry) {
+			live = append(live, host)
+		}
+	}
+	return live
+}
+
+// InForce reports whether the command at the index is in force. hosts are the
+// hosts of the inventory; other hosts are included while they may hold a lease.
+func (t *Table) InForce(index uint64, now time.Time, hosts []string) Report {
+	names := slices.Concat(hosts, t.Live(now))
+	slices.Sort(names)
+	names = slices.Compact(names)
+	r := Report{Index: index, InForce: !now.Before(t.settled), Hosts: make([]Status, 0, len(names))}
+	if !r.InForce {
+		r.Settled = t.settled
+	}
+	for _, host := range names {
+		s := t.status(host, index, now)
+		r.InForce = r.InForce && s.State != Open
+		r.Hosts = append(r.Hosts, s)
+	}
+	return r
+}
+
+func (t *Table) status(host string, index uint64, now time.Time) Status {
+	e := t.hosts[host]
+	s := Status{Host: host, State: Expired, Applied: e.applied, Live: now.Before(e.expiry), Until: e.expiry}
+	if s.Live {
+		s.State = Open
+	}
+	if e.acknowledged && e.applied >= index {
+		s.State = Acknowledged
+	}
+	return s
+}
+
+// Prune forgets the hosts that are not in the inventory and hold no lease.
+func (t *Table) Prune(now time.Time, hosts []string) {
+	maps.DeleteFunc(t.hosts, func(host string, e entry) bool {
+		return !now.Before(e.expiry) && !slices.Contains(hosts, host)
+	})
+}
