Add the HTTP interface for operators

Cause: operators need to read and change the inventory, revert moves and see what is wrong. Change: package operator serves the routes of section 3.7 with exported request and reply types. Conflicts are 409 with the winner and the differences, document faults are 422 with the list. A status lists findings with what is wrong, since when, what the system did and what the operator has to do. It has no tests yet.

--- /dev/null
+++ b/operator/findings.go
@@ -0,0 +1,252 @@
+package operator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+	"wasabirelay/lease"
+)
+
+// nothing is the operator's part of a finding that needs no action.
+const nothing = "nothing"
+
+// maxBehind is the number of log entries up to which a replica counts as caught
+// up; a learner is promoted within the same distance.
+const maxBehind = 64
+
+func findControl(in *StatusInput) []Finding {
+	var found []Finding
+	if in.Leader.Host == "" {
+		f := Finding{
+			Level: Reduced, Subject: "control", What: "no leader is known: no change, target or claim is accepted",
+			Since: in.Leader.Since, Did: "queries continue while a majority of hosts is reachable",
+			Want: "restore a majority of the control hosts",
+		}
+		if in.View.Inventory != nil && in.View.Inventory.Rules.Lost == inventory.Stop {
+			f.Level, f.Did = Failed, "hosts refuse queries when their leases end, as the rule lost asks"
+		}
+		found = append(found, f)
+	}
+	for _, r := range in.Replicas {
+		if f := findReplica(&r); f != nil {
+			found = append(found, *f)
+		}
+	}
+	if in.View.Inventory == nil {
+		found = append(found, Finding{
+			Level: Failed, Subject: "inventory", What: "no inventory has been applied",
+			Did: "targets may announce; no query is served", Want: "apply an inventory",
+		})
+	}
+	return found
+}
+
+func findReplica(r *Replica) *Finding {
+	f := &Finding{Level: Reduced, Subject: "control host " + r.Host, Since: r.Silent}
+	switch {
+	case !r.Silent.IsZero():
+		f.What, f.Did = "does not answer the leader", "the other control hosts keep the log"
+		f.Want = "bring the host back; replace it before another one fails"
+	case r.Learner:
+		f.Level, f.What = Notice, fmt.Sprintf("is a learner, %d entries behind", r.Behind)
+		f.Did, f.Want = "it gets a vote once it has caught up", nothing
+	case r.Behind > maxBehind:
+		f.What, f.Did = fmt.Sprintf("is %d entries behind", r.Behind), "the leader sends the missing entries"
+		f.Want = "check the disk and the network of the host if this lasts"
+	default:
+		return nil
+	}
+	return f
+}
+
+func findHosts(in *StatusInput) []Finding {
+	if in.Leases == nil {
+		return nil
+	}
+	var found []Finding
+	for _, h := range in.View.Hosts {
+		l, ok := in.Leases[h.Name]
+		switch {
+		case !ok || !l.Live:
+			found = append(found, Finding{
+				Level: Reduced, Subject: "host " + h.Name, What: "holds no lease: it is down or cut off", Since: l.Until,
+				Did:  "it is left out of address lists and gives out no work",
+				Want: "check the host and its network",
+			})
+		case l.State == lease.Open && l.Applied > 0:
+			found = append(found, Finding{
+				Level: Notice, Subject: "host " + h.Name,
+				What: fmt.Sprintf("has applied entry %d of %d", l.Applied, in.View.Revision),
+				Did:  "changes count as in force only when it has applied them or lost its lease", Want: nothing,
+			})
+		}
+	}
+	return found
+}
+
+func findOut(in *StatusInput) []Finding {
+	var found []Finding
+	for _, condition := range slices.Sorted(maps.Keys(in.View.Since)) {
+		kind, name, _ := strings.Cut(condition, "/")
+		f := Finding{
+			Level: Notice, What: "is out of service by the inventory", Since: in.View.Since[condition],
+			Want: `remove "out" from the inventory when it may return`,
+		}
+		switch kind {
+		case "centres":
+			f.Subject, f.Did = "data centre "+name, "its targets get no new work and its hosts are left out of address lists"
+		case "hosts":
+			f.Subject, f.Did = "host "+name, "it is left out of address lists"
+		default:
+			continue
+		}
+		found = append(found, f)
+	}
+	return found
+}
+
+func findServices(in *StatusInput) []Finding {
+	var found []Finding
+	for _, condition := range slices.Sorted(maps.Keys(in.View.Since)) {
+		service, ok := strings.CutPrefix(condition, "services/")
+		if !ok {
+			continue
+		}
+		f := Finding{
+			Level: Failed, Subject: "service " + service, Since: in.View.Since[condition],
+			What: "no target has announced itself", Did: "queries are refused",
+			Want: "start the service's targets, or remove the service from the inventory",
+		}
+		if n, missing := missingShards(in.View, service); len(missing) > 0 {
+			f.What = fmt.Sprintf("snapshot %d lacks a replica of %s", n, shardList(missing))
+			f.Did = "answers report their coverage; queries that need more are refused"
+			f.Want = "start targets for the missing shards"
+		}
+		found = append(found, f)
+	}
+	return found
+}
+
+// missingShards returns the newest known snapshot of a service and its shards
+// without a replica.
+func missingShards(v *control.View, service string) (number uint64, missing []int) {
+	count := 0
+	for n, shards := range v.Known[service] {
+		if n >= number {
+			number, count = n, shards
+		}
+	}
+	have := make([]bool, count)
+	for _, t := range v.Targets[service] {
+		if t.State == control.Draining || !slices.ContainsFunc(t.Snapshots, func(n control.Snapshot) bool { return n.Number == number }) {
+			continue
+		}
+		for _, shard := range t.Shards {
+			if shard < count {
+				have[shard] = true
+			}
+		}
+	}
+	for shard, ok := range have {
+		if !ok {
+			missing = append(missing, shard)
+		}
+	}
+	return number, missing
+}
+
+// listedShards is the number of shards that a finding names.
+const listedShards = 8
+
+func shardList(shards []int) string {
+	var names []string
+	for _, shard := range shards[:min(len(shards), listedShards)] {
+		names = append(names, fmt.Sprint(shard))
+	}
+	text := "shard " + strings.Join(names, ", ")
+	if more := len(shards) - listedShards; more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return text
+}
+
+// findTargets reports cold and draining targets per service, not one by one: a
+// data centre that returns brings hundreds of cold targets.
+func findTargets(in *StatusInput) []Finding {
+	var found []Finding
+	for _, service := range slices.Sorted(maps.Keys(in.View.Targets)) {
+		for _, state := range []control.TargetState{control.Cold, control.Draining} {
+			count, since := 0, time.Time{}
+			for _, t := range in.View.Targets[service] {
+				if t.State != state {
+					continue
+				}
+				if count++; since.IsZero() || t.Since.Before(since) {
+					since = t.Since
+				}
+			}
+			if count == 0 {
+				continue
+			}
+			f := Finding{
+				Level: Notice, Subject: "service " + service, Since: since, Want: nothing,
+				What: fmt.Sprintf("%d of %d targets are %s", count, len(in.View.Targets[service]), state),
+				Did:  "they get work under grants only",
+			}
+			if state == control.Draining {
+				f.Did = "they get no new work"
+			}
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+func findMoves(in *StatusInput) []Finding {
+	var found []Finding
+	for _, service := range slices.Sorted(maps.Keys(in.View.Moves)) {
+		m := in.View.Moves[service]
+		f := Finding{
+			Level: Notice, Subject: "move of " + service, Since: m.Since,
+			What: fmt.Sprintf("version %s is at step %s with a share of %g, due %s", m.Version, m.Step, m.Share, m.By.Format(time.RFC3339)),
+			Did:  "the share grows with the evidence for the version", Want: nothing,
+		}
+		switch {
+		case m.Reverted:
+			f.Level, f.What = Reduced, fmt.Sprintf("version %s was reverted: %s", m.Version, m.Reason)
+			if m.Operator != "" {
+				f.What += " (by operator " + m.Operator + ")"
+			}
+			f.Did = "the version gets no traffic"
+			f.Want = "mend the version and give the rule a new time, or name another version"
+		case m.Share >= 1:
+			continue
+		case in.Time.After(m.By):
+			f.Level, f.Did = Reduced, "the share is not forced: the evidence does not suffice"
+			f.Want = "check the version's targets; give the rule a later time or revert the move"
+		}
+		found = append(found, f)
+	}
+	return found
+}
+
+func findPoison(in *StatusInput) []Finding {
+	var found []Finding
+	for _, fingerprint := range slices.Sorted(maps.Keys(in.View.Poisoned)) {
+		until := in.View.Poisoned[fingerprint]
+		if !in.Time.Before(until) {
+			continue
+		}
+		found = append(found, Finding{
+			Level: Reduced, Subject: "request " + fingerprint, What: "crashed several targets",
+			Did:  "it is refused until " + until.UTC().Format(time.RFC3339),
+			Want: "find the caller that sends it and mend the targets",
+		})
+	}
+	return found
+}
--- /dev/null
+++ b/operator/moves.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+
+	"wasabirelay/control"
+)
+
+// getMoves serves GET /v1/moves: 200 with Moves.
+func (s *Service) getMoves(w http.ResponseWriter, _ *http.Request) {
+	v := s.View()
+	reply := Moves{Moves: []Move{}}
+	for _, service := range slices.Sorted(maps.Keys(v.Moves)) {
+		reply.Moves = append(reply.Moves, moveOf(v, service))
+	}
+	writeJSON(w, reply)
+}
+
+// getMove serves GET /v1/moves/{service}: 200 with Move; 404 if the inventory
+// names no move of the service.
+func (s *Service) getMove(w http.ResponseWriter, r *http.Request) {
+	v, service := s.View(), r.PathValue("service")
+	if _, ok := v.Moves[service]; !ok {
+		absent("service " + service + " has no move").Write(w)
+		return
+	}
+	writeJSON(w, moveOf(v, service))
+}
+
+func moveOf(v *control.View, service string) Move {
+	m := Move{MoveRecord: v.Moves[service], Targets: map[string]int{}}
+	for _, t := range v.Targets[service] {
+		m.Targets[t.Version]++
+	}
+	return m
+}
+
+// revertMove serves POST /v1/moves/{service}/revert?wait=D with the body Revert:
+// 200 with Applied; 404 if there is no move; 409 if the move is to another version
+// or was reverted by another change, whose operator and identity are given.
+func (s *Service) revertMove(w http.ResponseWriter, r *http.Request) {
+	var b Revert
+	if !readBody(w, r, &b) ||
+		!require(w, field{"change", b.Change}, field{"operator", b.Operator}, field{"version", b.Version}) {
+		return
+	}
+	s.commit(w, r, control.Command{Move: &control.StepMove{
+		Service: r.PathValue("service"), Version: b.Version, Step: control.StepReverted, Reason: b.Reason, Revert: true,
+		Operator: b.Operator, Change: b.Change,
+	}})
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,209 @@
+// Package operator is the HTTP interface for operators: the inventory, version
+// moves, hosts, targets and a status of one screen.
+//
+// Replies are JSON. Refusals are RFC 9457 problem details with the additional
+// members of Refusal. A refusal with executed "none" changed nothing; with
+// "unknown" the change may have been accepted, and a resend with the same change
+// identity gets its outcome.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"wasabirelay/control"
+	"wasabirelay/lease"
+	"wasabirelay/problem"
+)
+
+const (
+	// maxBody bounds the body of a request in bytes, see section 3.7 of the design.
+	maxBody = 1 << 20
+	// maxWait bounds the parameter wait. A change is in force within 8 s at the
+	// size to design for.
+	maxWait = 30 * time.Second
+	// pollInterval is how often the leader is asked while a request waits.
+	pollInterval = 50 * time.Millisecond
+)
+
+// Service is the HTTP interface for operators. Exported fields are set before
+// Register; Replicas and Findings may be nil.
+type Service struct {
+	// Host is the name of this host, Program the version of the daemon.
+	Host    string
+	Program string
+	Clock   clockwork.Clock
+	// Propose commits a command. An error that is not a *problem.Details means
+	// that the outcome is unknown.
+	Propose func(ctx context.Context, c control.Command) (control.Result, error)
+	// View returns the current view. Its Inventory may be nil.
+	View func() *control.View
+	// InForce asks the leader whether the command at an index is in force.
+	InForce func(ctx context.Context, index uint64) (lease.Report, error)
+	// Leases asks the leader for the leases of all hosts.
+	Leases func(ctx context.Context) ([]lease.Status, error)
+	// Leader returns the leader that this host knows.
+	Leader func() Leader
+	// Replicas asks the leader for the control replicas.
+	Replicas func(ctx context.Context) ([]Replica, error)
+	// Findings returns what this host observed itself, such as ejected targets.
+	Findings func() []Finding
+}
+
+// Register adds the routes to mux.
+func (s *Service) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/inventory", s.getInventory)
+	mux.HandleFunc("POST /v1/inventory", s.applyInventory)
+	mux.HandleFunc("POST /v1/inventory/check", s.checkInventory)
+	mux.HandleFunc("GET /v1/rules", s.getRules)
+	mux.HandleFunc("GET /v1/moves", s.getMoves)
+	mux.HandleFunc("GET /v1/moves/{service}", s.getMove)
+	mux.HandleFunc("POST /v1/moves/{service}/revert", s.revertMove)
+	mux.HandleFunc("GET /v1/hosts", s.getHosts)
+	mux.HandleFunc("GET /v1/targets", s.getTargets)
+	mux.HandleFunc("GET /v1/status", s.getStatus)
+	mux.HandleFunc("GET /v1/version", s.getVersion)
+}
+
+// commit proposes the command, waits until it is in force or the wait is over,
+// and writes the reply.
+func (s *Service) commit(w http.ResponseWriter, r *http.Request, c control.Command) {
+	wait, bad := waitTime(r)
+	if bad != nil {
+		bad.Write(w)
+		return
+	}
+	c.At = s.Clock.Now()
+	result, err := s.Propose(r.Context(), c)
+	if err != nil {
+		writeUnknown(w, err)
+		return
+	}
+	if result.Refusal != nil {
+		s.refusal(&result).Write(w)
+		return
+	}
+	applied := Applied{Version: result.Version, Index: result.Index, Accepted: true, Hosts: []lease.Status{}}
+	report, err := s.await(r.Context(), result.Index, wait)
+	if err != nil {
+		applied.Detail = "the change is accepted, but the leader could not be asked where it is in force: " + err.Error()
+	} else {
+		applied.InForce, applied.Hosts, applied.Settled = report.InForce, report.Hosts, report.Settled
+	}
+	writeJSON(w, applied)
+}
+
+// waitTime reads the parameter wait, a duration such as 2s; 0 if it is absent.
+func waitTime(r *http.Request) (time.Duration, *problem.Details) {
+	text := r.URL.Query().Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxWait {
+		return 0, problem.BadField("wait", fmt.Sprintf("a duration from 0s to %s", maxWait))
+	}
+	return wait, nil
+}
+
+// await asks the leader until the command is in force or the wait is over. An
+// error is returned only if the last question failed.
+func (s *Service) await(ctx context.Context, index uint64, wait time.Duration) (lease.Report, error) {
+	deadline := s.Clock.Now().Add(wait)
+	for {
+		report, err := s.InForce(ctx, index)
+		left := deadline.Sub(s.Clock.Now())
+		if err == nil && report.InForce || left <= 0 {
+			return report, err
+		}
+		select {
+		case <-ctx.Done():
+			return report, errors.Wrap(ctx.Err(), "wait until the change is in force")
+		case <-s.Clock.After(min(pollInterval, left)):
+		}
+	}
+}
+
+// refusal returns the problem document of a refused command.
+func (s *Service) refusal(result *control.Result) *Refusal {
+	f := result.Refusal
+	status, title := http.StatusConflict, "Conflict with another change"
+	switch f.Kind {
+	case control.Invalid:
+		status, title = http.StatusUnprocessableEntity, "Invalid change"
+	case control.Absent:
+		status, title = http.StatusNotFound, "Not found"
+	case control.Conflict, control.Stale, control.Taken:
+	}
+	return &Refusal{
+		Details: problem.Details{
+			Type: "urn:wasabirelay:" + string(f.Kind), Title: title, Status: status, Detail: f.Detail, Executed: problem.None,
+		},
+		Operator: f.Operator, Change: f.Change, Version: result.Version, Differences: f.Differences, Faults: f.Faults,
+	}
+}
+
+// writeUnknown writes the error of a proposal whose outcome is not known, unless
+// the error says what is known.
+func writeUnknown(w http.ResponseWriter, err error) {
+	var d *problem.Details
+	if !errors.As(err, &d) {
+		d = problem.Unavailable("no-outcome", err.Error()+"; a resend with the same change identity gets the outcome")
+		d.Executed = problem.Unknown
+	}
+	d.Write(w)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // The client has gone if this fails.
+}
+
+// readBody decodes a JSON body and writes a refusal if that fails. Other media
+// types are refused, so that a form on a web page can't submit a change.
+func readBody(w http.ResponseWriter, r *http.Request, into any) bool {
+	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || media != "application/json" {
+		refuseBody(http.StatusUnsupportedMediaType, "the content type is application/json").Write(w)
+		return false
+	}
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		status := http.StatusBadRequest
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		refuseBody(status, err.Error()).Write(w)
+		return false
+	}
+	return true
+}
+
+func refuseBody(status int, detail string) *problem.Details {
+	d := problem.BadField("body", detail)
+	d.Status = status
+	return d
+}
+
+// field is a member of a body that must not be empty.
+type field struct{ name, value string }
+
+// require writes a refusal that names the first empty field.
+func require(w http.ResponseWriter, fields ...field) bool {
+	for _, f := range fields {
+		if f.value == "" {
+			problem.BadField(f.name, "a value is needed").Write(w)
+			return false
+		}
+	}
+	return true
+}
