Select replicas from own observations

Cause: sub-requests went to a random replica, whatever its state. Change: package route picks one of two random replicas by in-flight count times learned latency, near replicas first; ejects outliers with one probe at a time; learns the hedge delay per service; bounds hedges and retries by one budget. Before/after: none before; go test -race ./route passes. Conclusion: counters are read through Stats, because the modules that client_golang needs are not in go.mod yet.

--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,259 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/control"
+)
+
+var epoch = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func table() *Table {
+	return &Table{Centre: "izmir-a", Rand: rand.New(rand.NewPCG(1, 2))}
+}
+
+func replicas(centres ...string) []*control.Target {
+	var list []*control.Target
+	for i, centre := range centres {
+		list = append(list, &control.Target{
+			Name: fmt.Sprintf("t%d", i), Incarnation: "1", Service: "stok-bulucu", Centre: centre, State: control.Warm,
+		})
+	}
+	return list
+}
+
+// end records a sub-request of the given latency that ends at now.
+func end(t *Table, now time.Time, r *control.Target, latency time.Duration, o Outcome) {
+	t.Start(now.Add(-latency), r)
+	t.Done(now, r, r.Service, latency, o)
+}
+
+// share picks n times without load and returns the names that were picked.
+func share(t *Table, now time.Time, c Choice, n int) map[string]int {
+	picked := map[string]int{}
+	for range n {
+		if r, ok := t.Pick(now, c); ok {
+			picked[r.Name]++
+		}
+	}
+	return picked
+}
+
+// TestPick guards against work for replicas that must not get any, and against
+// leaving the data centre without need.
+func TestPick(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name    string
+		centres []string
+		prepare func(tb *Table, r []*control.Target, c *Choice)
+		want    string // names that may be picked; all of them must be
+	}{
+		{"near first", []string{"izmir-a", "manisa"}, func(*Table, []*control.Target, *Choice) {}, "t0"},
+		{"far if near is clearly worse", []string{"izmir-a", "manisa"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], 9*ms, Success)
+			end(tb, at(0), r[1], 3*ms, Success)
+		}, "t1"},
+		{"near if slightly worse", []string{"izmir-a", "manisa"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], 5*ms, Success)
+			end(tb, at(0), r[1], 3*ms, Success)
+		}, "t0"},
+		{"far if near has work in flight", []string{"izmir-a", "manisa"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			tb.Start(at(0), r[0])
+			tb.Start(at(0), r[0])
+		}, "t1"},
+		{"excluded", []string{"izmir-a", "izmir-a"}, func(_ *Table, _ []*control.Target, c *Choice) {
+			c.Exclude = map[string]bool{"t0": true}
+		}, "t1"},
+		{"not allowed; Allow may call the table", []string{"izmir-a", "izmir-a"}, func(tb *Table, _ []*control.Target, c *Choice) {
+			c.Allow = func(r *control.Target) bool { return r.Name == "t1" && !tb.SuspectCold(at(0), r) }
+		}, "t1"},
+		{"announced as draining", []string{"izmir-a", "izmir-a"}, func(_ *Table, r []*control.Target, _ *Choice) {
+			r[0].State = control.Draining
+		}, "t1"},
+		{"refused as draining", []string{"izmir-a"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], ms, DrainingReply)
+		}, ""},
+		{"connection failed", []string{"izmir-a", "izmir-a"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], ms, ConnectFailed)
+		}, "t1"},
+		{"reset", []string{"izmir-a", "manisa"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], ms, Reset)
+		}, "t1"},
+		{"one failure is no outlier", []string{"izmir-a", "manisa"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], ms, Failed)
+		}, "t0"},
+		{"three failures are", []string{"izmir-a", "manisa"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			for range 3 {
+				end(tb, at(0), r[0], ms, BadReply)
+			}
+		}, "t1"},
+		{"failures that all replicas have", []string{"izmir-a", "izmir-a"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			for i := range 8 {
+				end(tb, at(0), r[i%2], ms, Failed)
+			}
+		}, "t0 t1"},
+		{"the last replica", []string{"izmir-a"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], ms, ConnectFailed)
+		}, "t0"},
+		{"all replicas ejected", []string{"izmir-a", "izmir-a"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], ms, Reset)
+			end(tb, at(0), r[1], ms, Reset)
+		}, "t0 t1"},
+		{"new incarnation starts afresh", []string{"izmir-a"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			end(tb, at(0), r[0], ms, DrainingReply)
+			old := *r[0]
+			r[0].Incarnation = "2"
+			tb.Start(at(0), r[0])
+			end(tb, at(0), &old, ms, DrainingReply)
+		}, "t0"},
+		{"slow without a sample of its own", []string{"izmir-a", "manisa"}, func(tb *Table, r []*control.Target, _ *Choice) {
+			for range 10 {
+				end(tb, at(0), r[0], 60*ms, Cancelled)
+				end(tb, at(0), r[1], 3*ms, Success)
+			}
+		}, "t1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tb, list := table(), replicas(test.centres...)
+			c := Choice{Service: "stok-bulucu", Replicas: list}
+			test.prepare(tb, list, &c)
+			got := ""
+			picked := share(tb, at(0), c, 40)
+			for _, r := range list {
+				if picked[r.Name] > 0 {
+					got += " " + r.Name
+				}
+			}
+			is.New(t).Equal(got, map[bool]string{true: " "}[test.want != ""]+test.want)
+		})
+	}
+}
+
+// TestProbe guards against a flood of sub-requests to a target that is still dead,
+// and against one that never gets work again.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	tb, list := table(), replicas("izmir-a", "izmir-a")
+	c := Choice{Service: "stok-bulucu", Replicas: list}
+	end(tb, at(0), list[0], time.Millisecond, ConnectFailed)
+	now, last := at(0), at(0)
+	var gaps []time.Duration
+	for len(gaps) < 9 {
+		now = now.Add(10 * time.Millisecond)
+		if share(tb, now, c, 10)["t0"] == 0 {
+			continue
+		}
+		is.Equal(share(tb, now, c, 10)["t0"], 0) // one probe at a time
+		gaps = append(gaps, now.Sub(last))
+		last = now
+		end(tb, now, list[0], 0, ConnectFailed)
+	}
+	for i, want := range []float64{0.5, 1, 2, 4, 8, 16, 30, 30, 30} {
+		got := gaps[i].Seconds()
+		is.True(got >= 0.8*want && got <= 1.2*want+0.02) // intervals grow to a bound
+	}
+	now = now.Add(40 * time.Second)
+	noProbe := c
+	noProbe.NoProbe = true
+	is.Equal(share(tb, now, noProbe, 10)["t0"], 0)
+	is.Equal(share(tb, now, c, 10)["t0"], 1)
+	end(tb, now, list[0], time.Second, Success) // sent before the last ejection
+	end(tb, now.Add(time.Millisecond), list[0], time.Millisecond, Success)
+	is.True(share(tb, now.Add(time.Millisecond), c, 40)["t0"] > 5) // reinstated
+	is.Equal(tb.Stats(now).Ejections["connection"], uint64(1))
+}
+
+// TestSuspectCold guards against regular work for a target that turned cold, and
+// against treating an overloaded service as cold.
+func TestSuspectCold(t *testing.T) {
+	is := is.New(t)
+	tb, list := table(), replicas("izmir-a", "izmir-a", "izmir-a")
+	c := Choice{Service: "stok-bulucu", Replicas: list}
+	tb.Pick(at(0), c)
+	end(tb, at(0), list[0], time.Millisecond, Shed)
+	is.True(tb.SuspectCold(at(0), list[0]))                 // the first reply
+	is.True(!tb.SuspectCold(at(coldFirst), list[0]))        // ends
+	end(tb, at(coldFirst), list[0], time.Millisecond, Shed) // still cold
+	is.True(tb.SuspectCold(at(2*coldFirst), list[0]))       // for longer
+	end(tb, at(coldFirst), list[1], time.Millisecond, Shed)
+	end(tb, at(coldFirst), list[2], time.Millisecond, Shed)
+	tb.Pick(at(coldFirst), c)
+	for _, r := range list {
+		is.True(!tb.SuspectCold(at(coldFirst), r)) // all shed: overload
+	}
+	end(tb, at(coldFirst), list[1], time.Millisecond, ColdReply)
+	is.True(tb.SuspectCold(at(coldFirst), list[1])) // said so itself
+	tb.Forget(map[string]bool{"t0": true})
+	is.True(!tb.SuspectCold(at(coldFirst), list[1]))
+}
+
+// TestBudget guards against extra load beyond the share plus a constant.
+func TestBudget(t *testing.T) {
+	for _, share := range []float64{0, 0.05, 0.3, 1} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			is := is.New(t)
+			b := table().Budget("stok-bulucu")
+			rng := rand.New(rand.NewPCG(3, 4))
+			extra, sent := 0, 0
+			for range 20000 {
+				if rng.Float64() < 0.4 {
+					b.Sent()
+					sent++
+				}
+				if b.Extra(share) {
+					extra++
+				}
+				is.True(float64(extra) <= share*float64(sent)+burst)
+			}
+			is.True(float64(extra) >= share*float64(sent)-1) // and all of the share is available
+		})
+	}
+}
+
+// TestHedgeAfter guards against hedges without a measured quantile, hedges while
+// everything is slow, and a quantile that sinks because its losers are left out.
+func TestHedgeAfter(t *testing.T) {
+	is := is.New(t)
+	tb, r := table(), replicas("izmir-a")[0]
+	rng := rand.New(rand.NewPCG(5, 6))
+	now := at(0)
+	feed := func(n int, latency func() time.Duration) {
+		for range n {
+			now = now.Add(5 * time.Millisecond)
+			took := latency()
+			delay, ok := tb.HedgeAfter(now, r.Service, 0.95)
+			if ok && took > delay { // the hedge wins
+				end(tb, now, r, delay+2*time.Millisecond, Cancelled)
+				continue
+			}
+			end(tb, now, r, took, Success)
+		}
+	}
+	usual := func() time.Duration { return time.Duration(1000+rng.IntN(9000)) * time.Microsecond }
+	slow := func() time.Duration { return 10 * usual() }
+	feed(windowSamples-1, usual)
+	_, ok := tb.HedgeAfter(now, r.Service, 0.95)
+	is.True(!ok) // too few samples
+	feed(40000, usual)
+	delay, ok := tb.HedgeAfter(now, r.Service, 0.95)
+	is.True(ok)
+	is.True(delay > 9*time.Millisecond && delay < 10*time.Millisecond)
+	feed(30, slow)
+	_, ok = tb.HedgeAfter(now, r.Service, 0.95)
+	is.True(!ok) // everything is slow
+	feed(200, usual)
+	_, ok = tb.HedgeAfter(now, r.Service, 0.95)
+	is.True(ok)
+	feed(20000, slow) // stays slow: becomes usual
+	delay, ok = tb.HedgeAfter(now, r.Service, 0.95)
+	is.True(ok && delay > 70*time.Millisecond)
+}
