Bound the work in flight per target

Cause: sub-requests used an unbounded client that closes the connection of each cancelled sub-request. Conclusion: own connection handling over net/http's request writer and response reader, because http.Transport closes the connection of a cancelled request.

--- /dev/null
+++ b/limit/do.go
@@ -0,0 +1,149 @@
+package limit
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Response is a complete reply.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// reply is the end of reading a reply.
+type reply struct {
+	response *Response
+	err      error
+}
+
+// Do sends the request and reads the whole reply. The URL's host is not used to
+// connect: the connection goes to the address of the permit's share. The error is a
+// *LostError. If ctx ends while the reply is awaited, the reply is awaited in the
+// background and the connection used again, because opening a new one may take
+// longer than a query; until then the permit's place stays taken.
+func (p *Pool) Do(ctx context.Context, permit *Permit, req *http.Request) (*Response, error) {
+	if ended(ctx) {
+		return nil, &LostError{Err: ctx.Err()}
+	}
+	c, err := permit.member.take(ctx)
+	if err != nil {
+		return nil, &LostError{Err: err}
+	}
+	before := c.raw.wrote
+	stop := c.watch(ctx)
+	if err := c.send(req); err != nil {
+		if stop() {
+			err = ctx.Err()
+		}
+		permit.member.discard(c)
+		return nil, &LostError{Sent: c.raw.wrote > before, Err: err}
+	}
+	err = c.head(req)
+	interrupted := stop()
+	if err != nil {
+		return nil, p.headFailed(ctx, permit, c, req, err, interrupted)
+	}
+	return p.rest(ctx, permit, c)
+}
+
+// headFailed ends a sub-request whose reply has not begun in time or is unusable.
+func (p *Pool) headFailed(ctx context.Context, permit *Permit, c *connection, req *http.Request, err error, interrupted bool) error {
+	if interrupted && isTimeout(err) {
+		permit.hold()
+		go p.drain(permit, c, func() reply { return p.late(c, req) })
+		return &LostError{Sent: true, Err: ctx.Err()}
+	}
+	permit.member.discard(c)
+	return &LostError{Sent: true, Err: err}
+}
+
+// late reads the reply of a cancelled sub-request.
+func (p *Pool) late(c *connection, req *http.Request) reply {
+	if err := c.head(req); err != nil {
+		return reply{err: err}
+	}
+	return p.read(c)
+}
+
+// read reads the body of the reply.
+func (p *Pool) read(c *connection) reply {
+	body, err := c.body(p.maxBody())
+	if err != nil {
+		return reply{err: err}
+	}
+	return reply{response: &Response{Status: c.response.StatusCode, Header: c.response.Header, Body: body}}
+}
+
+// rest reads the body, in the background if that may block.
+func (p *Pool) rest(ctx context.Context, permit *Permit, c *connection) (*Response, error) {
+	if c.buffered() {
+		return permit.member.finish(c, p.read(c))
+	}
+	done := make(chan reply, 1)
+	go func() { done <- p.read(c) }()
+	select {
+	case r := <-done:
+		return permit.member.finish(c, r)
+	case <-ctx.Done():
+	}
+	permit.hold()
+	go p.drain(permit, c, func() reply { return <-done })
+	return nil, &LostError{Sent: true, Err: ctx.Err()}
+}
+
+// drain waits for the reply of a cancelled sub-request within a bound.
+func (p *Pool) drain(permit *Permit, c *connection, wait func() reply) {
+	timer := p.clock().AfterFunc(orDefault(p.Drain, defaultDrain), c.close)
+	r := wait()
+	timer.Stop()
+	m := permit.member
+	_, _ = m.finish(c, r) // nobody waits for the reply
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.err == nil {
+		m.stats.Drained++
+	}
+	permit.leave()
+}
+
+// finish keeps the connection if the reply was read to its end.
+func (m *member) finish(c *connection, r reply) (*Response, error) {
+	if r.err != nil {
+		m.discard(c)
+		return nil, &LostError{Sent: true, Err: r.err}
+	}
+	if c.last || c.reader.Buffered() > 0 {
+		m.discard(c)
+		return r.response, nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.put(c)
+	return r.response, nil
+}
+
+// discard closes a connection that can't be used again.
+func (m *member) discard(c *connection) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.drop(c)
+	m.fill()
+}
+
+func ended(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/limit/errors.go
@@ -0,0 +1,109 @@
+package limit
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason is why a request was refused.
+type Reason string
+
+// Values of Reason.
+const (
+	// NoShare means that this host has no connection to the target's incarnation.
+	NoShare Reason = "no-share"
+	// TooLate means that the expected wait exceeds the time that is left.
+	TooLate Reason = "too-late"
+	// Ended means that the context ended during the wait.
+	Ended Reason = "ended"
+)
+
+// RefusedError reports that a request was refused before anything was sent.
+type RefusedError struct {
+	// Target is the target's name, empty for a refusal by Admission.
+	Target string
+	Reason Reason
+	// Wait is the expected wait, if it was the reason.
+	Wait time.Duration
+	// Err is the error of the context, if it ended.
+	Err error
+}
+
+// Error names the target, the reason and the expected wait.
+func (e *RefusedError) Error() string {
+	text := "refused: " + string(e.Reason)
+	if e.Target != "" {
+		text = "target " + e.Target + ": " + text
+	}
+	if e.Wait > 0 {
+		text += fmt.Sprintf(", expected wait %s", e.Wait)
+	}
+	return text
+}
+
+// Unwrap returns the error of the context.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// LostError reports that a sub-request got no usable reply.
+type LostError struct {
+	// Sent is false only if no byte of the request left this host.
+	Sent bool
+	// Err is the cause: the error of the context, a *ConnectError, a *ReplyError, or a
+	// network error.
+	Err error
+}
+
+// Error returns the cause and whether the request may have been received.
+func (e *LostError) Error() string {
+	if e.Sent {
+		return "sub-request lost after it was sent: " + e.Err.Error()
+	}
+	return "sub-request not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// ConnectError reports that no connection could be opened. Its cause may be a
+// time-out that also matches context.DeadlineExceeded, so match this type first.
+type ConnectError struct {
+	Err error
+}
+
+// Error returns the cause.
+func (e *ConnectError) Error() string { return "connect: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ConnectError) Unwrap() error { return e.Err }
+
+// Fault is why a reply can't be used.
+type Fault string
+
+// Values of Fault.
+const (
+	// CutShort means that the body ended before its length or its last chunk.
+	CutShort Fault = "cut short"
+	// TooLarge means that the body exceeds MaxBody.
+	TooLarge Fault = "too large"
+	// NoLength means that only the end of the connection marks the end of the body.
+	NoLength Fault = "without length"
+	// Malformed means that the header is not HTTP/1.1 or exceeds 8 KiB.
+	Malformed Fault = "malformed"
+)
+
+// ReplyError reports a reply that can't be used.
+type ReplyError struct {
+	Reason Fault
+	Err    error
+}
+
+// Error returns the reason and its cause.
+func (e *ReplyError) Error() string {
+	if e.Err == nil {
+		return "reply " + string(e.Reason)
+	}
+	return "reply " + string(e.Reason) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ReplyError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/limit/shares.go
@@ -0,0 +1,50 @@
+package limit
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabirelay/control"
+)
+
+// Shares returns the number of connections to each target, by name, that the host
+// self may open. Every host that knows the same hosts computes a division in which
+// the shares of a target add up to its connections: each host gets connections
+// divided by hosts, and those that rank first for the target by rendezvous hashing
+// get one more until the rest is used up. A host that is not in hosts gets none, and
+// so does every host if the target announces no connections.
+func Shares(hosts []string, self string, targets []*control.Target) map[string]int {
+	hosts = slices.Compact(slices.Sorted(slices.Values(hosts)))
+	shares := make(map[string]int, len(targets))
+	member := slices.Contains(hosts, self)
+	for _, t := range targets {
+		if !member || t.Connections <= 0 {
+			shares[t.Name] = 0
+			continue
+		}
+		shares[t.Name] = t.Connections / len(hosts)
+		if rest := t.Connections % len(hosts); rest > 0 && rank(hosts, self, t.Name) < rest {
+			shares[t.Name]++
+		}
+	}
+	return shares
+}
+
+// rank returns the position of the host among the hosts for the target. Equal
+// scores are ordered by name.
+func rank(hosts []string, self, target string) int {
+	var buffer [128]byte
+	score := func(host string) uint64 {
+		text := append(buffer[:0], host...)
+		text = append(text, 0) // not part of a name
+		return xxhash.Sum64(append(text, target...))
+	}
+	own, before := score(self), 0
+	for _, h := range hosts {
+		if s := score(h); s > own || s == own && h < self {
+			before++
+		}
+	}
+	return before
+}
