Test the pool, queue, admission and shares

Cause: package limit had no tests; the in-flight limit grew only for the last sub-request of a round. Change: tests against servers that cut bodies, reset connections and are cancelled, with a fake clock; the limit counts all sub-requests that were in flight while it was reached; the bound on the reply of a cancelled sub-request starts with the cancellation. Conclusion: the limit follows the usual additive increase per round trip.

--- a/limit/do.go
+++ b/limit/do.go
@@ -53,8 +53,7 @@
 // headFailed ends a sub-request whose reply has not begun in time or is unusable.
 func (p *Pool) headFailed(ctx context.Context, permit *Permit, c *connection, req *http.Request, err error, interrupted bool) error {
 	if interrupted && isTimeout(err) {
-		permit.hold()
-		go p.drain(permit, c, func() reply { return p.late(c, req) })
+		p.drain(permit, c, func() reply { return p.late(c, req) })
 		return &LostError{Sent: true, Err: ctx.Err()}
 	}
 	permit.member.discard(c)
@@ -90,24 +89,27 @@
 		return permit.member.finish(c, r)
 	case <-ctx.Done():
 	}
-	permit.hold()
-	go p.drain(permit, c, func() reply { return <-done })
+	p.drain(permit, c, func() reply { return <-done })
 	return nil, &LostError{Sent: true, Err: ctx.Err()}
 }
 
-// drain waits for the reply of a cancelled sub-request within a bound.
+// drain waits in the background for the reply of a cancelled sub-request, and closes
+// the connection if it does not come within a bound.
 func (p *Pool) drain(permit *Permit, c *connection, wait func() reply) {
-	timer := p.clock().AfterFunc(orDefault(p.Drain, defaultDrain), c.close)
-	r := wait()
-	timer.Stop()
 	m := permit.member
-	_, _ = m.finish(c, r) // nobody waits for the reply
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if r.err == nil {
-		m.stats.Drained++
-	}
-	permit.leave()
+	permit.hold()
+	timer := p.clock().AfterFunc(orDefault(p.Drain, defaultDrain), c.close)
+	go func() {
+		r := wait()
+		timer.Stop()
+		_, _ = m.finish(c, r) // nobody waits for the reply
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if r.err == nil {
+			m.stats.Drained++
+		}
+		permit.leave()
+	}()
 }
 
 // finish keeps the connection if the reply was read to its end.
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,237 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"wasabirelay/control"
+)
+
+// TestInFlightLimit guards against a limit that leaves the bounds of 1 and the
+// connection share, or that falls several times for one overload.
+func TestInFlightLimit(t *testing.T) {
+	tests := []struct {
+		name        string
+		slots       int
+		connections int
+		rounds      []Result // results of rounds in which the limit is reached
+		want        int
+	}{
+		{"starts at the slots", 2, 4, nil, 2},
+		{"starts at the connections if the slots are unknown", 0, 4, nil, 4},
+		{"never above the connections", 8, 4, []Result{Succeeded, Succeeded}, 4},
+		{"one more per round", 2, 10, []Result{Succeeded, Succeeded, Succeeded}, 4},
+		{"once per round of shed replies", 10, 10, []Result{Shed}, 7},
+		{"twice for two rounds", 10, 10, []Result{Shed, Shed}, 4},
+		{"never below 1", 2, 10, []Result{Shed, Shed, Shed, Shed}, 1},
+		{"failures say nothing", 2, 10, []Result{Failed, Failed}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newRig(t, 0, echo)
+			g.share.Connections, g.share.Slots = test.connections, test.slots
+			g.pool.SetShares(nil)
+			g.pool.SetShares(map[string]Share{"t0": g.share})
+			for _, result := range test.rounds {
+				var held []*Permit
+				for range g.pool.Stats()["t0"].Limit {
+					held = append(held, g.acquire(t))
+				}
+				g.clock.Advance(time.Millisecond)
+				for _, permit := range held {
+					permit.Release(result)
+					permit.Release(result) // has no effect
+				}
+				g.clock.Advance(time.Millisecond)
+			}
+			is.New(t).Equal(g.pool.Stats()["t0"].Limit, test.want)
+		})
+	}
+}
+
+// TestQueue guards against waits that are longer than the deadline allows, and
+// against an order other than that of the deadlines.
+func TestQueue(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, 1, echo)
+	first := g.acquire(t)
+	g.clock.Advance(10 * time.Millisecond)
+	first.Release(Succeeded) // mean time 10 ms
+	first = g.acquire(t)
+	served := make(chan int, 9)
+	wait := func(left, waiting int) {
+		ctx, cancel := clockwork.WithTimeout(t.Context(), g.clock, time.Duration(left)*time.Millisecond)
+		t.Cleanup(cancel)
+		go func() {
+			permit, err := g.pool.Acquire(ctx, g.target)
+			var refused *RefusedError
+			switch {
+			case err == nil:
+				served <- left
+				permit.Release(Failed)
+			case errors.As(err, &refused):
+				served <- -left
+			}
+		}()
+		for g.pool.Stats()["t0"].Waiting < waiting {
+			runtime.Gosched()
+		}
+	}
+	wait(90, 1)
+	wait(50, 2)
+	wait(70, 3)
+	wait(22, 4)
+	wait(19, 0) // a wait of 10 ms and 10 ms for itself
+	is.Equal(<-served, -19)
+	wait(35, 0) // second in the order: 20 ms and 10 ms for itself
+	for g.pool.Stats()["t0"].Waiting < 5 {
+		runtime.Gosched()
+	}
+	g.clock.Advance(15 * time.Millisecond) // now too late for the first
+	first.Release(Succeeded)
+	var order []int
+	refusals := 0
+	for range 5 {
+		if left := <-served; left > 0 {
+			order = append(order, left)
+		} else {
+			refusals += left
+		}
+	}
+	is.Equal(order, []int{35, 50, 70, 90})
+	is.Equal(refusals, -22)
+}
+
+// TestSetShares guards against work for a target that is gone or was replaced.
+func TestSetShares(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, 1, echo)
+	permit := g.acquire(t)
+	waiting := make(chan error)
+	go func() {
+		_, err := g.pool.Acquire(t.Context(), g.target)
+		waiting <- err
+	}()
+	for g.pool.Stats()["t0"].Waiting == 0 {
+		runtime.Gosched()
+	}
+	old := *g.target
+	g.target.Incarnation, g.share.Incarnation = "2", "2"
+	g.pool.SetShares(map[string]Share{"t0": g.share})
+	var refused *RefusedError
+	is.True(errors.As(<-waiting, &refused) && refused.Reason == NoShare)
+	_, err := g.pool.Acquire(t.Context(), &old)
+	is.True(errors.As(err, &refused) && refused.Reason == NoShare)
+	req, _ := http.NewRequest(http.MethodGet, "http://t0/", http.NoBody)
+	_, err = g.pool.Do(t.Context(), permit, req)
+	var lost *LostError
+	is.True(errors.As(err, &lost) && !lost.Sent)
+	permit.Release(Failed)
+	_, err = g.query(t.Context(), g.acquire(t), "q")
+	is.NoErr(err)
+}
+
+// TestShares guards against divisions that exceed a target's connections, leave
+// some unused, or favour a host.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []string
+		for i := range rapid.IntRange(1, 12).Draw(t, "hosts") {
+			hosts = append(hosts, fmt.Sprintf("h%d", i))
+		}
+		connections := rapid.IntRange(0, 40).Draw(t, "connections")
+		targets := []*control.Target{{Name: rapid.StringMatching("[a-z]{1,8}").Draw(t, "name"), Connections: connections}}
+		sum := 0
+		for _, h := range hosts {
+			n := Shares(hosts, h, targets)[targets[0].Name]
+			if n < connections/len(hosts) || n > connections/len(hosts)+1 {
+				t.Fatalf("%s gets %d of %d", h, n, connections)
+			}
+			reversed := slices.Clone(hosts)
+			slices.Reverse(reversed)
+			if Shares(reversed, h, targets)[targets[0].Name] != n {
+				t.Fatalf("the share of %s depends on the order of hosts", h)
+			}
+			sum += n
+		}
+		if sum != connections || Shares(hosts, "other", targets)[targets[0].Name] != 0 {
+			t.Fatalf("the shares add up to %d of %d", sum, connections)
+		}
+	})
+}
+
+// run is a seeded run of queries of 10 sub-requests against targets that run 1,000
+// sub-requests per second in order of arrival, whether or not somebody still waits.
+// It returns the shares of queries that were refused, and answered within 82 ms.
+func run(seed uint64, perSecond float64, refuse bool) (refused, answered float64) {
+	const deadline, least, each = 82 * time.Millisecond, 6 * time.Millisecond, 10 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	a := &Admission{Clock: clock}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	ends := map[time.Time][]func(){} // by millisecond
+	free := clock.Now()
+	arrived := 0.0
+	for range 10_000 {
+		now := clock.Now()
+		for _, release := range ends[now] {
+			release()
+		}
+		for range int(perSecond/1000 + rng.Float64()) {
+			arrived++
+			ctx, cancel := clockwork.WithDeadline(context.Background(), clock, now.Add(deadline))
+			release, err := a.Admit(ctx, "order-desk", 10)
+			cancel()
+			if err != nil && refuse {
+				refused++
+				continue
+			}
+			free = free.Add(each)
+			if free.Before(now.Add(least)) {
+				free = now.Add(least)
+			}
+			end := free
+			if end.After(now.Add(deadline)) {
+				end = now.Add(deadline)
+			} else {
+				answered++
+			}
+			if err == nil {
+				ends[end] = append(ends[end], release)
+			}
+		}
+		clock.Advance(time.Millisecond)
+	}
+	return refused / arrived, answered / arrived
+}
+
+// TestAdmission guards against an overload in which every query is answered too
+// late, and against refusals without need.
+func TestAdmission(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			refused, answered := run(seed, 50, true)
+			t.Logf("half load: refused %.3f, answered %.3f", refused, answered)
+			is.Equal(refused, 0.0)
+			is.True(answered > 0.99)
+			refused, answered = run(seed, 200, true)
+			t.Logf("twice the capacity: refused %.3f, answered %.3f", refused, answered)
+			is.True(answered > 0.45)         // of the 0.5 that is possible
+			is.True(answered+refused > 0.97) // what is admitted is answered
+			_, without := run(seed, 200, false)
+			t.Logf("twice the capacity without refusals: answered %.3f", without)
+			is.True(without < 0.1)
+		})
+	}
+}
--- a/limit/member.go
+++ b/limit/member.go
@@ -48,6 +48,8 @@
 	// limit is the adaptive in-flight limit, decreased the time of its last decrease.
 	limit     float64
 	decreased time.Time
+	// reached is when the limit was last reached.
+	reached time.Time
 	// mean is the mean time that a permit is held.
 	mean  time.Duration
 	queue waiters
@@ -67,10 +69,8 @@
 
 // Permit allows one sub-request to a target at a time.
 type Permit struct {
-	member  *member
-	granted time.Time
-	// full states that the in-flight limit was reached when the permit was granted.
-	full     bool
+	member   *member
+	granted  time.Time
 	released bool
 	// holders counts the owner and the cancelled sub-requests whose reply is awaited.
 	holders int
@@ -181,7 +181,10 @@
 
 func (m *member) grant(now time.Time) *Permit {
 	m.inUse++
-	return &Permit{member: m, granted: now, full: m.inUse >= m.ceiling(), holders: 1}
+	if !m.room() {
+		m.reached = now
+	}
+	return &Permit{member: m, granted: now, holders: 1}
 }
 
 // serve grants permits to waiters, earliest deadline first, and refuses those that
@@ -224,9 +227,10 @@
 	r.leave()
 }
 
-// succeeded adds one to the limit per limit sub-requests while the limit is reached.
+// succeeded adds one to the limit per limit sub-requests that were in flight while
+// the limit was reached.
 func (m *member) succeeded(r *Permit) {
-	if r.full {
+	if !m.reached.Before(r.granted) {
 		m.limit = min(m.limit+1/m.limit, max(m.limit, float64(m.share.Connections)))
 	}
 }
--- /dev/null
+++ b/limit/pool_test.go
@@ -0,0 +1,356 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"wasabirelay/control"
+)
+
+// rig is a pool with one target, the server behind it, and the connections that
+// were opened to it.
+type rig struct {
+	pool   *Pool
+	clock  *clockwork.FakeClock
+	target *control.Target
+	server *httptest.Server
+	share  Share
+	dials  atomic.Int64
+	open   atomic.Int64
+	most   atomic.Int64
+}
+
+func newRig(t *testing.T, connections int, handler http.HandlerFunc) *rig {
+	g := &rig{clock: clockwork.NewFakeClock(), server: httptest.NewServer(handler)}
+	g.target = &control.Target{Name: "t0", Incarnation: "1", Service: "order-desk"}
+	g.share = Share{Incarnation: "1", Connections: connections}
+	g.share.Address = netip.MustParseAddrPort(g.server.Listener.Addr().String())
+	g.pool = &Pool{Clock: g.clock, Dial: g.dial}
+	g.pool.SetShares(map[string]Share{"t0": g.share})
+	t.Cleanup(func() { g.pool.Close(); g.server.Close() })
+	return g
+}
+
+// counted counts open connections.
+type counted struct {
+	*net.TCPConn
+	once  sync.Once
+	close func()
+}
+
+func (c *counted) Close() error {
+	c.once.Do(c.close)
+	return c.TCPConn.Close()
+}
+
+func (g *rig) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	g.dials.Add(1)
+	for n := g.open.Add(1); ; {
+		most := g.most.Load()
+		if n <= most || g.most.CompareAndSwap(most, n) {
+			break
+		}
+	}
+	return &counted{TCPConn: conn.(*net.TCPConn), close: func() { g.open.Add(-1) }}, nil
+}
+
+func (g *rig) acquire(t *testing.T) *Permit {
+	t.Helper()
+	permit, err := g.pool.Acquire(t.Context(), g.target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return permit
+}
+
+// query runs one sub-request.
+func (g *rig) query(ctx context.Context, permit *Permit, body string) (*Response, error) {
+	req, _ := http.NewRequest(http.MethodPost, "http://t0/query", strings.NewReader(body))
+	return g.pool.Do(ctx, permit, req)
+}
+
+// raw replies with the bytes and closes the connection, with a reset if it is asked for.
+func raw(w http.ResponseWriter, text string, reset bool) {
+	conn, _, _ := w.(http.Hijacker).Hijack()
+	_, _ = io.WriteString(conn, text)
+	if reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	conn.Close()
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = w.Write(body)
+}
+
+// TestReplies guards against replies that are taken as complete though they are not,
+// and against connections that are used again after one.
+func TestReplies(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: "
+	big := strings.Repeat("x", 200_000)
+	tests := []struct {
+		name, text string
+		reset      bool
+		fault      Fault // "" for a network error, unless body is set
+		body       string
+	}{
+		{"complete", head + "2\r\n\r\nok", false, "", "ok"},
+		{"interim reply first", "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "2\r\n\r\nok", false, "", "ok"},
+		{"large", head + "200000\r\n\r\n" + big, false, "", big},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, "", "ok"},
+		{"more than the length", head + "2\r\n\r\nokHTTP", false, "", "ok"},
+		{"cut body", head + "100\r\n\r\nok", false, CutShort, ""},
+		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false, CutShort, ""},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", false, NoLength, ""},
+		{"too large", head + "1048577\r\n\r\n" + big, false, TooLarge, ""},
+		{"not HTTP", "ok\r\n\r\n", false, Malformed, ""},
+		{"cut header", "HTTP/1.1 200 OK\r\nContent-", false, "", ""},
+		{"reset after the request", "", true, "", ""},
+		{"closed after the request", "", false, "", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRig(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				if body, _ := io.ReadAll(r.Body); string(body) == "again" {
+					_, _ = w.Write(body)
+					return
+				}
+				if test.body == "" {
+					raw(w, test.text, test.reset)
+					return
+				}
+				conn, _, _ := w.(http.Hijacker).Hijack()
+				_, _ = io.WriteString(conn, test.text)
+				serveRaw(conn)
+			})
+			permit := g.acquire(t)
+			res, err := g.query(t.Context(), permit, "q")
+			var lost *LostError
+			var bad *ReplyError
+			switch {
+			case test.body != "":
+				is.NoErr(err)
+				is.Equal(string(res.Body), test.body)
+			case test.fault != "":
+				is.True(errors.As(err, &bad) && bad.Reason == test.fault)
+				is.True(errors.As(err, &lost) && lost.Sent)
+			default:
+				is.True(errors.As(err, &lost) && lost.Sent)
+				is.True(!errors.As(err, &bad))
+			}
+			res, err = g.query(t.Context(), permit, "again")
+			is.NoErr(err)
+			is.Equal(string(res.Body), "again")
+			is.Equal(g.most.Load(), int64(1))
+		})
+	}
+}
+
+// failing is a connection whose first writes are refused or cut.
+type failing struct {
+	net.Conn
+	takes int
+}
+
+func (c *failing) Write(b []byte) (int, error) {
+	return min(c.takes, len(b)), syscall.ECONNRESET
+}
+
+// TestSent guards against a sub-request that is reported as not sent after a byte
+// has left: it might run twice.
+func TestSent(t *testing.T) {
+	refused := errors.New("refused")
+	tests := []struct {
+		name    string
+		dial    func() (net.Conn, error)
+		sent    bool
+		connect bool
+	}{
+		{"no connection", func() (net.Conn, error) { return nil, refused }, false, true},
+		{"reset before the first byte", func() (net.Conn, error) { return &failing{Conn: &net.TCPConn{}}, nil }, false, false},
+		{"reset after the first byte", func() (net.Conn, error) { return &failing{Conn: &net.TCPConn{}, takes: 1}, nil }, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRig(t, 1, echo)
+			g.pool.Dial = func(context.Context, string, string) (net.Conn, error) { return test.dial() }
+			_, err := g.query(t.Context(), g.acquire(t), "q")
+			var lost *LostError
+			var connect *ConnectError
+			is.True(errors.As(err, &lost))
+			is.Equal(lost.Sent, test.sent)
+			is.Equal(errors.As(err, &connect), test.connect)
+		})
+	}
+}
+
+// TestClosedWhileIdle guards against sub-requests that are lost because the target
+// closed an idle connection.
+func TestClosedWhileIdle(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, 1, echo)
+	permit := g.acquire(t)
+	for i := range 3 {
+		_, err := g.query(t.Context(), permit, "q")
+		is.NoErr(err)
+		is.Equal(g.dials.Load(), int64(i+1))
+		g.server.CloseClientConnections() // returns once they are closed
+	}
+}
+
+// TestCancel guards against connections that are closed by a cancellation, and
+// against ones that are kept for ever because the reply does not come.
+func TestCancel(t *testing.T) {
+	tests := []struct {
+		name  string
+		first string // sent before the cancellation
+		rest  string // sent after it; empty for never
+		dials int64
+	}{
+		{"before the reply", "", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1},
+		{"within the header", "HTTP/1.1 200 OK\r\nContent-", "Length: 2\r\n\r\nok", 1},
+		{"within the body", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok", "ok", 1},
+		{"no reply", "", "", 2},
+		{"no end of the body", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok", "", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			cancelled := make(chan bool)
+			ctx, cancel := context.WithCancel(t.Context())
+			g := newRig(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				if body, _ := io.ReadAll(r.Body); string(body) == "again" {
+					_, _ = w.Write(body)
+					return
+				}
+				conn, _, _ := w.(http.Hijacker).Hijack()
+				_, _ = io.WriteString(conn, test.first)
+				cancel()
+				<-cancelled
+				_, _ = io.WriteString(conn, test.rest)
+				if test.rest != "" { // go on as a server
+					serveRaw(conn)
+				}
+			})
+			permit := g.acquire(t)
+			_, err := g.query(ctx, permit, "q")
+			is.True(errors.Is(err, context.Canceled))
+			permit.Release(Failed)
+			close(cancelled)
+			if test.rest == "" {
+				g.clock.Advance(defaultDrain)
+			}
+			permit = g.acquire(t) // waits until the connection is free again
+			res, err := g.query(t.Context(), permit, "again")
+			is.NoErr(err)
+			is.Equal(string(res.Body), "again")
+			is.Equal(g.dials.Load(), test.dials)
+		})
+	}
+}
+
+// serveRaw answers further requests on a hijacked connection with "again".
+func serveRaw(conn net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			conn.Close()
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain")
+	}
+}
+
+// TestConnectionLimit guards against more connections or sub-requests than the
+// share, over many goroutines with cancellations and resets.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	const share = 3
+	var running, most atomic.Int64
+	g := newRig(t, share, func(w http.ResponseWriter, r *http.Request) {
+		if n := running.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		body, _ := io.ReadAll(r.Body)
+		running.Add(-1)
+		if string(body) == "reset" {
+			raw(w, "", true)
+			return
+		}
+		_, _ = w.Write(body)
+	})
+	var wg sync.WaitGroup
+	var wrong atomic.Int64
+	for i := range 40 {
+		rng := rand.New(rand.NewPCG(uint64(i), 7))
+		wg.Go(func() {
+			for range 30 {
+				permit := g.acquire(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				body := []string{"reset", fmt.Sprint(rng.Uint64())}[min(1, rng.IntN(6))]
+				if rng.IntN(4) == 0 {
+					go cancel()
+				}
+				if res, err := g.query(ctx, permit, body); err == nil && string(res.Body) != body {
+					wrong.Add(1)
+				}
+				permit.Release(Result(rng.IntN(3)))
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(wrong.Load(), int64(0)) // no crossed replies
+	is.True(g.most.Load() <= share)
+	is.True(most.Load() <= share)
+}
+
+// TestOpenedAhead guards against sub-requests that wait for a new connection though
+// it could have been opened before.
+func TestOpenedAhead(t *testing.T) {
+	is := is.New(t)
+	dialed := make(chan bool, 10)
+	g := newRig(t, 4, echo)
+	g.pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		defer func() { dialed <- true }()
+		return g.dial(ctx, network, address)
+	}
+	g.share.Warm = 2
+	g.pool.SetShares(map[string]Share{"t0": g.share})
+	<-dialed
+	<-dialed
+	is.Equal(len(dialed), 0) // the warm ones, nothing more
+	var held []*Permit
+	for range 2 {
+		held = append(held, g.acquire(t))
+		_, err := g.query(t.Context(), held[0], "q")
+		is.NoErr(err)
+	}
+	<-dialed // one more than there are sub-requests in flight
+	g.share.Connections = 1
+	g.pool.SetShares(map[string]Share{"t0": g.share})
+	_, err := g.query(t.Context(), held[0], "q")
+	is.NoErr(err)
+}
