Benchmark a sub-request against a bare http.Client

Cause: the cost of own connection handling was unknown. Change: a benchmark against a loopback server with a fixed reply reports the processor time of the whole process, server included.

--- /dev/null
+++ b/limit/bench_test.go
@@ -0,0 +1,134 @@
+package limit
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"wasabirelay/control"
+)
+
+const benchBody = `{"query":"finish matt, board 18 mm, region ege","limit":20}`
+
+// benchServer answers each request with a fixed reply, with as little work as
+// possible, so that the client's share of the processor time shows.
+func benchServer(b *testing.B) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { listener.Close() })
+	reply := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 512\r\n\r\n" + strings.Repeat("x", 512)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buffer := make([]byte, 4096)
+				for {
+					if _, err := conn.Read(buffer); err != nil {
+						conn.Close()
+						return
+					}
+					_, _ = io.WriteString(conn, reply)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func benchRequest(ctx context.Context, address string) *http.Request {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/query", strings.NewReader(benchBody))
+	req.Header.Set("Wasabi-Request", "r-1")
+	req.Header.Set("Wasabi-Shard", "3")
+	req.Header.Set("Wasabi-Snapshot", "7")
+	req.Header.Set("Wasabi-Timeout", "80")
+	return req
+}
+
+// measure runs the exchange in 8 goroutines and reports the processor time of the
+// process, server included, per exchange.
+func measure(b *testing.B, exchange func(ctx context.Context) error) {
+	before := processorTime()
+	b.ReportAllocs()
+	b.SetParallelism(1)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			if err := exchange(ctx); err != nil {
+				b.Error(err)
+			}
+			cancel()
+		}
+	})
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+}
+
+func processorTime() int64 {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // can't fail for the own process
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
+// BenchmarkSubRequest compares a sub-request over the pool with one over a bare
+// http.Client, and with the socket calls alone.
+func BenchmarkSubRequest(b *testing.B) {
+	b.Run("pool", func(b *testing.B) {
+		address := benchServer(b)
+		p := &Pool{}
+		defer p.Close()
+		p.SetShares(map[string]Share{"t0": {Incarnation: "1", Address: netip.MustParseAddrPort(address), Connections: 32}})
+		target := &control.Target{Name: "t0", Incarnation: "1"}
+		measure(b, func(ctx context.Context) error {
+			permit, err := p.Acquire(ctx, target)
+			if err != nil {
+				return err
+			}
+			defer permit.Release(Succeeded)
+			_, err = p.Do(ctx, permit, benchRequest(ctx, address))
+			return err
+		})
+	})
+	b.Run("client", func(b *testing.B) {
+		address := benchServer(b)
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, MaxConnsPerHost: 32}}
+		defer client.CloseIdleConnections()
+		measure(b, func(ctx context.Context) error {
+			res, err := client.Do(benchRequest(ctx, address))
+			if err != nil {
+				return err
+			}
+			defer res.Body.Close()
+			_, err = io.ReadAll(res.Body)
+			return err
+		})
+	})
+	b.Run("sockets", func(b *testing.B) {
+		address := benchServer(b)
+		idle := make(chan net.Conn, 64)
+		measure(b, func(ctx context.Context) error {
+			var conn net.Conn
+			select {
+			case conn = <-idle:
+			default:
+				conn, _ = net.Dial("tcp", address)
+			}
+			defer func() { idle <- conn }()
+			if _, err := io.WriteString(conn, benchBody); err != nil {
+				return err
+			}
+			var buffer [4096]byte
+			_, err := conn.Read(buffer[:]) // the reply is one segment
+			return err
+		})
+	})
+}
