--- a/answer/answer.go
+++ b/answer/answer.go
@@ -1,44 +1,60 @@
-// Package answer carries a query from its arrival to its answer.
+// Package answer carries a query from its arrival to its answer: it selects a
+// snapshot, asks one replica of each shard, checks the replies and reports the
+// coverage. Decisions are made by pure functions and by the state machine round;
+// run does the I/O around them.
 package answer
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"fmt"
-	"io"
-	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
-
-	"wasabirelay/control"
 	"wasabirelay/problem"
-	"wasabirelay/target"
 )
 
-// Request is a caller's query.
+// Request is the body of a caller's query.
 type Request struct {
-	// Request is the caller's identity of the request.
-	Request    string          `json:"request"`
-	Query      json.RawMessage `json:"query"`
-	Accept     Accept          `json:"accept,omitzero"`
-	Idempotent bool            `json:"idempotent"`
+	// Request is the caller's identity of the request: 1 to 128 visible ASCII characters.
+	Request string          `json:"request"`
+	Query   json.RawMessage `json:"query"`
+	// Route is one of the service's routes in the inventory, or empty.
+	Route  string `json:"route,omitempty"`
+	Accept Accept `json:"accept,omitzero"`
+	// Idempotent states that running the query twice has the effect of running it once.
+	Idempotent bool `json:"idempotent"`
 }
 
 // Accept is what the caller accepts as an answer.
 type Accept struct {
-	// Coverage is the least share of shards; 0 stands for 1.
+	// Coverage is the least share of shards, above 0 and up to 1; 0 stands for 1.
 	Coverage float64 `json:"coverage,omitempty"`
 }
 
+// Query is a checked request with what its headers say.
+type Query struct {
+	Request
+	Service string
+	// Key is the idempotency key; it is set if the request is not idempotent.
+	Key string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Fingerprint identifies service, route and query; see package poison.
+	Fingerprint string
+}
+
+// least returns the least number of shards out of total that the caller accepts.
+func (q *Query) accepts(answered, total int) bool {
+	least := q.Accept.Coverage
+	if least == 0 {
+		least = 1
+	}
+	return answered > 0 && float64(answered) >= least*float64(total)
+}
+
 // Answer is the answer to a query.
 type Answer struct {
-	Request  string   `json:"request"`
-	Service  string   `json:"service"`
+	Request string `json:"request"`
+	Service string `json:"service"`
+	// Version is the version of the targets that answered, empty if they differ.
 	Version  string   `json:"version,omitempty"`
 	Snapshot uint64   `json:"snapshot"`
 	Coverage Coverage `json:"coverage"`
@@ -58,140 +74,11 @@
 	Result json.RawMessage `json:"result"`
 }
 
-// maxBody bounds a query and a reply in bytes.
-const maxBody = 1 << 20
-
-// Service answers queries. Exported fields are set before use.
-type Service struct {
-	View   func() *control.View
-	Client *http.Client
-}
-
-// Register adds the routes to mux.
-func (s *Service) Register(mux *http.ServeMux) {
-	mux.HandleFunc("POST /v1/services/{service}/query", s.serve)
-}
-
-func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
-	var q Request
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&q); err != nil {
-		problem.BadField("body", err.Error()).Write(w)
-		return
-	}
-	timeout := time.Second
-	if text := r.Header.Get(target.HeaderTimeout); text != "" {
-		ms, err := strconv.Atoi(text)
-		if err != nil || ms <= 0 {
-			problem.BadField(target.HeaderTimeout, "a number of milliseconds above 0").Write(w)
-			return
-		}
-		timeout = time.Duration(ms) * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
-	defer cancel()
-	a, err := s.Answer(ctx, r.PathValue("service"), &q)
-	if err != nil {
-		var d *problem.Details
-		if !errors.As(err, &d) {
-			d = problem.Unavailable("failed", err.Error())
-			d.Executed = problem.Unknown
-		}
-		d.Write(w)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(a)
-}
-
-// Answer sends the query to one replica of each shard of the newest snapshot.
-func (s *Service) Answer(ctx context.Context, service string, q *Request) (*Answer, error) {
-	targets := s.View().Targets[service]
-	newest := control.Snapshot{}
-	for _, t := range targets {
-		for _, n := range t.Snapshots {
-			if n.Number > newest.Number {
-				newest = n
-			}
-		}
-	}
-	if newest.Shards == 0 {
-		return nil, problem.Unavailable("no-target", "no target of service "+service+" is known")
-	}
-	a := &Answer{Request: q.Request, Service: service, Snapshot: newest.Number, Shards: make([]Shard, newest.Shards)}
-	answered := make([]bool, newest.Shards)
-	var g errgroup.Group
-	for shard := range newest.Shards {
-		g.Go(func() error {
-			result, err := s.ask(ctx, targets, shard, newest.Number, q)
-			if err == nil {
-				a.Shards[shard] = Shard{shard, result}
-				answered[shard] = true
-			}
-			return nil
-		})
-	}
-	_ = g.Wait() // Failures show as missing coverage.
-	return finish(a, answered, q)
-}
-
-func finish(a *Answer, answered []bool, q *Request) (*Answer, error) {
-	a.Coverage = Coverage{Total: len(answered), Missing: []int{}}
-	shards := a.Shards[:0]
-	for i, ok := range answered {
-		if ok {
-			a.Coverage.Answered++
-			shards = append(shards, a.Shards[i])
-		} else {
-			a.Coverage.Missing = append(a.Coverage.Missing, i)
-		}
-	}
-	a.Shards = shards
-	least := q.Accept.Coverage
-	if least == 0 {
-		least = 1
-	}
-	if float64(a.Coverage.Answered) < least*float64(a.Coverage.Total) {
-		coverage, _ := json.Marshal(a.Coverage)
-		return nil, &problem.Details{
-			Type: "urn:wasabirelay:coverage", Title: "Coverage below what the caller accepts",
-			Status: http.StatusServiceUnavailable, Executed: problem.Ran, Coverage: coverage,
-		}
-	}
-	return a, nil
-}
-
-// ask sends the sub-request of one shard to a random replica.
-func (s *Service) ask(ctx context.Context, targets []*control.Target, shard int, snapshot uint64, q *Request) (json.RawMessage, error) {
-	var replicas []*control.Target
-	for _, t := range targets {
-		for _, n := range t.Shards {
-			if n == shard {
-				replicas = append(replicas, t)
-			}
-		}
-	}
-	if len(replicas) == 0 {
-		return nil, errors.Errorf("no replica of shard %d", shard)
-	}
-	t := replicas[rand.IntN(len(replicas))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address.String()+"/query", bytes.NewReader(q.Query))
-	if err != nil {
-		return nil, errors.Wrap(err, "build sub-request")
-	}
-	req.Header.Set(target.HeaderRequest, q.Request)
-	req.Header.Set(target.HeaderShard, fmt.Sprint(shard))
-	req.Header.Set(target.HeaderSnapshot, fmt.Sprint(snapshot))
-	res, err := s.Client.Do(req)
-	if err != nil {
-		return nil, errors.Wrap(err, "send sub-request")
-	}
-	defer res.Body.Close()
-	var reply target.Reply
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxBody)).Decode(&reply); err != nil {
-		return nil, errors.Wrap(err, "read reply")
-	}
-	if reply.Request != q.Request || reply.Shard != shard || reply.Snapshot != snapshot || !reply.End {
-		return nil, errors.New("the reply belongs to another sub-request")
+// worse returns the stronger statement about execution: ran over unknown over none.
+func worse(a, b problem.Executed) problem.Executed {
+	rank := map[problem.Executed]int{problem.None: 0, problem.Unknown: 1, problem.Ran: 2}
+	if rank[b] > rank[a] {
+		return b
 	}
-	return reply.Result, nil
+	return a
 }
--- /dev/null
+++ b/answer/decode.go
@@ -0,0 +1,147 @@
+package answer
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+	"wasabirelay/poison"
+	"wasabirelay/problem"
+	"wasabirelay/target"
+)
+
+// Names of fields in refusals and of labels of metrics.
+const (
+	fieldRequest = "request"
+	fieldService = "service"
+)
+
+// HeaderKey carries the idempotency key of a request that is not idempotent.
+const HeaderKey = "Idempotency-Key"
+
+const (
+	// maxBody bounds a query and a reply in bytes.
+	maxBody = 1 << 20
+	// maxName bounds request identities and idempotency keys, which travel in
+	// headers and in the log.
+	maxName = 128
+	// maxTimeout bounds Wasabi-Timeout, so that a wrong unit (nanoseconds) is noticed.
+	maxTimeout = 10 * time.Minute
+)
+
+// decodeRequest reads and checks the body of a query.
+func decodeRequest(body []byte) (*Request, *problem.Details) {
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(body, &members); err != nil || members == nil {
+		return nil, problem.BadField("body", "a JSON object is needed")
+	}
+	var q Request
+	fields := map[string]struct {
+		into    any
+		allowed string
+	}{
+		fieldRequest: {&q.Request, "a string is needed"},
+		"query":      {&q.Query, "a JSON value is needed"},
+		"route":      {&q.Route, "a string is needed"},
+		"accept":     {&q.Accept, `an object such as {"coverage": 0.9} is needed`},
+		"idempotent": {&q.Idempotent, "true or false is needed"},
+	}
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		f, known := fields[name]
+		if !known {
+			return nil, problem.BadField(name, "unknown member; known are request, query, route, accept and idempotent")
+		}
+		decoder := json.NewDecoder(bytes.NewReader(members[name]))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(f.into); err != nil {
+			return nil, problem.BadField(name, f.allowed)
+		}
+	}
+	return &q, checkRequest(&q)
+}
+
+func checkRequest(q *Request) *problem.Details {
+	if !isName(q.Request) {
+		return problem.BadField(fieldRequest, "1 to 128 visible ASCII characters are needed")
+	}
+	if len(q.Query) == 0 || string(q.Query) == "null" {
+		return problem.BadField("query", "a JSON value other than null is needed")
+	}
+	if c := q.Accept.Coverage; c < 0 || c > 1 {
+		return problem.BadField("accept.coverage", "a share from 0 to 1 is needed; 0 stands for 1")
+	}
+	// The same query with other white space has the same fingerprint.
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, q.Query); err != nil {
+		return problem.BadField("query", "a JSON value is needed")
+	}
+	q.Query = compact.Bytes()
+	return nil
+}
+
+// isName reports whether s is 1 to maxName visible ASCII characters.
+func isName(s string) bool {
+	return s != "" && len(s) <= maxName && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+// check completes a request with its headers, the view's rules and the time of
+// its arrival.
+func check(now time.Time, v *control.View, service string, h http.Header, body []byte) (*Query, *problem.Details) {
+	rules, known := serviceRules(v, service)
+	if !known {
+		return nil, &problem.Details{
+			Type: "urn:wasabirelay:no-service", Title: "Unknown service", Status: http.StatusNotFound,
+			Field: fieldService, Detail: "no service of this name is in the inventory or announced by a target", Executed: problem.None,
+		}
+	}
+	r, bad := decodeRequest(body)
+	if bad != nil {
+		return nil, bad
+	}
+	if r.Route != "" && !slices.Contains(rules.Routes, r.Route) {
+		return nil, problem.BadField("route", "one of the service's routes is needed: "+strings.Join(rules.Routes, ", "))
+	}
+	q := &Query{Request: *r, Service: service, Fingerprint: poison.Fingerprint(service, r.Route, r.Query)}
+	timeout, bad := readTimeout(h.Get(target.HeaderTimeout), rules.Deadline.Duration)
+	if bad != nil {
+		return nil, bad
+	}
+	q.Deadline = now.Add(timeout)
+	if !q.Idempotent {
+		if q.Key = h.Get(HeaderKey); !isName(q.Key) {
+			return nil, problem.BadField(HeaderKey, "a request that is not idempotent needs a key of 1 to 128 visible ASCII characters")
+		}
+	}
+	return q, nil
+}
+
+func serviceRules(v *control.View, service string) (inventory.Service, bool) {
+	var rules inventory.Service
+	known := len(v.Targets[service]) > 0
+	if v.Inventory != nil {
+		listed, ok := v.Inventory.Services[service]
+		rules, known = listed, known || ok
+	}
+	if rules.Deadline.Duration <= 0 {
+		rules.Deadline.Duration = inventory.DefaultDeadline
+	}
+	return rules, known
+}
+
+func readTimeout(text string, standard time.Duration) (time.Duration, *problem.Details) {
+	if text == "" {
+		return standard, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
+		return 0, problem.BadField(target.HeaderTimeout, "a number of milliseconds from 1 to 600000 is needed")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
--- /dev/null
+++ b/answer/seams.go
@@ -0,0 +1,164 @@
+package answer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
+
+	"wasabirelay/control"
+	"wasabirelay/poison"
+	"wasabirelay/target"
+)
+
+// Subrequest is one request to one target.
+type Subrequest struct {
+	// Request is unique per attempt. It starts with the caller's identity and
+	// contains a random number of the arrival, so that a caller that uses an
+	// identity twice can't be given the reply to the other query.
+	Request  string
+	Service  string
+	Route    string
+	Shard    int
+	Snapshot uint64
+	Kind     Kind
+	Deadline time.Time
+	Query    []byte
+	// Check returns an error if the sub-request may no longer be sent: the host's
+	// lease is lost, or the target may not get new work. Send calls it directly
+	// before the first byte.
+	Check func() error
+}
+
+// Outcome is how a sub-request ended, for the selection of replicas.
+type Outcome int
+
+// Values of Outcome.
+const (
+	Success Outcome = iota
+	Shed
+	DrainingReply
+	ColdReply
+	SnapshotGone
+	ConnectFailed
+	Reset
+	BadReply
+	TimedOut
+	Cancelled
+	Failed
+)
+
+// String returns the name used in traces.
+func (o Outcome) String() string {
+	names := []string{
+		"success", reasonShed, reasonDraining, reasonCold, reasonSnapshot, "connect", "reset", "reply", "timeout", "cancelled", "failed",
+	}
+	if o < 0 || int(o) >= len(names) {
+		return fmt.Sprint(int(o))
+	}
+	return names[o]
+}
+
+// free reports whether a target with this outcome did no work, so that asking
+// another replica adds no load. Sheds and cold replies are not free, because
+// repeating them multiplies the load of an overloaded service.
+func (o Outcome) free() bool {
+	return o == ConnectFailed || o == DrainingReply || o == SnapshotGone
+}
+
+// SendError is why a sub-request has no reply.
+type SendError struct {
+	Outcome Outcome
+	// Sent states that at least one byte may have left this host.
+	Sent bool
+	Err  error
+}
+
+func (e *SendError) Error() string { return e.Outcome.String() + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Choice is what a replica is selected from. It has the shape of route.Choice.
+type Choice struct {
+	Service  string
+	Shard    int
+	Replicas []*control.Target
+	// Exclude holds the names of targets that were asked already.
+	Exclude map[string]bool
+	Allow   func(*control.Target) bool
+}
+
+// Seams connect the service to the rest of the daemon. View is required; every
+// other nil field gets a default. They are set before use.
+type Seams struct {
+	// View returns the current view, or an error while the host may not give out
+	// work because its lease is lost.
+	View func() (*control.View, error)
+	// Send sends a sub-request and waits for the reply. The reply need not be
+	// checked. The default uses a plain HTTP client.
+	Send func(ctx context.Context, t *control.Target, sub *Subrequest) (*target.Reply, *SendError)
+	// Cancel tells a target that announced it that a sub-request is not needed.
+	Cancel func(ctx context.Context, t *control.Target, sub *Subrequest) error
+	// Health returns an error if the target does not answer its health check.
+	Health func(ctx context.Context, t *control.Target) error
+	// Pick selects a replica; Start and Done bracket each sub-request.
+	Pick  func(now time.Time, c Choice) (*control.Target, bool)
+	Start func(now time.Time, t *control.Target)
+	Done  func(now time.Time, t *control.Target, service string, latency time.Duration, o Outcome)
+	// HedgeAfter returns the delay of hedges, or false while none may be sent.
+	HedgeAfter func(now time.Time, service string, quantile float64) (time.Duration, bool)
+	// Sent counts a first sub-request; Extra draws a hedge or a retry from the
+	// budget, which is the share of the first ones.
+	Sent  func(service string)
+	Extra func(service string, share float64) bool
+	// Admit waits for admission of a query. The default admits all.
+	Admit func(ctx context.Context, service string, subrequests int) (release func(), err error)
+	// Grant reserves a part of this host's grant for a cold target. By default no
+	// cold target gets work.
+	Grant func(t *control.Target) (release func(), ok bool)
+	// Granted reports whether this host holds a grant for a cold target. The
+	// default reads the view's grant "cold/<target>/<incarnation>".
+	Granted func(v *control.View, t *control.Target) bool
+	// Propose commits a command. An error means that the outcome is not known.
+	Propose func(ctx context.Context, c control.Command) (control.Result, error)
+	// Fetch gets a stored answer from another host; nil if that has none.
+	Fetch func(ctx context.Context, host, key string) (*Answer, error)
+	// Draw returns a random number from 0 to below 1, which selects the version.
+	Draw func() float64
+}
+
+// Service answers queries. Exported fields are set before Register or Answer is
+// called. It is safe for concurrent use.
+type Service struct {
+	Seams
+	// Host is the name of this host.
+	Host   string
+	Clock  clockwork.Clock
+	Log    zerolog.Logger
+	Tracer trace.TracerProvider
+	Poison *poison.Tracker
+
+	state
+}
+
+// errAbsent is the error of a seam that is not connected.
+var errAbsent = errors.New("not available on this host")
+
+func absentPropose(context.Context, control.Command) (control.Result, error) {
+	return control.Result{}, errAbsent
+}
+
+func absentFetch(context.Context, string, string) (*Answer, error) { return nil, errAbsent }
+
+func admitAll(context.Context, string, int) (func(), error) { return func() {}, nil }
+
+func noGrant(*control.Target) (func(), bool) { return nil, false }
+
+func (s *Service) grantedInView(v *control.View, t *control.Target) bool {
+	return v.Grants["cold/"+t.Name+"/"+t.Incarnation][s.Host] > 0
+}
--- /dev/null
+++ b/answer/service.go
@@ -0,0 +1,185 @@
+package answer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+	"wasabirelay/poison"
+)
+
+const (
+	// linger is how long after the deadline of its query a sub-request may run to
+	// completion, because closing the connection costs up to 6 ms on its next use.
+	linger = time.Second
+	// idlePerTarget is the number of connections that the largest deployments
+	// keep to one searcher (100); the standard client keeps 2.
+	idlePerTarget = 100
+	// background bounds cancellations, health checks and proposals that no caller
+	// waits for.
+	background = time.Second
+)
+
+// state is the part of a Service that is not exported.
+type state struct {
+	once    sync.Once
+	metrics *metrics
+	tracer  trace.Tracer
+	store   store
+	work    sync.WaitGroup
+	indexes atomic.Pointer[indexes]
+}
+
+// indexes caches the index of each service for one view.
+type indexes struct {
+	view  *control.View
+	mu    sync.Mutex
+	items map[string]*index
+}
+
+// init sets defaults and creates the metrics.
+func (s *Service) init() {
+	s.once.Do(func() {
+		if s.Clock == nil {
+			s.Clock = clockwork.NewRealClock()
+		}
+		if s.Tracer == nil {
+			s.Tracer = noop.NewTracerProvider()
+		}
+		if s.Poison == nil {
+			s.Poison = &poison.Tracker{}
+		}
+		s.tracer = s.Tracer.Tracer("wasabirelay/answer")
+		s.metrics = newMetrics()
+		s.store.init()
+		s.setSeams()
+	})
+}
+
+func (s *Service) setSeams() {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy, transport.DisableCompression = nil, true // Targets are called directly, and lengths are checked.
+	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = 0, idlePerTarget
+	h := &HTTP{Client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, Clock: s.Clock}
+	d := &defaults{}
+	set(&s.Send, h.Send)
+	set(&s.Cancel, h.Cancel)
+	set(&s.Health, h.Health)
+	set(&s.Pick, d.pick)
+	set(&s.Start, func(time.Time, *control.Target) {})
+	set(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
+	set(&s.HedgeAfter, func(time.Time, string, float64) (time.Duration, bool) { return 0, false })
+	set(&s.Sent, d.countSent)
+	set(&s.Extra, d.extra)
+	set(&s.Admit, admitAll)
+	set(&s.Grant, noGrant)
+	set(&s.Granted, s.grantedInView)
+	set(&s.Propose, absentPropose)
+	set(&s.Fetch, absentFetch)
+	set(&s.Draw, rand.Float64)
+}
+
+// noRedirect keeps the client from repeating a sub-request at another address.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// index returns the index of a service in a view. The first use of a view also
+// reports disputed shard counts and compares incarnations.
+func (s *Service) index(v *control.View, service string) *index {
+	cache := s.indexes.Load()
+	if cache == nil || cache.view != v {
+		cache = &indexes{view: v, items: map[string]*index{}}
+		s.indexes.Store(cache)
+	}
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	ix := cache.items[service]
+	if ix == nil {
+		ix = newIndex(v, service)
+		cache.items[service] = ix
+		s.observe(ix, service)
+	}
+	return ix
+}
+
+// observe reports what the first look at a service in a new view shows.
+func (s *Service) observe(ix *index, service string) {
+	numbers := ix.disputed()
+	s.metrics.dispute(service, len(numbers))
+	if len(numbers) > 0 {
+		s.Log.Error().Str("service", service).Uints64("snapshots", numbers).
+			Msg("targets announce different shard counts of a snapshot; the snapshot is not used")
+	}
+	s.report(s.Poison.Observe(s.Clock.Now(), func(name string) (string, bool) {
+		t, ok := ix.targets[name]
+		if !ok {
+			return "", false
+		}
+		return t.Incarnation, true
+	}, rules(ix.view).Poison.Hold.Duration))
+}
+
+// report proposes suspects without making the caller wait.
+func (s *Service) report(suspects []control.SuspectRequest) {
+	for _, suspect := range suspects {
+		s.Log.Warn().Str("fingerprint", suspect.Fingerprint).Str("target", suspect.Target).
+			Int("shard", suspect.Shard).Msg("target died with this request in flight")
+		s.goBackground(func(ctx context.Context) {
+			if _, err := s.Propose(ctx, control.Command{Suspect: &suspect}); err != nil {
+				s.Log.Warn().Err(err).Str("fingerprint", suspect.Fingerprint).Msg("suspect not reported")
+			}
+		})
+	}
+}
+
+// goBackground runs f outside of any query. Drain waits for it.
+func (s *Service) goBackground(f func(ctx context.Context)) {
+	s.work.Go(func() {
+		ctx, cancel := clockwork.WithTimeout(context.Background(), s.Clock, background)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// Drain waits until the sub-requests, cancellations and proposals of queries
+// that have been answered have ended, or until ctx ends. It is called after the
+// listeners have stopped.
+func (s *Service) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// rules returns the view's rules with defaults for those that are not set.
+func rules(v *control.View) inventory.Rules {
+	var r inventory.Rules
+	if v.Inventory != nil {
+		r = v.Inventory.Rules
+	}
+	if r.Hedge.Budget <= 0 {
+		r.Hedge.Budget = inventory.DefaultBudget
+	}
+	if r.Hedge.Quantile <= 0 {
+		r.Hedge.Quantile = inventory.DefaultQuantile
+	}
+	if r.Poison.Hold.Duration <= 0 {
+		r.Poison.Hold.Duration = inventory.DefaultHold
+	}
+	return r
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,7 +38,10 @@
 	mux := http.NewServeMux()
 	view := d.view
 	(&target.Service{Host: d.Settings.Host, Propose: d.propose, View: view}).Register(mux)
-	(&answer.Service{View: view, Client: &http.Client{}}).Register(mux)
+	queries := &answer.Service{Host: d.Settings.Host, Log: d.Log}
+	queries.View = func() (*control.View, error) { return view(), nil }
+	queries.Propose = d.propose
+	queries.Register(mux)
 	server := &http.Server{
 		Addr: d.Settings.Caller.Address.String(), Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
