Expire silent targets on the host through which they renew

Cause: the announcement handler proposed every renewal to the log, accepted unknown fields, and no host removed a target that had stopped renewing. Change: a pure Table compares renewals with the view, proposes only changes, and expires silent targets, including those whose home no longer serves. Silence during a freeze or an outage of this host is not counted. The client keeps to the address that answered and goes on only when a resend is safe. Before/after: before, three equal announcements made three log entries; now one. Conclusion: renewals cost no log entries; expiry needs the Run goroutine.

--- a/client/client.go
+++ b/client/client.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
@@ -20,68 +23,133 @@
 
 // Client calls one of several hosts. Exported fields are set before use.
 type Client struct {
+	// Addresses are tried in turn, starting with the one that answered last.
 	Addresses []netip.AddrPort
 	// HTTP sends the requests; nil stands for http.DefaultClient.
 	HTTP *http.Client
 	// Scheme is "http" or "https"; empty stands for "http".
 	Scheme string
+	// Timeout bounds the attempt at one address; 0 leaves it to the context.
+	Timeout time.Duration
 
-	mu   sync.Mutex
-	next int
+	mu      sync.Mutex
+	learned []netip.AddrPort
+	current netip.AddrPort
 }
 
-// Announce announces or renews a target.
+// Call is a request that may be sent to more than one address.
+type Call struct {
+	// Build adds the method, path and body to the base URL.
+	Build func(*sling.Sling) *sling.Sling
+	// Out receives the reply; nil drops it.
+	Out any
+	// Repeatable states that a second run of the request does no harm.
+	Repeatable bool
+	// Addresses replaces the client's addresses.
+	Addresses []netip.AddrPort
+}
+
+// Announce announces or renews a target and learns the addresses in the reply.
 func (c *Client) Announce(ctx context.Context, t *control.Target) (*target.Renewal, error) {
 	var out target.Renewal
-	err := c.Do(ctx, func(s *sling.Sling) *sling.Sling { return s.Post("/v1/targets").BodyJSON(t) }, &out)
-	return &out, err
+	build := func(s *sling.Sling) *sling.Sling { return s.Post("/v1/targets").BodyJSON(t) }
+	if err := c.Send(ctx, Call{Build: build, Out: &out, Repeatable: true}); err != nil {
+		return nil, err
+	}
+	var learned []netip.AddrPort
+	for _, text := range out.Addresses {
+		if a, err := netip.ParseAddrPort(text); err == nil {
+			learned = append(learned, a)
+		}
+	}
+	c.mu.Lock()
+	c.learned = learned
+	c.mu.Unlock()
+	return &out, nil
 }
 
-// Leave removes an incarnation of a target.
+// Leave removes an incarnation of a target. An absent incarnation is no error.
 func (c *Client) Leave(ctx context.Context, name, incarnation string) error {
 	path := "/v1/targets/" + url.PathEscape(name) + "?incarnation=" + url.QueryEscape(incarnation)
-	return c.Do(ctx, func(s *sling.Sling) *sling.Sling { return s.Delete(path) }, nil)
+	err := c.Do(ctx, func(s *sling.Sling) *sling.Sling { return s.Delete(path) }, nil)
+	var d *problem.Details
+	if errors.As(err, &d) && d.Status == http.StatusNotFound {
+		return nil
+	}
+	return err
 }
 
-// Do sends a request to the current address, and to the next ones while an
-// address can't be reached or refuses with executed "none" and status 503. The
-// error is a *problem.Details if a host refused.
+// Do sends a repeatable request; see Send.
 func (c *Client) Do(ctx context.Context, build func(*sling.Sling) *sling.Sling, out any) error {
-	if len(c.Addresses) == 0 {
+	return c.Send(ctx, Call{Build: build, Out: out, Repeatable: true})
+}
+
+// Send sends a request to one address after the other while that is safe: after
+// a refusal with status 503 and executed "none", and for a repeatable request
+// also after a failed attempt. The error is a *problem.Details if a host refused.
+func (c *Client) Send(ctx context.Context, call Call) error {
+	addresses := c.order(call.Addresses)
+	if len(addresses) == 0 {
 		return errors.New("no address of a host is known")
 	}
 	var last error
-	for range c.Addresses {
-		last = c.try(ctx, build, out)
-		if last == nil || ctx.Err() != nil || !elsewhere(last) {
+	for _, a := range addresses {
+		last = c.try(ctx, a, call)
+		if last == nil {
+			c.mu.Lock()
+			c.current = a
+			c.mu.Unlock()
+			return nil
+		}
+		if ctx.Err() != nil || !elsewhere(last, call.Repeatable) {
 			return last
 		}
-		c.mu.Lock()
-		c.next++
-		c.mu.Unlock()
 	}
 	return last
 }
 
-// elsewhere reports whether another host may answer the request safely.
-func elsewhere(err error) bool {
+// order returns the addresses to try, beginning with the one that answered last.
+func (c *Client) order(list []netip.AddrPort) []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if list == nil {
+		list = slices.Clone(c.learned)
+		for _, a := range c.Addresses {
+			if !slices.Contains(list, a) {
+				list = append(list, a)
+			}
+		}
+	}
+	first := max(slices.Index(list, c.current), 0)
+	return slices.Concat(list[first:], list[:first])
+}
+
+// elsewhere reports whether another host may be asked after this error.
+func elsewhere(err error, repeatable bool) bool {
 	var d *problem.Details
-	if errors.As(err, &d) {
-		return d.Status == http.StatusServiceUnavailable && d.Executed == problem.None
+	if !errors.As(err, &d) {
+		var op *net.OpError // A failed dial has sent no byte of the request.
+		return repeatable || errors.As(err, &op) && op.Op == "dial"
+	}
+	if d.Status == http.StatusServiceUnavailable && d.Executed == problem.None {
+		return true
 	}
-	return true
+	// A refusal with executed "ran" is the outcome of the request, such as a
+	// coverage below what the caller accepts.
+	return repeatable && d.Status >= http.StatusInternalServerError && d.Executed != problem.Ran
 }
 
-func (c *Client) try(ctx context.Context, build func(*sling.Sling) *sling.Sling, out any) error {
-	c.mu.Lock()
-	address := c.Addresses[c.next%len(c.Addresses)]
-	c.mu.Unlock()
+func (c *Client) try(ctx context.Context, address netip.AddrPort, call Call) error {
+	if c.Timeout > 0 {
+		timed, cancel := context.WithTimeout(ctx, c.Timeout)
+		defer cancel()
+		ctx = timed
+	}
 	scheme := c.Scheme
 	if scheme == "" {
 		scheme = "http"
 	}
-	s := build(sling.New().Base(scheme + "://" + address.String()))
-	req, err := s.Request()
+	req, err := call.Build(sling.New().Base(scheme + "://" + address.String())).Request()
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
@@ -95,12 +163,13 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode >= http.StatusBadRequest {
-		d := &problem.Details{Title: http.StatusText(res.StatusCode), Status: res.StatusCode, Executed: problem.Unknown}
+		d := &problem.Details{Title: http.StatusText(res.StatusCode), Executed: problem.Unknown}
 		_ = json.NewDecoder(res.Body).Decode(d) // Without a problem document the status has to do.
+		d.Status = res.StatusCode
 		return d
 	}
-	if out == nil || res.StatusCode == http.StatusNoContent {
+	if call.Out == nil || res.StatusCode == http.StatusNoContent {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(res.Body).Decode(out), "read answer")
+	return errors.Wrap(json.NewDecoder(res.Body).Decode(call.Out), "read answer")
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -37,7 +38,11 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
 	view := d.view
-	(&target.Service{Host: d.Settings.Host, Propose: d.propose, View: view}).Register(mux)
+	targets := &target.Service{
+		Host: d.Settings.Host, Propose: d.propose, View: view, Clock: clockwork.NewRealClock(), Log: d.Log,
+	}
+	targets.Register(mux)
+	go func() { _ = targets.Run(ctx) }()
 	(&answer.Service{View: view, Client: &http.Client{}}).Register(mux)
 	server := &http.Server{
 		Addr: d.Settings.Caller.Address.String(), Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- /dev/null
+++ b/searcher/count.go
@@ -0,0 +1,119 @@
+package searcher
+
+import (
+	"net/http"
+	"time"
+
+	"wasabirelay/document"
+	"wasabirelay/target"
+)
+
+// remembered bounds the identities that are counted one by one. At 2,415
+// sub-requests/s per searcher, the size to design for, it covers 27 s.
+const remembered = 1 << 16
+
+// identity is the identity of a sub-request.
+type identity struct {
+	request string
+	shard   int
+}
+
+// Counts is what a searcher ran and refused.
+type Counts struct {
+	Received int `json:"received"`
+	Served   int `json:"served"`
+	Running  int `json:"running"`
+	// Refused counts refusals by reason.
+	Refused   map[string]int `json:"refused"`
+	Cancelled int            `json:"cancelled"`
+	// Cold is the highest number of sub-requests that it had admitted at the
+	// same time while it was cold.
+	Cold int `json:"cold"`
+	// Draining is the number of sub-requests received since it drains, and Last
+	// the time from the accepted announcement of that to the last of them.
+	Draining int               `json:"draining"`
+	Last     document.Duration `json:"last"`
+	// Most is the highest number of runs of one request and shard.
+	Most int `json:"most"`
+	// Runs holds the runs per request and shard of the last 65,536 identities.
+	Runs map[string]map[int]int `json:"runs"`
+	// Connections counts accepted connections, Closed those above the limit.
+	Connections int `json:"connections"`
+	Closed      int `json:"closed"`
+}
+
+// counts is guarded by Searcher.mu.
+type counts struct {
+	Counts
+	runs      map[identity]int
+	order     []identity // ring of the keys of runs, oldest at next
+	next      int
+	drained   time.Time // when draining began
+	announced time.Time // when a host accepted the announcement of it
+}
+
+// ran counts a run of a sub-request.
+func (c *counts) ran(id identity) {
+	if _, ok := c.runs[id]; !ok {
+		if len(c.order) < remembered {
+			c.order = append(c.order, id)
+		} else {
+			delete(c.runs, c.order[c.next])
+			c.order[c.next] = id
+			c.next = (c.next + 1) % remembered
+		}
+	}
+	c.runs[id]++
+	c.Most = max(c.Most, c.runs[id])
+}
+
+// refuse counts a refusal.
+func (c *counts) refuse(reason string) {
+	if c.Refused == nil {
+		c.Refused = map[string]int{}
+	}
+	c.Refused[reason]++
+}
+
+// receive counts a received sub-request.
+func (c *counts) receive(now time.Time) {
+	c.Received++
+	if c.drained.IsZero() {
+		return
+	}
+	c.Draining++
+	if !c.announced.IsZero() {
+		c.Last = document.Duration{Duration: now.Sub(c.announced)}
+	}
+}
+
+// Counts returns a copy of the counts.
+func (s *Searcher) Counts() Counts {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.counts.Counts
+	out.Refused = map[string]int{}
+	for reason, n := range s.counts.Refused {
+		out.Refused[reason] = n
+	}
+	out.Runs = map[string]map[int]int{}
+	for id, n := range s.counts.runs {
+		if out.Runs[id.request] == nil {
+			out.Runs[id.request] = map[int]int{}
+		}
+		out.Runs[id.request][id.shard] = n
+	}
+	return out
+}
+
+func (s *Searcher) showCounts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) }
+
+// refuse answers a sub-request that was not run.
+func (s *Searcher) refuse(w http.ResponseWriter, reason, detail string) {
+	s.mu.Lock()
+	s.counts.refuse(reason)
+	s.mu.Unlock()
+	w.Header().Set(target.HeaderReason, reason)
+	http.Error(w, detail, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/searcher/serve.go
@@ -0,0 +1,313 @@
+package searcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wasabirelay/control"
+	"wasabirelay/problem"
+	"wasabirelay/target"
+)
+
+const (
+	// maxBody bounds the body of a sub-request in bytes.
+	maxBody = 1 << 20
+	// crashCode is the exit code of a searcher that a query crashed.
+	crashCode = 3
+)
+
+// subRequest is a decoded sub-request.
+type subRequest struct {
+	identity
+	snapshot uint64
+	deadline time.Time // zero without a deadline
+	query    []byte
+}
+
+// Health is the reply to GET /health.
+type Health struct {
+	State   control.TargetState `json:"state"`
+	Served  int                 `json:"served"`
+	Running int                 `json:"running"`
+	Waiting int                 `json:"waiting"`
+}
+
+func (s *Searcher) query(w http.ResponseWriter, r *http.Request) {
+	sub, bad := s.decode(w, r)
+	if bad != nil {
+		bad.Write(w)
+		return
+	}
+	if reason := s.admit(sub); reason != "" {
+		s.refuse(w, reason, "not run: "+reason)
+		return
+	}
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
+	defer cancel(nil)
+	s.track(sub.identity, func() { cancel(errCancelled) })
+	if reason := s.wait(ctx, r.Context().Done(), sub); reason != "" {
+		s.release(sub.identity, false)
+		s.refuse(w, reason, "not run: "+reason)
+		return
+	}
+	s.run(ctx, w, sub)
+}
+
+var errCancelled = errors.New("cancelled")
+
+func (s *Searcher) decode(w http.ResponseWriter, r *http.Request) (*subRequest, *problem.Details) {
+	sub := &subRequest{identity: identity{request: r.Header.Get(target.HeaderRequest)}}
+	if sub.request == "" {
+		return nil, problem.BadField(target.HeaderRequest, "the identity of the request is needed")
+	}
+	var err error
+	if sub.shard, err = strconv.Atoi(r.Header.Get(target.HeaderShard)); err != nil {
+		return nil, problem.BadField(target.HeaderShard, "a whole number is needed")
+	}
+	if sub.snapshot, err = strconv.ParseUint(r.Header.Get(target.HeaderSnapshot), 10, 64); err != nil {
+		return nil, problem.BadField(target.HeaderSnapshot, "a whole number is needed")
+	}
+	if text := r.Header.Get(target.HeaderTimeout); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil {
+			return nil, problem.BadField(target.HeaderTimeout, "a number of milliseconds is needed")
+		}
+		sub.deadline = s.Clock.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	if sub.query, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
+		return nil, problem.BadField("body", err.Error())
+	}
+	return sub, nil
+}
+
+// admit counts a sub-request and returns why it is refused, or "".
+func (s *Searcher) admit(sub *subRequest) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	s.counts.receive(now)
+	s.checkWarm()
+	switch {
+	case s.now.State == control.Draining:
+		return target.ReasonDraining
+	case !s.holds(sub):
+		return target.ReasonSnapshot
+	case s.cold && s.admitted >= s.Target.Bears:
+		return target.ReasonCold
+	case s.late(sub), s.Queue > 0 && s.waiting >= s.Queue && len(s.slots) == cap(s.slots):
+		return target.ReasonShed
+	}
+	s.admitted++
+	if s.cold {
+		s.counts.Cold = max(s.counts.Cold, s.admitted)
+	}
+	return ""
+}
+
+// holds reports whether the searcher has the shard in the snapshot. The caller
+// holds mu.
+func (s *Searcher) holds(sub *subRequest) bool {
+	has := slices.ContainsFunc(s.now.Snapshots, func(n control.Snapshot) bool { return n.Number == sub.snapshot })
+	return has && slices.Contains(s.now.Shards, sub.shard)
+}
+
+func (s *Searcher) late(sub *subRequest) bool {
+	return !sub.deadline.IsZero() && !s.Clock.Now().Before(sub.deadline)
+}
+
+func (s *Searcher) track(id identity, cancel context.CancelFunc) {
+	s.mu.Lock()
+	s.live[id] = cancel
+	s.mu.Unlock()
+}
+
+// wait waits for a slot and returns why the sub-request is not run, or "". A
+// caller that has gone gives up its place; a run that has started goes on.
+func (s *Searcher) wait(ctx context.Context, gone <-chan struct{}, sub *subRequest) string {
+	if s.slots == nil {
+		return ""
+	}
+	s.mu.Lock()
+	s.waiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+	}()
+	var expired <-chan time.Time
+	if !sub.deadline.IsZero() {
+		expired = s.Clock.After(sub.deadline.Sub(s.Clock.Now()))
+	}
+	select {
+	case s.slots <- struct{}{}:
+	case <-expired:
+		return target.ReasonShed
+	case <-ctx.Done():
+		return target.ReasonShed
+	case <-gone:
+		return target.ReasonShed
+	}
+	if s.late(sub) || ctx.Err() != nil {
+		<-s.slots
+		return target.ReasonShed
+	}
+	return ""
+}
+
+// release ends the admission of a sub-request.
+func (s *Searcher) release(id identity, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admitted--
+	delete(s.live, id)
+	if served {
+		s.counts.Served++
+		s.warm++
+		s.checkWarm()
+	}
+}
+
+func (s *Searcher) run(ctx context.Context, w http.ResponseWriter, sub *subRequest) {
+	s.mu.Lock()
+	s.counts.ran(sub.identity)
+	s.counts.Running++
+	f := s.faults
+	work, fail := s.Time.Draw(s.Rand), s.Rand.Float64() < f.Fail
+	s.mu.Unlock()
+	if f.Crash != "" && strings.Contains(string(sub.query), f.Crash) {
+		s.Log.Error().Str("request", sub.request).Msg("crashed by a query")
+		s.Exit(crashCode)
+	}
+	if f.Slow > 0 {
+		work = time.Duration(float64(work) * f.Slow)
+	}
+	finished := s.work(ctx, work)
+	s.mu.Lock()
+	s.counts.Running--
+	if !finished {
+		s.counts.Cancelled++
+	}
+	s.mu.Unlock()
+	if s.slots != nil {
+		<-s.slots
+	}
+	s.release(sub.identity, finished && !fail)
+	switch {
+	case !finished:
+		http.Error(w, "cancelled while it ran", http.StatusConflict)
+	case fail:
+		http.Error(w, "failed", http.StatusInternalServerError)
+	default:
+		s.reply(w, sub, f)
+	}
+}
+
+// work waits for the service time. It reports whether the work was finished.
+func (s *Searcher) work(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-s.Clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// reply sends the reply with the faults that apply to it.
+func (s *Searcher) reply(w http.ResponseWriter, sub *subRequest, f Faults) {
+	if f.Late.Duration > 0 {
+		s.Clock.Sleep(f.Late.Duration)
+	}
+	result, _ := json.Marshal(map[string]any{"target": s.Target.Name, "bytes": len(sub.query)}) // Can't fail.
+	reply := target.Reply{Request: sub.request, Shard: sub.shard, Snapshot: sub.snapshot, Result: result, End: true}
+	s.mu.Lock()
+	own := reply
+	if s.Rand.Float64() < f.Crossed {
+		reply.Request, reply.Shard, reply.Snapshot = s.previous.Request, s.previous.Shard, s.previous.Snapshot
+		if reply.Request == "" || reply.Request == sub.request {
+			reply.Request = "crossed-" + sub.request
+		}
+	}
+	s.previous = own
+	cut, doubled := s.Rand.Float64() < f.Cut, s.Rand.Float64() < f.Doubled
+	s.mu.Unlock()
+	text, _ := json.Marshal(reply) // Can't fail: Result is valid JSON.
+	switch {
+	case cut:
+		s.sendCut(w, text)
+	case doubled:
+		s.sendDoubled(w, text)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(text)
+	}
+}
+
+// sendCut sends half of the body and closes the connection.
+func (s *Searcher) sendCut(w http.ResponseWriter, text []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text[:len(text)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// sendDoubled sends the whole response twice on the connection.
+func (s *Searcher) sendDoubled(w http.ResponseWriter, text []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	defer conn.Close()
+	one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	_, _ = io.WriteString(conn, one+one)
+}
+
+func (s *Searcher) cancel(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		problem.BadField("body", err.Error()).Write(w)
+		return
+	}
+	var c target.Cancel
+	if bad := target.DecodeStrict("cancel", text, &c); bad != nil {
+		bad.Write(w)
+		return
+	}
+	s.mu.Lock()
+	stop := s.live[identity{c.Request, c.Shard}]
+	s.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Searcher) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	now := s.Clock.Now()
+	if s.reported.IsZero() || now.Sub(s.reported) >= s.faults.Lag.Duration {
+		s.reported = now
+		s.report = Health{
+			State: s.now.State, Served: s.counts.Served, Running: s.counts.Running, Waiting: s.waiting,
+		}
+	}
+	report := s.report
+	if s.faults.Health != "" {
+		report.State = s.faults.Health
+	}
+	s.mu.Unlock()
+	writeJSON(w, report)
+}
--- /dev/null
+++ b/searcher/time.go
@@ -0,0 +1,38 @@
+package searcher
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Distribution is the shape of the service times.
+type Distribution string
+
+// Values of Distribution. The empty value stands for Fixed.
+const (
+	Fixed       Distribution = "fixed"
+	Exponential Distribution = "exponential"
+	Lognormal   Distribution = "lognormal"
+)
+
+// Time is a distribution of service times.
+type Time struct {
+	Mean  time.Duration
+	Shape Distribution
+	// Sigma is the standard deviation of the logarithm of a lognormal time.
+	Sigma float64
+}
+
+// Draw returns a service time.
+func (t Time) Draw(r *rand.Rand) time.Duration {
+	switch t.Shape {
+	case Exponential:
+		return time.Duration(r.ExpFloat64() * float64(t.Mean))
+	case Lognormal:
+		// The shift by half the variance keeps the mean of the times at Mean.
+		return time.Duration(math.Exp(r.NormFloat64()*t.Sigma-t.Sigma*t.Sigma/2) * float64(t.Mean))
+	default:
+		return t.Mean
+	}
+}
--- /dev/null
+++ b/target/service.go
@@ -0,0 +1,223 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"wasabirelay/control"
+	"wasabirelay/document"
+	"wasabirelay/inventory"
+	"wasabirelay/problem"
+)
+
+const (
+	// maxBody bounds an announcement in bytes.
+	maxBody = 1 << 20
+	// period is how often the table looks for targets that missed their renewals.
+	period = 250 * time.Millisecond
+	// proposals bounds how many leaves are proposed at the same time.
+	proposals = 8
+	// proposeTimeout bounds the proposal of one leave.
+	proposeTimeout = 2 * time.Second
+)
+
+// Service is the HTTP interface to targets. Exported fields are set before use.
+type Service struct {
+	// Host is the name of this host.
+	Host string
+	// Propose commits a command.
+	Propose func(ctx context.Context, c control.Command) (control.Result, error)
+	// View returns the current view.
+	View func() *control.View
+	// Addresses returns the caller addresses of the hosts that serve. If it is
+	// nil, every host is taken as serving.
+	Addresses func() []string
+	Clock     clockwork.Clock
+	Log       zerolog.Logger
+
+	once    sync.Once
+	calls   chan func(*Table, Situation)
+	stopped chan struct{}
+}
+
+func (s *Service) init() {
+	s.once.Do(func() {
+		s.calls, s.stopped = make(chan func(*Table, Situation)), make(chan struct{})
+	})
+}
+
+// Register adds the routes to mux. Requests are answered while Run runs.
+func (s *Service) Register(mux *http.ServeMux) {
+	s.init()
+	mux.HandleFunc("POST /v1/targets", s.announce)
+	mux.HandleFunc("DELETE /v1/targets/{target}", s.leave)
+}
+
+// Run owns the expiry table until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	s.init()
+	defer close(s.stopped)
+	table := &Table{Host: s.Host}
+	ticker := s.Clock.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case call := <-s.calls:
+			call(table, s.situation())
+		case <-ticker.Chan():
+			if leaves := table.Expire(s.situation()); len(leaves) > 0 {
+				go s.expire(ctx, leaves)
+			}
+		}
+	}
+}
+
+func (s *Service) situation() Situation {
+	now := Situation{Now: s.Clock.Now(), View: s.View()}
+	if now.View.Inventory == nil {
+		v := *now.View
+		v.Inventory = &inventory.Document{}
+		now.View = &v
+	}
+	if s.Addresses != nil {
+		if now.Addresses = s.Addresses(); now.Addresses == nil {
+			now.Addresses = []string{}
+		}
+	}
+	return now
+}
+
+// expire proposes the leaves. The table asks again for those that fail.
+func (s *Service) expire(ctx context.Context, leaves []control.Leave) {
+	var g errgroup.Group
+	g.SetLimit(proposals)
+	for _, l := range leaves {
+		g.Go(func() error {
+			timed, cancel := context.WithTimeout(ctx, proposeTimeout)
+			defer cancel()
+			result, err := s.Propose(timed, control.Command{Leave: &l})
+			switch {
+			case err != nil:
+				s.Log.Warn().Err(err).Str("target", l.Target).Msg("removal of an expired target failed")
+			case result.Refusal == nil:
+				s.Log.Info().Str("target", l.Target).Str("incarnation", l.Incarnation).Msg("target expired")
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no errors.
+}
+
+// ask runs f in the goroutine that owns the table, so that the table sees the
+// clock and the views in one order.
+func (s *Service) ask(ctx context.Context, f func(*Table, Situation)) error {
+	done := make(chan struct{})
+	select {
+	case s.calls <- func(t *Table, now Situation) { f(t, now); close(done) }:
+		<-done
+		return nil
+	case <-s.stopped:
+		return errors.New("this host is stopping")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Service) announce(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		problem.BadField("body", err.Error()).Write(w)
+		return
+	}
+	t, bad := Decode(text)
+	if bad != nil {
+		bad.Write(w)
+		return
+	}
+	t.Home = s.Host
+	var now Situation
+	d := Decline
+	if err := s.ask(r.Context(), func(table *Table, n Situation) { now, d = n, table.Renew(n, t) }); err != nil {
+		problem.Unavailable("stopping", err.Error()).Write(w)
+		return
+	}
+	if d == Decline {
+		problem.Unavailable("not-serving", "this host does not serve at the moment; renew through another host").Write(w)
+		return
+	}
+	if d == Propose && !s.propose(w, r, t) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Renewal{
+		Renew: document.Duration{Duration: now.renew()}, Expire: document.Duration{Duration: now.expire()}, Addresses: now.Addresses,
+	})
+}
+
+func (s *Service) propose(w http.ResponseWriter, r *http.Request, t *control.Target) bool {
+	result, ok := s.commit(w, r, control.Command{Announce: &control.Announce{Target: *t}})
+	if !ok {
+		return false
+	}
+	if err := s.ask(r.Context(), func(table *Table, now Situation) { table.Accept(now, t, result.Index) }); err != nil {
+		problem.Unavailable("stopping", err.Error()).Write(w)
+		return false
+	}
+	return true
+}
+
+func (s *Service) leave(w http.ResponseWriter, r *http.Request) {
+	l := control.Leave{
+		Target: r.PathValue("target"), Incarnation: r.URL.Query().Get("incarnation"), Reason: control.Left,
+	}
+	if l.Incarnation == "" {
+		problem.BadField("incarnation", "the incarnation that leaves is needed").Write(w)
+		return
+	}
+	if _, ok := s.commit(w, r, control.Command{Leave: &l}); ok {
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// commit proposes the command and writes a refusal. It reports whether the
+// command was accepted.
+func (s *Service) commit(w http.ResponseWriter, r *http.Request, c control.Command) (control.Result, bool) {
+	result, err := s.Propose(r.Context(), c)
+	if err != nil {
+		d := problem.Unavailable("no-quorum", err.Error())
+		d.Executed = problem.Unknown // The command may be committed after the error.
+		d.Write(w)
+		return result, false
+	}
+	f := result.Refusal
+	if f == nil {
+		return result, true
+	}
+	(&problem.Details{
+		Type: "urn:wasabirelay:" + string(f.Kind), Title: "Refused", Status: refusalStatus(f.Kind), Detail: f.Detail,
+		Executed: problem.None,
+	}).Write(w)
+	return result, false
+}
+
+func refusalStatus(k control.RefusalKind) int {
+	switch k {
+	case control.Absent:
+		return http.StatusNotFound
+	case control.Invalid:
+		return http.StatusBadRequest
+	default:
+		return http.StatusConflict
+	}
+}
--- /dev/null
+++ b/target/table.go
@@ -0,0 +1,227 @@
+package target
+
+import (
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+)
+
+// freeze is the longest gap between two calls that counts as normal operation.
+// It is four check periods, which leaves room for a busy scheduler.
+const freeze = 4 * period
+
+// Situation is what the table decides on.
+type Situation struct {
+	Now  time.Time
+	View *control.View
+	// Addresses holds the caller addresses of the hosts that serve. Nil means
+	// that they are not known.
+	Addresses []string
+}
+
+// Decision is what to do with an announcement.
+type Decision int
+
+// Values of Decision.
+const (
+	// Answer means that the announcement says nothing new.
+	Answer Decision = iota
+	// Propose means that it changes the control state.
+	Propose
+	// Decline means that this host does not serve, so that the target has to
+	// renew through another one.
+	Decline
+)
+
+// Table tracks the targets that renew through one host. It is pure and not safe
+// for concurrent use.
+type Table struct {
+	Host string
+
+	entries map[string]*entry
+	last    time.Time // time of the last call
+	floor   time.Time // silence before this time does not count
+}
+
+type entry struct {
+	incarnation string
+	seen        time.Time     // last renewal, or when this host took the target over
+	told        time.Duration // expiry that the target was told
+	accepted    control.Target
+	index       uint64    // log index of accepted
+	proposed    time.Time // when the last leave was proposed
+}
+
+// Renew records an announcement and decides what to do with it.
+func (t *Table) Renew(s Situation, a *control.Target) Decision {
+	if !t.observe(s) {
+		return Decline
+	}
+	known := s.find(a.Service, a.Name)
+	e := t.entries[a.Name]
+	if e != nil && e.index > s.View.Revision {
+		known = &e.accepted // The view does not show the last accepted announcement yet.
+	}
+	if known == nil || known.Incarnation != a.Incarnation {
+		return Propose
+	}
+	if e == nil || e.incarnation != a.Incarnation {
+		e = t.watch(a.Name, a.Incarnation)
+	}
+	// A change that can't be committed is a sign of life as well.
+	e.seen, e.told = s.Now, s.expire()
+	if reflect.DeepEqual(known, a) {
+		return Answer
+	}
+	return Propose
+}
+
+// Accept records that the announcement was committed at the log index.
+func (t *Table) Accept(s Situation, a *control.Target, index uint64) {
+	t.observe(s)
+	e := t.watch(a.Name, a.Incarnation)
+	e.seen, e.told, e.accepted, e.index = s.Now, s.expire(), *a, index
+}
+
+// Expire returns the leaves of the targets that missed their renewals. A target
+// whose home does not serve any more is watched by one of the hosts that do.
+func (t *Table) Expire(s Situation) []control.Leave {
+	if !t.observe(s) {
+		return nil
+	}
+	live := s.live()
+	watched := map[string]bool{}
+	var leaves []control.Leave
+	for _, list := range s.View.Targets {
+		for _, known := range list {
+			if !t.responsible(known, live) {
+				continue
+			}
+			watched[known.Name] = true
+			if t.overdue(s, known) {
+				leaves = append(leaves, control.Leave{
+					Target: known.Name, Incarnation: known.Incarnation, Reason: control.Expired,
+				})
+			}
+		}
+	}
+	for name, e := range t.entries {
+		if !watched[name] && e.index <= s.View.Revision {
+			delete(t.entries, name)
+		}
+	}
+	return leaves
+}
+
+// observe notes the time of a call. It reports whether this host serves. The
+// time during which the process was frozen or did not serve is not held against
+// the targets, because their renewals had no chance to arrive.
+func (t *Table) observe(s Situation) bool {
+	if t.entries == nil {
+		t.entries = map[string]*entry{}
+	}
+	serves := s.serves(t.Host)
+	gap := s.Now.Sub(t.last)
+	if !serves || gap > freeze || gap < 0 {
+		t.floor = s.Now
+	}
+	t.last = s.Now
+	return serves
+}
+
+func (t *Table) watch(name, incarnation string) *entry {
+	e := &entry{incarnation: incarnation}
+	t.entries[name] = e
+	return e
+}
+
+// responsible reports whether this host has to expire the target.
+func (t *Table) responsible(known *control.Target, live []string) bool {
+	if known.Home == t.Host {
+		return true
+	}
+	return len(live) > 0 && !slices.Contains(live, known.Home) && successor(known.Name, live) == t.Host
+}
+
+// overdue reports whether a leave of the target has to be proposed now.
+func (t *Table) overdue(s Situation, known *control.Target) bool {
+	e := t.entries[known.Name]
+	if e != nil && e.index > s.View.Revision {
+		return false
+	}
+	if e == nil || e.incarnation != known.Incarnation {
+		e = t.watch(known.Name, known.Incarnation)
+		e.seen = s.Now
+	}
+	since := e.seen
+	if t.floor.After(since) || since.After(s.Now) { // The second after the clock was set back.
+		since = t.floor
+	}
+	// A target that was told a longer expiry than the rule has now keeps it
+	// until its next renewal.
+	if s.Now.Sub(since) < max(e.told, s.expire()) || s.Now.Sub(e.proposed) < s.renew() {
+		return false
+	}
+	e.proposed = s.Now
+	return true
+}
+
+// successor returns the host that watches a target whose home does not serve.
+func successor(name string, live []string) string {
+	best, most := "", uint64(0)
+	for _, host := range live {
+		if h := xxhash.Sum64String(host + "\x00" + name); best == "" || h > most {
+			best, most = host, h
+		}
+	}
+	return best
+}
+
+func (s Situation) find(service, name string) *control.Target {
+	for _, t := range s.View.Targets[service] {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// live returns the names of the hosts that serve, or nil if they are not known.
+func (s Situation) live() []string {
+	if s.Addresses == nil {
+		return nil
+	}
+	var live []string
+	for name, host := range s.View.Inventory.Hosts {
+		if slices.Contains(s.Addresses, host.Caller.String()) {
+			live = append(live, name)
+		}
+	}
+	return live
+}
+
+// serves reports whether the host is among those that serve. A host that the
+// inventory does not list has no address to look for and is taken as serving.
+func (s Situation) serves(host string) bool {
+	h, listed := s.View.Inventory.Hosts[host]
+	return s.Addresses == nil || !listed || slices.Contains(s.Addresses, h.Caller.String())
+}
+
+func (s Situation) renew() time.Duration {
+	if d := s.View.Inventory.Rules.Renew.Duration; d > 0 {
+		return d
+	}
+	return inventory.DefaultRenew
+}
+
+func (s Situation) expire() time.Duration {
+	if d := s.View.Inventory.Rules.Expire.Duration; d > 0 {
+		return d
+	}
+	return inventory.DefaultExpire
+}
