Add the command line with one package per command

Cause: the command line knew one command and printed bare errors. The client keeps the addresses of a service for the given time, begins at different hosts, and reports an attempt that may have run unless a later one had a definite outcome.

--- a/client/client.go
+++ b/client/client.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/dghubble/sling"
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"wasabirelay/control"
@@ -31,10 +31,14 @@
 	Scheme string
 	// Timeout bounds the attempt at one address; 0 leaves it to the context.
 	Timeout time.Duration
+	// Clock tells when a list of addresses is too old; nil stands for the real one.
+	Clock clockwork.Clock
 
 	mu      sync.Mutex
-	learned []netip.AddrPort
-	current netip.AddrPort
+	learned []netip.AddrPort // from the last announcement
+	// By service, and "" for requests that belong to none.
+	current map[string]netip.AddrPort // answered last
+	lists   map[string]kept
 }
 
 // Call is a request that may be sent to more than one address.
@@ -45,8 +49,8 @@
 	Out any
 	// Repeatable states that a second run of the request does no harm.
 	Repeatable bool
-	// Addresses replaces the client's addresses.
-	Addresses []netip.AddrPort
+	// Service selects the address list of a service, if one is kept.
+	Service string
 }
 
 // Announce announces or renews a target and learns the addresses in the reply.
@@ -72,8 +76,7 @@
 func (c *Client) Leave(ctx context.Context, name, incarnation string) error {
 	path := "/v1/targets/" + url.PathEscape(name) + "?incarnation=" + url.QueryEscape(incarnation)
 	err := c.Do(ctx, func(s *sling.Sling) *sling.Sling { return s.Delete(path) }, nil)
-	var d *problem.Details
-	if errors.As(err, &d) && d.Status == http.StatusNotFound {
+	if absent(err) {
 		return nil
 	}
 	return err
@@ -87,49 +90,82 @@
 // Send sends a request to one address after the other while that is safe: after
 // a refusal with status 503 and executed "none", and for a repeatable request
 // also after a failed attempt. The error is a *problem.Details if a host refused.
+// It is that of an attempt that may have run, if there was one and no later
+// attempt had a definite outcome.
 func (c *Client) Send(ctx context.Context, call Call) error {
-	addresses := c.order(call.Addresses)
+	addresses := c.order(call.Service)
 	if len(addresses) == 0 {
 		return errors.New("no address of a host is known")
 	}
-	var last error
+	var last, uncertain error
 	for _, a := range addresses {
 		last = c.try(ctx, a, call)
 		if last == nil {
-			c.mu.Lock()
-			c.current = a
-			c.mu.Unlock()
+			c.prefer(call.Service, a)
 			return nil
 		}
-		if ctx.Err() != nil || !elsewhere(last, call.Repeatable) {
+		if !elsewhere(last, call.Repeatable) {
 			return last
 		}
+		if !notRun(last) {
+			uncertain = last
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if uncertain != nil {
+		return uncertain
 	}
 	return last
 }
 
+// notRun reports whether the error means that the attempt had no effect.
+func notRun(err error) bool {
+	d := Refused(err)
+	return Unsent(err) || d != nil && d.Executed == problem.None
+}
+
 // order returns the addresses to try, beginning with the one that answered last.
-func (c *Client) order(list []netip.AddrPort) []netip.AddrPort {
+// The client's own addresses come last, so that a list whose hosts have all gone
+// does not cut the caller off.
+func (c *Client) order(service string) []netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if list == nil {
-		list = slices.Clone(c.learned)
-		for _, a := range c.Addresses {
-			if !slices.Contains(list, a) {
-				list = append(list, a)
-			}
-		}
+	list := c.learned
+	if l, ok := c.lists[service]; ok {
+		list = l.addresses
 	}
-	first := max(slices.Index(list, c.current), 0)
+	list = merge(list, c.Addresses)
+	first := max(slices.Index(list, c.current[service]), 0)
 	return slices.Concat(list[first:], list[:first])
 }
 
+func (c *Client) prefer(service string, a netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		c.current = map[string]netip.AddrPort{}
+	}
+	c.current[service] = a
+}
+
+// merge appends the addresses of more that list does not contain.
+func merge(list, more []netip.AddrPort) []netip.AddrPort {
+	out := slices.Clone(list)
+	for _, a := range more {
+		if !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // elsewhere reports whether another host may be asked after this error.
 func elsewhere(err error, repeatable bool) bool {
 	var d *problem.Details
 	if !errors.As(err, &d) {
-		var op *net.OpError // A failed dial has sent no byte of the request.
-		return repeatable || errors.As(err, &op) && op.Op == "dial"
+		return repeatable || Unsent(err)
 	}
 	if d.Status == http.StatusServiceUnavailable && d.Executed == problem.None {
 		return true
--- /dev/null
+++ b/command/target/list/list.go
@@ -0,0 +1,71 @@
+// Package list is the command "target list".
+package list
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"wasabirelay/command/factory"
+	"wasabirelay/control"
+)
+
+// Options are the arguments of the command and what it depends on.
+type Options struct {
+	*factory.Factory `kong:"-"`
+
+	Service string `help:"Only targets of this service." short:"s"`
+	Centre  string `help:"Only targets in this data centre." short:"c"`
+	State   string `help:"Only targets in this state: ${enum}." enum:",cold,warm,draining" default:""`
+	JSON    bool   `help:"Print JSON."`
+}
+
+// New returns the command.
+func New(f *factory.Factory) Options { return Options{Factory: f} }
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `Examples:
+  wasabirelay target list
+  wasabirelay target list --service order-desk --state cold`
+}
+
+// Run prints the live targets.
+func (o *Options) Run(ctx context.Context) error {
+	c, err := o.Operator()
+	if err != nil {
+		return err
+	}
+	targets, err := c.Targets(ctx)
+	if err != nil {
+		return factory.Explain(err, "")
+	}
+	targets = slices.DeleteFunc(targets, func(t *control.Target) bool {
+		return o.Service != "" && t.Service != o.Service || o.Centre != "" && t.Centre != o.Centre ||
+			o.State != "" && string(t.State) != o.State
+	})
+	if o.JSON {
+		return o.Streams.JSON(targets)
+	}
+	var rows [][]string
+	for _, t := range targets {
+		rows = append(rows, []string{
+			t.Name, t.Service, t.Version, t.Centre, t.Address.String(), string(t.State), numbers(t.Shards), snapshots(t), t.Home,
+		})
+	}
+	return o.Table([]string{"TARGET", "SERVICE", "VERSION", "CENTRE", "ADDRESS", "STATE", "SHARDS", "SNAPSHOTS", "HOME"}, rows)
+}
+
+func numbers(list []int) string {
+	return strings.ReplaceAll(strings.Trim(fmt.Sprint(list), "[]"), " ", ",")
+}
+
+// snapshots writes each snapshot as its number, a slash and its number of shards.
+func snapshots(t *control.Target) string {
+	var out []string
+	for _, s := range t.Snapshots {
+		out = append(out, fmt.Sprintf("%d/%d", s.Number, s.Shards))
+	}
+	return strings.Join(out, ",")
+}
