Run the replicated log on control hosts and follow it on entry hosts

Cause: each daemon kept its own targets in memory. A group is founded only if every control host is blank; a lost disk joins as a learner.

--- /dev/null
+++ b/host/follower.go
@@ -0,0 +1,333 @@
+// Package host is an entry host's side of the control plane: it follows the feed
+// of committed commands, holds the host's lease and publishes the current view.
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+	"wasabirelay/lease"
+	"wasabirelay/peer"
+	"wasabirelay/quorum"
+)
+
+const (
+	eventBacklog = 1024
+	// renewalsPerLease is how many renewals a host sends in the length of a lease.
+	renewalsPerLease = 5
+	// maxRenewals bounds the renewals that wait for an answer.
+	maxRenewals = 3
+	// lagLimit is how long the feed may be behind the commit index of the last
+	// renewal before the host subscribes at another control host.
+	lagLimit = 500 * time.Millisecond
+	// resubscribePause separates attempts to subscribe to the feed.
+	resubscribePause = 100 * time.Millisecond
+)
+
+// LeaseLostError reports that the host holds no lease and may not give out work.
+type LeaseLostError struct {
+	Host  string
+	Since time.Time
+}
+
+func (e *LeaseLostError) Error() string {
+	if e.Since.IsZero() {
+		return fmt.Sprintf("host %s has not got a lease from the control hosts yet", e.Host)
+	}
+	return fmt.Sprintf("host %s lost its lease at %s", e.Host, e.Since.UTC().Format(time.RFC3339Nano))
+}
+
+// Follower follows the control state. Exported fields are set before Run.
+type Follower struct {
+	Host    string
+	Control *Control
+	Clock   clockwork.Clock
+	Log     zerolog.Logger
+	// Changed, if set, is called on the control goroutine with each new view.
+	Changed func(*control.View)
+	// Serving, if set, is called on the control goroutine with the names of the
+	// hosts that serve callers, when they change.
+	Serving func([]string)
+
+	events   chan func()
+	draining atomic.Bool
+	view     atomic.Pointer[control.View]
+	until    atomic.Pointer[time.Time]
+	leader   atomic.Pointer[Leader]
+	serving  atomic.Pointer[[]string]
+
+	state    control.State
+	holder   lease.Holder
+	inflight int
+	hosts    uint64
+	next     time.Time
+	commit   uint64
+	behind   time.Time
+	feed     *peer.Conn
+	valid    bool
+}
+
+// Leader is the leader that granted the last lease.
+type Leader struct {
+	Host  string
+	Term  uint64
+	Since time.Time
+}
+
+// Init prepares the follower. It is called before Run and before any other use.
+func (f *Follower) Init() {
+	f.events = make(chan func(), eventBacklog)
+	f.view.Store(f.state.View())
+	f.until.Store(&time.Time{})
+	f.leader.Store(&Leader{})
+	f.serving.Store(&[]string{})
+}
+
+// View returns the latest view, whether or not the host holds a lease. Its
+// Inventory may be nil.
+func (f *Follower) View() *control.View { return f.view.Load() }
+
+// Current returns the latest view if the host may give out work now. The error
+// is a *LeaseLostError.
+func (f *Follower) Current() (*control.View, error) {
+	until := *f.until.Load()
+	if !f.Clock.Now().Before(until) {
+		return nil, &LeaseLostError{f.Host, until}
+	}
+	return f.view.Load(), nil
+}
+
+// Hosts returns the names of the hosts that serve callers, as of the last lease.
+func (f *Follower) Hosts() []string { return *f.serving.Load() }
+
+// Leader returns the leader that granted the last lease.
+func (f *Follower) Leader() Leader { return *f.leader.Load() }
+
+// Drain takes this host out of the address list. It keeps its lease.
+func (f *Follower) Drain() { f.draining.Store(true) }
+
+// Run follows the control hosts until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	go f.subscribe(ctx)
+	ticker := f.Clock.NewTicker(f.interval())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-f.events:
+			e()
+		case <-ticker.Chan():
+		}
+		f.tick(ctx)
+	}
+}
+
+func (f *Follower) interval() time.Duration {
+	length := inventory.DefaultLease
+	if d := f.view.Load().Inventory; d != nil {
+		length = d.Rules.Lease.Duration
+	}
+	return length / renewalsPerLease
+}
+
+func (f *Follower) post(ctx context.Context, e func()) {
+	select {
+	case f.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// tick sends a renewal when one is due, and leaves a feed that stands still.
+func (f *Follower) tick(ctx context.Context) {
+	now := f.Clock.Now()
+	f.noteLease(now)
+	switch {
+	case f.state.Index() >= f.commit:
+		f.behind = time.Time{}
+	case f.behind.IsZero():
+		f.behind = now
+	case now.Sub(f.behind) > lagLimit && f.feed != nil:
+		f.Log.Warn().Uint64("applied", f.state.Index()).Uint64("commit", f.commit).Msg("feed stands still, subscribing elsewhere")
+		f.feed.Close()
+		f.behind = now
+	}
+	if now.Before(f.next) || f.inflight >= maxRenewals {
+		return
+	}
+	f.next = now.Add(f.interval())
+	f.renew(ctx, now)
+}
+
+// noteLease logs the loss of the lease and its return.
+func (f *Follower) noteLease(now time.Time) {
+	valid := f.holder.Valid(now)
+	if valid == f.valid {
+		return
+	}
+	f.valid = valid
+	if valid {
+		f.Log.Info().Msg("lease held, giving out work")
+		return
+	}
+	f.Log.Warn().Time("since", f.holder.Until()).Msg("lease lost, refusing new work")
+}
+
+func (f *Follower) renew(ctx context.Context, now time.Time) {
+	number := f.holder.Request(now)
+	q := quorum.Renew{
+		Host: f.Host, Applied: f.state.Index(), Digest: f.state.Digest(), Draining: f.draining.Load(), Hosts: f.hosts,
+	}
+	f.inflight++
+	go func() {
+		var reply quorum.Lease
+		err := f.Control.call(ctx, attemptTimeout, quorum.MethodRenew, q, &reply)
+		f.post(ctx, func() { f.renewed(number, &reply, err) })
+	}()
+}
+
+func (f *Follower) renewed(number uint64, reply *quorum.Lease, err error) {
+	f.inflight--
+	if err != nil {
+		f.Log.Debug().Err(err).Msg("lease not renewed")
+		return
+	}
+	now := f.Clock.Now()
+	f.commit = max(f.commit, reply.Commit)
+	if l := f.leader.Load(); l.Host != reply.Leader || l.Term != reply.Term {
+		f.leader.Store(&Leader{reply.Leader, reply.Term, now})
+	}
+	f.noteServing(reply)
+	if reply.Resync {
+		f.Log.Error().Msg("control state differs from the leader's, fetching it again")
+		f.restart()
+	}
+	if reply.Length == 0 {
+		f.Log.Debug().Str("reason", reply.Reason).Msg("lease refused")
+		return
+	}
+	if f.holder.Reply(number, reply.Length, now) {
+		until := f.holder.Until()
+		f.until.Store(&until)
+	}
+	f.noteLease(now)
+}
+
+func (f *Follower) noteServing(reply *quorum.Lease) {
+	if reply.Hosts == f.hosts {
+		return
+	}
+	f.hosts = reply.Hosts
+	names := reply.Serving
+	f.serving.Store(&names)
+	if f.Serving != nil {
+		f.Serving(names)
+	}
+}
+
+// restart drops the state, so that the next subscription gets a snapshot.
+func (f *Follower) restart() {
+	f.state = control.State{}
+	if f.feed != nil {
+		f.feed.Close()
+	}
+}
+
+// subscribe keeps a subscription to the feed of one control host.
+func (f *Follower) subscribe(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c := f.Control.Clients[n%len(f.Control.Clients)]
+		if err := f.watch(ctx, c); err != nil {
+			f.Log.Debug().Err(err).Stringer("control", c.Address).Msg("feed ended")
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.Clock.After(resubscribePause):
+		}
+	}
+}
+
+// watch subscribes at one control host and returns when the feed ends.
+func (f *Follower) watch(ctx context.Context, c *peer.Client) error {
+	w := &peer.Client{Address: c.Address, TLS: c.TLS, Handlers: map[string]peer.Handler{quorum.MethodFeed: f.serveFeed}}
+	defer w.Close()
+	conn, err := w.Connect(ctx)
+	if err != nil {
+		return err
+	}
+	index := make(chan uint64, 1)
+	f.post(ctx, func() { f.feed = conn; index <- f.state.Index() })
+	var after uint64
+	select {
+	case after = <-index:
+	case <-ctx.Done():
+		return nil
+	}
+	call, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var reply struct{}
+	if err := conn.Call(call, quorum.MethodWatch, quorum.Watch{Host: f.Host, Index: after}, &reply); err != nil {
+		return err
+	}
+	select {
+	case <-conn.Done():
+		return errors.New("connection closed")
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// serveFeed hands a message of the feed to the control goroutine.
+func (f *Follower) serveFeed(ctx context.Context, conn *peer.Conn, params json.RawMessage) (any, error) {
+	var m quorum.Feed
+	if err := peer.Decode(params, &m); err != nil {
+		return nil, err
+	}
+	f.post(ctx, func() { f.apply(conn, &m) })
+	return nil, nil
+}
+
+// apply applies a message of the current feed. A gap closes the feed, and the
+// next subscription fills it.
+func (f *Follower) apply(conn *peer.Conn, m *quorum.Feed) {
+	if conn != f.feed {
+		return
+	}
+	if m.Snapshot != nil && m.Index > f.state.Index() {
+		var s control.State
+		if err := s.Restore(m.Snapshot); err != nil {
+			f.Log.Error().Err(err).Msg("control state from the feed can't be decoded")
+			conn.Close()
+			return
+		}
+		f.state = s
+		f.state.Advance(m.Index)
+	}
+	for _, e := range m.Entries {
+		switch {
+		case e.Index <= f.state.Index():
+		case e.Index != f.state.Index()+1:
+			f.Log.Warn().Uint64("expected", f.state.Index()+1).Uint64("got", e.Index).Msg("gap in the feed")
+			conn.Close()
+			return
+		case e.Command == nil:
+			f.state.Advance(e.Index)
+		default:
+			f.state.Apply(e.Index, *e.Command)
+		}
+	}
+	v := f.state.View()
+	f.view.Store(v)
+	if f.Changed != nil {
+		f.Changed(v)
+	}
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -98,7 +98,7 @@
 // Defaults of the rules.
 const (
 	DefaultKeep     = 5 * time.Second
-	DefaultLease    = 2 * time.Second
+	DefaultLease    = 1500 * time.Millisecond
 	DefaultRenew    = 2 * time.Second
 	DefaultExpire   = 6 * time.Second
 	DefaultBudget   = 0.05
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,17 +3,27 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // dialTimeout bounds a connection attempt to another daemon.
 const dialTimeout = time.Second
 
+// ConnectError reports that no connection could be opened, so nothing was sent.
+type ConnectError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+func (e *ConnectError) Error() string { return fmt.Sprintf("connect to peer %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *ConnectError) Unwrap() error { return e.Err }
+
 // Client keeps one connection to another daemon and opens it again after a
 // failure. Exported fields are set before use.
 type Client struct {
@@ -59,7 +69,7 @@
 	defer cancel()
 	nc, err := c.dial(ctx2)
 	if err != nil {
-		return nil, errors.Wrapf(err, "connect to peer %s", c.Address)
+		return nil, &ConnectError{c.Address, err}
 	}
 	c.conn = newConn(context.WithoutCancel(ctx), nc, c.Handlers)
 	return c.conn, nil
--- /dev/null
+++ b/quorum/leases.go
@@ -0,0 +1,304 @@
+package quorum
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wasabirelay/consensus"
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+	"wasabirelay/lease"
+	"wasabirelay/peer"
+)
+
+const (
+	// lagLimit is how far the state of a host may be behind the commits before the
+	// leader refuses its lease. A host whose feed stands still loses its lease
+	// after this and one lease length at the latest.
+	lagLimit = 300 * time.Millisecond
+	// longestLease bounds the lease that a previous leader may have granted.
+	longestLease = 10 * time.Second
+)
+
+// leases grants leases while this replica leads. A renewal is answered after a
+// read round that began after the renewal arrived, so that a leader that was
+// replaced without knowing it grants nothing.
+type leases struct {
+	table lease.Table
+	// waiting renewals go into the next read round; rounds holds those under way.
+	waiting []renewal
+	rounds  map[uint64][]renewal
+	next    uint64
+	// commits holds the newest index at some times of the last lagLimit.
+	commits  []commit
+	draining map[string]time.Time
+	// serving is the list of hosts that callers may use, version its number.
+	serving []string
+	version uint64
+}
+
+type renewal struct {
+	request Renew
+	done    chan leaseReply
+}
+
+type leaseReply struct {
+	lease Lease
+	err   error
+}
+
+type commit struct {
+	at    time.Time
+	index uint64
+}
+
+func (l *leases) init() {
+	l.rounds, l.draining = map[uint64][]renewal{}, map[string]time.Time{}
+}
+
+func (l *leases) elected(r *Replica, now time.Time) {
+	length := r.leaseLength()
+	if accepted := r.state.View().Accepted; now.Sub(accepted.At) < longestLease {
+		length = longestLease // The rule may have been longer a moment ago.
+	}
+	l.table.Elect(now, length, r.hostNames())
+	l.commits = []commit{{now, 0}}
+	l.version = uint64(now.UnixNano())
+	l.serving = nil
+}
+
+// lost refuses all renewals under way: leadership was lost.
+func (l *leases) lost() {
+	for _, w := range l.waiting {
+		w.done <- leaseReply{err: &consensus.NotLeaderError{}}
+	}
+	for _, round := range l.rounds {
+		for _, w := range round {
+			w.done <- leaseReply{err: &consensus.NotLeaderError{}}
+		}
+	}
+	l.waiting, l.rounds = nil, map[uint64][]renewal{}
+}
+
+// tick notes the commit index and starts a read round for waiting renewals.
+func (l *leases) tick(r *Replica, now time.Time) {
+	if r.role != consensus.Leader {
+		return
+	}
+	l.commits = append(l.commits, commit{now, r.applied})
+	for len(l.commits) > 1 && now.Sub(l.commits[1].at) >= lagLimit {
+		l.commits = l.commits[1:]
+	}
+	l.table.Prune(now, r.hostNames())
+	l.updateServing(now)
+	l.round(r, now)
+}
+
+func (l *leases) round(r *Replica, now time.Time) {
+	if len(l.waiting) == 0 || len(l.rounds) > 1 {
+		return
+	}
+	l.next++
+	batch := l.waiting
+	l.waiting = nil
+	l.rounds[l.next] = batch
+	out, err := r.node.Read(now, l.next)
+	if err != nil {
+		delete(l.rounds, l.next)
+		for _, w := range batch {
+			w.done <- leaseReply{err: err}
+		}
+		return
+	}
+	r.handle(out)
+}
+
+// confirmed answers the renewals of confirmed rounds and refuses aborted ones.
+func (l *leases) confirmed(r *Replica, reads []consensus.Read, aborted []uint64) {
+	for _, read := range reads {
+		for _, w := range l.rounds[read.ID] {
+			w.done <- leaseReply{lease: l.grant(r, &w.request)}
+		}
+		delete(l.rounds, read.ID)
+	}
+	for _, id := range aborted {
+		for _, w := range l.rounds[id] {
+			w.done <- leaseReply{err: &consensus.NotLeaderError{}}
+		}
+		delete(l.rounds, id)
+	}
+}
+
+// grant decides on a renewal whose round is confirmed.
+func (l *leases) grant(r *Replica, q *Renew) Lease {
+	now := r.Clock.Now()
+	reply := Lease{Commit: r.applied, Leader: r.Host, Term: r.term, Hosts: l.version}
+	if q.Hosts != l.version {
+		reply.Serving = l.serving
+	}
+	view := r.state.View()
+	_, listed := hostsOf(view.Inventory)[q.Host]
+	switch {
+	case view.Inventory != nil && !listed:
+		reply.Reason = "host " + q.Host + " is not in the inventory"
+	case q.Applied > r.applied:
+		// The group has lost changes that it had accepted. Serving on would revert
+		// them on the other hosts, so an operator has to decide.
+		reply.Reason = "the host's control state is ahead of the control hosts'"
+		r.Log.Error().Str("from", q.Host).Uint64("host", q.Applied).Uint64("group", r.applied).Msg("control hosts have lost accepted changes")
+	case q.Applied < l.commits[0].index:
+		reply.Reason = "the host's control state is behind"
+	case q.Applied == r.applied && q.Digest != r.state.Digest():
+		reply.Reason, reply.Resync = "the host's control state differs", true
+	default:
+		if q.Draining {
+			l.draining[q.Host] = now
+		} else {
+			delete(l.draining, q.Host)
+		}
+		l.table.Length = r.leaseLength()
+		l.table.Renew(q.Host, q.Applied, now)
+		reply.Length = l.table.Length
+	}
+	return reply
+}
+
+// updateServing renews the list of hosts that callers may use.
+func (l *leases) updateServing(now time.Time) {
+	var serving []string
+	for _, host := range l.table.Live(now) {
+		if _, draining := l.draining[host]; !draining {
+			serving = append(serving, host)
+		}
+	}
+	for host, since := range l.draining {
+		if now.Sub(since) > longestLease {
+			delete(l.draining, host)
+		}
+	}
+	if !slices.Equal(serving, l.serving) {
+		l.serving = serving
+		l.version++
+	}
+}
+
+func (r *Replica) leaseLength() time.Duration {
+	if d := r.state.View().Inventory; d != nil {
+		return min(d.Rules.Lease.Duration, longestLease)
+	}
+	return inventory.DefaultLease
+}
+
+func (r *Replica) hostNames() []string {
+	view := r.state.View()
+	names := make([]string, len(view.Hosts))
+	for i := range view.Hosts {
+		names[i] = view.Hosts[i].Name
+	}
+	return names
+}
+
+func hostsOf(d *inventory.Document) map[string]inventory.Host {
+	if d == nil {
+		return nil
+	}
+	return d.Hosts
+}
+
+// serveRenew answers a host's request for a lease.
+func (r *Replica) serveRenew(ctx context.Context, _ *peer.Conn, params json.RawMessage) (any, error) {
+	var q Renew
+	if err := peer.Decode(params, &q); err != nil {
+		return nil, err
+	}
+	done := make(chan leaseReply, 1)
+	leader := ""
+	err := r.do(ctx, func() {
+		if r.node == nil || r.role != consensus.Leader {
+			if r.node != nil {
+				leader = r.node.Status().Leader
+			}
+			done <- leaseReply{err: &consensus.NotLeaderError{Leader: leader}}
+			return
+		}
+		r.leases.waiting = append(r.leases.waiting, renewal{q, done})
+	})
+	if err != nil {
+		return nil, remote(err)
+	}
+	select {
+	case reply := <-done:
+		if reply.err == nil {
+			return reply.lease, nil
+		}
+		var not *consensus.NotLeaderError
+		if errors.As(reply.err, &not) && not.Leader != "" && !q.Forwarded {
+			q.Forwarded = true
+			var out Lease
+			return forward(ctx, r, not.Leader, MethodRenew, q, &out)
+		}
+		return nil, remote(reply.err)
+	case <-ctx.Done():
+		return nil, remote(ctx.Err())
+	}
+}
+
+// serveStatus answers with the leader's picture of leases and replicas.
+func (r *Replica) serveStatus(ctx context.Context, _ *peer.Conn, params json.RawMessage) (any, error) {
+	var q StatusRequest
+	if err := peer.Decode(params, &q); err != nil {
+		return nil, err
+	}
+	var out *Status
+	leader := ""
+	err := r.do(ctx, func() {
+		if r.node == nil {
+			return
+		}
+		if r.role == consensus.Leader {
+			out = r.status(q.Index)
+			return
+		}
+		leader = r.node.Status().Leader
+	})
+	switch {
+	case err != nil:
+		return nil, remote(err)
+	case out != nil:
+		return out, nil
+	case leader != "" && !q.Forwarded:
+		q.Forwarded = true
+		out = &Status{}
+		return forward(ctx, r, leader, MethodStatus, q, out)
+	}
+	return nil, remote(&consensus.NotLeaderError{Leader: leader})
+}
+
+func (r *Replica) status(index uint64) *Status {
+	now, names := r.Clock.Now(), r.hostNames()
+	s := r.node.Status()
+	out := &Status{
+		Leader: r.Host, Term: s.Term, Commit: s.Commit,
+		Report: r.leases.table.InForce(index, now, names),
+		Leases: r.leases.table.InForce(s.Commit, now, names).Hosts,
+	}
+	for _, id := range slices.Concat(s.Members.Voters, s.Members.Joining, s.Members.Learners) {
+		m := Member{ID: id, Host: hostOf(id), Learner: !s.Members.Voter(id), Match: s.Last, Heard: now}
+		if p, ok := s.Progress[id]; ok {
+			m.Match, m.Heard, m.Phase = p.Match, p.Heard, p.Phase
+		}
+		out.Replicas = append(out.Replicas, m)
+	}
+	return out
+}
+
+// View returns a picture of the control state of this replica.
+func (r *Replica) View(ctx context.Context) (*control.View, error) {
+	var v *control.View
+	err := r.do(ctx, func() { v = r.state.View() })
+	return v, err
+}
--- /dev/null
+++ b/quorum/repair.go
@@ -0,0 +1,77 @@
+package quorum
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"wasabirelay/consensus"
+)
+
+// repairInterval is how often the leader looks for a learner to promote or an
+// identity to remove.
+const repairInterval = 250 * time.Millisecond
+
+// repair completes the replacement of a replica that lost its disk: its new
+// identity is promoted once its log has caught up, then the old one is removed.
+type repair struct {
+	next time.Time
+}
+
+func (p *repair) tick(_ context.Context, r *Replica, now time.Time) {
+	if r.role != consensus.Leader || now.Before(p.next) {
+		return
+	}
+	p.next = now.Add(repairInterval)
+	s := r.node.Status()
+	change, ok := nextChange(&s, now, r.Election)
+	if !ok {
+		return
+	}
+	_, out, err := r.node.Change(now, change)
+	if err != nil {
+		r.Log.Debug().Err(err).Str("member", change.ID).Msg("membership change refused")
+		return
+	}
+	r.Log.Info().Str("member", change.ID).Str("action", string(change.Action)).Msg("changing the group")
+	r.handle(out)
+}
+
+// nextChange returns the next membership change of a repair. A learner that is
+// silent waits. An identity is removed only if a voter of the same host, or a
+// newer learner of it, takes its place.
+func nextChange(s *consensus.Status, now time.Time, silence time.Duration) (consensus.Membership, bool) {
+	if !s.Ready || s.Pending != 0 {
+		return consensus.Membership{}, false
+	}
+	alive := func(id string) bool {
+		p, ok := s.Progress[id]
+		return ok && now.Sub(p.Heard) < silence
+	}
+	for _, id := range s.Members.Learners {
+		if alive(id) && s.Progress[id].Match+consensus.PromoteDistance >= s.Last {
+			return consensus.Membership{Action: consensus.Promote, ID: id}, true
+		}
+	}
+	for _, id := range slices.Concat(s.Members.Voters, s.Members.Learners) {
+		if id == s.ID || alive(id) {
+			continue
+		}
+		if replaced(s, id, alive) {
+			return consensus.Membership{Action: consensus.Remove, ID: id}, true
+		}
+	}
+	return consensus.Membership{}, false
+}
+
+// replaced reports whether a living member of the same host exists. Two
+// identities of a host can't live at once, because the host's listener has one
+// address.
+func replaced(s *consensus.Status, id string, alive func(string) bool) bool {
+	for _, other := range s.Members.Voters {
+		if other != id && hostOf(other) == hostOf(id) && (other == s.ID || alive(other)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/quorum/replica.go
@@ -0,0 +1,275 @@
+// Package quorum runs a control replica: one goroutine owns the replicated log,
+// its journal and the control state, grants leases to entry hosts and feeds them
+// the committed commands.
+package quorum
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/consensus"
+	"wasabirelay/control"
+	"wasabirelay/journal"
+	"wasabirelay/peer"
+)
+
+// Default timing of the replicated log. An election ends well within a lease, so
+// that entry hosts bridge a change of leader.
+const (
+	DefaultElection  = 300 * time.Millisecond
+	DefaultHeartbeat = 60 * time.Millisecond
+)
+
+const (
+	// eventBacklog bounds the events that wait for the control goroutine.
+	eventBacklog = 1024
+	// snapshotInterval is the number of commands between snapshots. It bounds the
+	// log that a restart has to read.
+	snapshotInterval = 256
+)
+
+// Replica is a control replica. Exported fields are set before Run.
+type Replica struct {
+	Host string
+	// Dir is the data folder.
+	Dir string
+	// Control holds the peer addresses of the control hosts by host name.
+	Control map[string]netip.AddrPort
+	// Clients holds a client for each control host other than this one.
+	Clients map[string]*peer.Client
+	Clock   clockwork.Clock
+	Rand    *rand.Rand
+	Log     zerolog.Logger
+	// Election and Heartbeat default to DefaultElection and DefaultHeartbeat.
+	Election, Heartbeat time.Duration
+
+	events chan func()
+	fatal  error
+
+	journal  *journal.Journal
+	identity journal.Identity
+	node     *consensus.Node // nil while the replica is blank
+	state    control.State
+	at       time.Time
+	applied  uint64
+	compact  uint64
+	term     uint64
+	role     consensus.Role
+
+	waiters map[uint64]waiter
+	feed    feed
+	leases  leases
+	senders map[string]*sender
+	repair  repair
+}
+
+// Open opens the journal. It is called before Run, so that a damaged journal is
+// reported before anything starts.
+func (r *Replica) Open() error {
+	if r.Election == 0 {
+		r.Election = DefaultElection
+	}
+	if r.Heartbeat == 0 {
+		r.Heartbeat = DefaultHeartbeat
+	}
+	r.events = make(chan func(), eventBacklog)
+	r.waiters = map[uint64]waiter{}
+	r.feed.watchers = map[*watcher]bool{}
+	r.leases.init()
+	j, saved, err := journal.Open(r.Dir)
+	if err != nil {
+		return errors.Wrap(err, "open journal")
+	}
+	r.journal = j
+	id, ok := j.Identity()
+	if !ok {
+		id = journal.NewIdentity(r.Host)
+		if err := j.WriteIdentity(id); err != nil {
+			return errors.Wrap(err, "write identity")
+		}
+	}
+	if id.Host != r.Host {
+		return errors.Errorf("data folder %s belongs to host %s, not to %s", r.Dir, id.Host, r.Host)
+	}
+	r.identity = id
+	if blank(saved) {
+		return nil
+	}
+	return r.start(saved)
+}
+
+func blank(s consensus.Saved) bool {
+	return s.Snapshot == nil && len(s.Entries) == 0 && s.Hard.Term == 0
+}
+
+// start starts the log from saved state.
+func (r *Replica) start(saved consensus.Saved) error {
+	if s := saved.Snapshot; s != nil {
+		if err := r.restore(s); err != nil {
+			return err
+		}
+	}
+	n := &consensus.Node{ID: r.identity.String(), Rand: r.Rand, Election: r.Election, Heartbeat: r.Heartbeat}
+	if err := n.Start(r.Clock.Now(), saved); err != nil {
+		return errors.Wrap(err, "start replicated log")
+	}
+	r.node = n
+	r.Log.Info().Str("member", n.ID).Strs("voters", saved.Members().Voters).Msg("control replica started")
+	return nil
+}
+
+func (r *Replica) restore(s *consensus.Snapshot) error {
+	r.applied, r.compact = s.Index, s.Index
+	if len(s.Data) == 0 {
+		return nil
+	}
+	return errors.Wrap(r.state.Restore(s.Data), "restore control state")
+}
+
+// Run runs the replica until ctx ends or the journal fails.
+func (r *Replica) Run(ctx context.Context) error {
+	defer func() {
+		if err := r.journal.Close(); err != nil {
+			r.Log.Error().Err(err).Msg("journal not closed")
+		}
+	}()
+	r.startSenders(ctx)
+	if r.node == nil {
+		go r.enter(ctx)
+	}
+	ticker := r.Clock.NewTicker(r.Heartbeat / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-r.events:
+			f()
+		case <-ticker.Chan():
+			r.tick(ctx)
+		}
+		if r.fatal != nil {
+			return r.fatal
+		}
+	}
+}
+
+func (r *Replica) tick(ctx context.Context) {
+	if r.node == nil {
+		return
+	}
+	now := r.Clock.Now()
+	r.handle(r.node.Tick(now))
+	r.leases.tick(r, now)
+	r.repair.tick(ctx, r, now)
+}
+
+// post runs f on the control goroutine. It reports false if ctx ended first.
+func (r *Replica) post(ctx context.Context, f func()) bool {
+	select {
+	case r.events <- f:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// do runs f on the control goroutine and waits for it.
+func (r *Replica) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	if r.post(ctx, func() { f(); close(done) }) {
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+		}
+	}
+	return errors.Wrap(ctx.Err(), "control replica")
+}
+
+// handle carries out an output of the log: persist, send, apply, answer reads.
+func (r *Replica) handle(out consensus.Output) {
+	if !r.persist(out) {
+		return
+	}
+	for i := range out.Messages {
+		r.send(&out.Messages[i])
+	}
+	r.apply(out.Committed)
+	r.leases.confirmed(r, out.Reads, out.Aborted)
+	r.noteRole()
+	r.snapshot()
+}
+
+func (r *Replica) persist(out consensus.Output) bool {
+	if s := out.Snapshot; s != nil {
+		if err := r.journal.SaveSnapshot(s); err != nil {
+			r.fatal = errors.Wrap(err, "save snapshot")
+			return false
+		}
+		if err := r.restore(s); err != nil {
+			r.fatal = err
+			return false
+		}
+		r.feed.reset(r)
+	}
+	if out.Hard == nil && len(out.Entries) == 0 {
+		return true
+	}
+	if err := r.journal.Save(out.Hard, out.Entries); err != nil {
+		r.fatal = errors.Wrap(err, "save log")
+		return false
+	}
+	return true
+}
+
+// noteRole logs a change of role and starts the lease table of a new leader.
+func (r *Replica) noteRole() {
+	s := r.node.Status()
+	if s.Role == r.role && s.Term == r.term {
+		return
+	}
+	lost := r.role == consensus.Leader
+	r.role, r.term = s.Role, s.Term
+	if lost {
+		r.leases.lost()
+	}
+	if s.Role == consensus.Leader {
+		r.Log.Info().Uint64("term", s.Term).Msg("became leader of the control replicas")
+		r.leases.elected(r, r.Clock.Now())
+	}
+}
+
+// snapshot compacts the log after snapshotInterval commands.
+func (r *Replica) snapshot() {
+	if r.applied < r.compact+snapshotInterval {
+		return
+	}
+	data, err := r.state.Snapshot()
+	if err != nil {
+		r.fatal = errors.Wrap(err, "encode control state")
+		return
+	}
+	if err := r.node.Compact(r.applied, data); err != nil {
+		r.fatal = errors.Wrap(err, "compact log")
+		return
+	}
+	if err := r.journal.SaveSnapshot(r.node.Snapshot()); err != nil {
+		r.fatal = errors.Wrap(err, "save snapshot")
+		return
+	}
+	r.compact = r.applied
+}
+
+// hostOf returns the host of a member's identity.
+func hostOf(id string) string {
+	host, _, _ := strings.Cut(id, "/")
+	return host
+}
