Wire the daemon to the replicated control state

Cause: the daemon kept targets in memory and had no planned stop. Conclusion: a caller that goes on to the next address gets a whole answer.

--- a/cmd/wasabirelayd/main.go
+++ b/cmd/wasabirelayd/main.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"wasabirelay/daemon"
@@ -31,10 +33,28 @@
 }
 
 func run(s *settings.Settings) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("host", s.Host).Logger()
-	if err := (&daemon.Daemon{Settings: s, Log: log}).Run(ctx); err != nil {
+	// The first signal starts the planned stop, the second one ends it at once.
+	stop, cancelStop := context.WithCancel(context.Background())
+	now, cancelNow := context.WithCancel(context.Background())
+	defer cancelStop()
+	defer cancelNow()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancelStop()
+		<-signals
+		cancelNow()
+	}()
+	level, err := zerolog.ParseLevel(s.Log)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("host", s.Host).Logger()
+	d := &daemon.Daemon{
+		Settings: s, Clock: clockwork.NewRealClock(), Log: log, Registry: prometheus.NewRegistry(),
+	}
+	if err := d.Run(now, stop); err != nil {
 		log.Error().Err(err).Msg("stopped")
 		return 1
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,77 +3,251 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
 	"net/http"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"wasabirelay/answer"
 	"wasabirelay/control"
+	"wasabirelay/grant"
+	"wasabirelay/host"
 	"wasabirelay/inventory"
+	"wasabirelay/limit"
+	"wasabirelay/operator"
+	"wasabirelay/peer"
+	"wasabirelay/quorum"
+	"wasabirelay/route"
 	"wasabirelay/settings"
 	"wasabirelay/target"
+	"wasabirelay/tracing"
 )
 
-// Timeouts of the HTTP listeners.
+// Version is the version of the program. The build may set it.
+var Version = "dev"
+
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 120 * time.Second
+	// flushTimeout bounds the export of the last spans.
+	flushTimeout = 2 * time.Second
+	// sweepInterval is how often unused grants are released and connection shares
+	// are divided anew.
+	sweepInterval = 500 * time.Millisecond
 )
 
 // Daemon is one process. Exported fields are set before Run.
 type Daemon struct {
 	Settings *settings.Settings
+	Clock    clockwork.Clock
 	Log      zerolog.Logger
+	Registry *prometheus.Registry
 
-	mu    sync.Mutex
-	state control.State
-	index uint64
+	certificates certificates
+	control      *host.Control
+	follower     *host.Follower
+	replica      *quorum.Replica // nil on a host without a data folder
+	targets      *target.Service
+	queries      *answer.Service
+	grants       *grant.Keeper
+	shares       shares
+	// wake makes the sweep divide connections at once after a new view.
+	wake      chan struct{}
+	routes    *route.Table
+	pool      *limit.Pool
+	admission *limit.Admission
+	listeners []*listener
+	peers     net.Listener
 }
 
-// Run serves until ctx ends.
-func (d *Daemon) Run(ctx context.Context) error {
-	mux := http.NewServeMux()
-	view := d.view
-	targets := &target.Service{
-		Host: d.Settings.Host, Propose: d.propose, View: view, Clock: clockwork.NewRealClock(), Log: d.Log,
-	}
-	targets.Register(mux)
-	go func() { _ = targets.Run(ctx) }()
-	queries := &answer.Service{Host: d.Settings.Host, Log: d.Log}
-	queries.View = func() (*control.View, error) { return view(), nil }
-	queries.Propose = d.propose
-	queries.Register(mux)
-	server := &http.Server{
-		Addr: d.Settings.Caller.Address.String(), Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+// Run serves until stop ends, then stops as planned: the host leaves the address
+// list, serves until the last list handed out has run out, and ends when its last
+// request has. It stops at once when ctx ends.
+func (d *Daemon) Run(ctx, stop context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	flush, err := tracing.Setup(ctx, "wasabirelayd", d.Settings.Host, d.Settings.Trace)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		_ = flush(ctx) // The process ends; there is nowhere to report it.
+	}()
+	if err := d.prepare(ctx); err != nil {
+		return err
 	}
+	g, ctx := errgroup.WithContext(ctx)
+	d.start(ctx, g)
 	go func() {
-		<-ctx.Done()
-		_ = server.Shutdown(context.WithoutCancel(ctx))
+		select {
+		case <-stop.Done():
+			d.drain(ctx)
+		case <-ctx.Done():
+		}
+		cancel()
 	}()
-	d.Log.Info().Stringer("caller", d.Settings.Caller.Address).Msg("serving")
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve callers")
+	return g.Wait()
+}
+
+// prepare builds all parts and opens files and listeners, so that every error in
+// the settings is reported before anything starts.
+func (d *Daemon) prepare(ctx context.Context) error {
+	if err := d.certificates.load(d); err != nil {
+		return err
 	}
-	return nil
+	d.wake = make(chan struct{}, 1)
+	d.control = &host.Control{Clients: d.controlClients()}
+	d.follower = &host.Follower{
+		Host: d.Settings.Host, Control: d.control, Clock: d.Clock, Log: d.Log, Changed: d.changed,
+	}
+	d.follower.Init()
+	if err := d.prepareReplica(); err != nil {
+		return err
+	}
+	d.prepareTraffic()
+	d.registerMetrics()
+	return d.listen(ctx)
 }
 
-func (d *Daemon) propose(_ context.Context, c control.Command) (control.Result, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.index++
-	return d.state.Apply(d.index, c), nil
+// controlClients returns a client per control host, this host's own first.
+func (d *Daemon) controlClients() []*peer.Client {
+	names := make([]string, 0, len(d.Settings.Control))
+	for name := range d.Settings.Control {
+		if name != d.Settings.Host {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	// Hosts without a replica spread over the control hosts.
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	if d.Settings.Data != "" {
+		names = append([]string{d.Settings.Host}, names...)
+	}
+	clients := make([]*peer.Client, len(names))
+	for i, name := range names {
+		clients[i] = &peer.Client{Address: d.Settings.Control[name], TLS: d.certificates.peerClient()}
+	}
+	return clients
 }
 
+func (d *Daemon) prepareReplica() error {
+	if d.Settings.Data == "" {
+		return nil
+	}
+	clients := map[string]*peer.Client{}
+	for name, address := range d.Settings.Control {
+		if name != d.Settings.Host {
+			clients[name] = &peer.Client{Address: address, TLS: d.certificates.peerClient()}
+		}
+	}
+	d.replica = &quorum.Replica{
+		Host: d.Settings.Host, Dir: d.Settings.Data, Control: d.Settings.Control, Clients: clients,
+		Clock: d.Clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: d.Log,
+	}
+	return d.replica.Open()
+}
+
+func (d *Daemon) prepareTraffic() {
+	d.grants = &grant.Keeper{Host: d.Settings.Host, Clock: d.Clock, Log: d.Log, Propose: d.control.Propose}
+	d.targets = &target.Service{
+		Host: d.Settings.Host, Propose: d.control.Propose, View: d.view, Addresses: d.follower.CallerAddresses,
+		Clock: d.Clock, Log: d.Log,
+	}
+	d.prepareQueries()
+}
+
+// view returns the latest view with an inventory, which is empty while none is known.
 func (d *Daemon) view() *control.View {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	v := d.state.View()
-	if v.Inventory == nil {
-		v.Inventory = &inventory.Document{}
+	v := d.follower.View()
+	if v.Inventory != nil {
+		return v
+	}
+	with := *v
+	with.Inventory = inventory.Empty()
+	return &with
+}
+
+// start runs all parts in g.
+func (d *Daemon) start(ctx context.Context, g *errgroup.Group) {
+	if d.replica != nil {
+		g.Go(func() error { return d.replica.Run(ctx) })
+	}
+	g.Go(func() error { return d.follower.Run(ctx) })
+	g.Go(func() error { return d.targets.Run(ctx) })
+	g.Go(func() error { return d.sweep(ctx) })
+	g.Go(func() error { return d.peerServer().Run(ctx, d.peers) })
+	for _, l := range d.listeners {
+		g.Go(func() error { return l.run(ctx) })
+	}
+	d.Log.Info().Stringer("caller", d.Settings.Caller.Address).Stringer("operator", d.Settings.Operator.Address).
+		Stringer("peer", d.Settings.Peer.Address).Bool("replica", d.replica != nil).Msg("serving")
+}
+
+// sweep does the regular work on grants and connection shares.
+func (d *Daemon) sweep(ctx context.Context) error {
+	ticker := d.Clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.wake:
+			d.divide()
+		case <-ticker.Chan():
+			d.grants.Sweep()
+			d.divide()
+		}
 	}
-	return v
 }
+
+// drain is the planned stop.
+func (d *Daemon) drain(ctx context.Context) {
+	d.Log.Info().Msg("planned stop: leaving the address list")
+	d.follower.Drain()
+	rules := d.view().Inventory.Rules
+	wait := rules.Keep.Duration + rules.Lease.Duration
+	select {
+	case <-d.Clock.After(wait):
+	case <-ctx.Done():
+		return
+	}
+	d.Log.Info().Msg("planned stop: waiting for the last requests")
+	for _, l := range d.listeners {
+		if err := l.server.Shutdown(ctx); err != nil {
+			d.Log.Warn().Err(err).Msg("listener not shut down cleanly")
+		}
+	}
+	if err := d.queries.Drain(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("requests were still running")
+	}
+	if d.replica != nil {
+		d.replica.HandOver(ctx)
+	}
+	d.Log.Info().Msg("planned stop: done")
+}
+
+// operatorService connects the operators' interface to the control plane.
+func (d *Daemon) operatorService() *operator.Service {
+	o := &operatorAdapter{d}
+	return &operator.Service{
+		Host: d.Settings.Host, Program: Version, Clock: d.Clock, Propose: d.control.Propose, View: d.follower.View,
+		InForce: o.inForce, Leases: o.leases, Leader: o.leader, Replicas: o.replicas, Findings: d.findings,
+	}
+}
+
+// ready reports whether the host serves callers.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if _, err := d.follower.Current(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func healthy(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
--- /dev/null
+++ b/host/addresses.go
@@ -0,0 +1,82 @@
+package host
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+
+	"wasabirelay/document"
+	"wasabirelay/inventory"
+	"wasabirelay/problem"
+)
+
+// AddressList is the reply to GET /v1/addresses.
+type AddressList struct {
+	Addresses []Address `json:"addresses"`
+	// Keep is how long the caller may use the list.
+	Keep document.Duration `json:"keep"`
+}
+
+// Address is an entry host that serves callers.
+type Address struct {
+	Host    string `json:"host"`
+	Centre  string `json:"centre"`
+	Address string `json:"address"`
+}
+
+// Register adds GET /v1/addresses to mux.
+func (f *Follower) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/addresses", f.serveAddresses)
+}
+
+func (f *Follower) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	d := f.View().Inventory
+	if d == nil {
+		problem.Unavailable("no-inventory", "host "+f.Host+" knows no inventory yet").Write(w)
+		return
+	}
+	service := r.URL.Query().Get("service")
+	if _, known := d.Services[service]; !known && service != "" {
+		(&problem.Details{
+			Type: "urn:wasabirelay:unknown-service", Title: "Unknown service", Status: http.StatusNotFound,
+			Detail: "service " + service + " is not in the inventory", Field: "service", Executed: problem.None,
+		}).Write(w)
+		return
+	}
+	_, err := f.Current()
+	list := addressList(d, f.Hosts(), f.Host, err == nil && !f.draining.Load())
+	// Callers take the first address, so a random order spreads them.
+	rand.Shuffle(len(list.Addresses), func(i, j int) {
+		list.Addresses[i], list.Addresses[j] = list.Addresses[j], list.Addresses[i]
+	})
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// addressList returns the hosts that serve. The host itself is listed only if it
+// may give out work now.
+func addressList(d *inventory.Document, serving []string, self string, selfServes bool) AddressList {
+	list := AddressList{Addresses: []Address{}, Keep: d.Rules.Keep}
+	for _, name := range serving {
+		h, ok := d.Hosts[name]
+		if !ok || h.Out || d.Centres[h.Centre].Out || (name == self && !selfServes) {
+			continue
+		}
+		list.Addresses = append(list.Addresses, Address{name, h.Centre, h.Caller.String()})
+	}
+	return list
+}
+
+// CallerAddresses returns the caller addresses of the hosts that serve.
+func (f *Follower) CallerAddresses() []string {
+	d := f.View().Inventory
+	if d == nil {
+		return nil
+	}
+	_, err := f.Current()
+	var out []string
+	for _, a := range addressList(d, f.Hosts(), f.Host, err == nil && !f.draining.Load()).Addresses {
+		out = append(out, a.Address)
+	}
+	return out
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -126,6 +126,14 @@
 	return &d, nil
 }
 
+// Empty returns a document without data centres, hosts and services, with the
+// default rules. It stands in while a host knows no inventory.
+func Empty() *Document {
+	d := &Document{}
+	d.setDefaults()
+	return d
+}
+
 func (d *Document) setDefaults() {
 	r := &d.Rules
 	setDuration(&r.Keep, DefaultKeep)
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -19,6 +19,7 @@
 	MethodFeed    = "control.feed"
 	MethodStatus  = "control.status"
 	MethodRenew   = "lease.renew"
+	MethodFetch   = "answer.fetch"
 )
 
 // Hello is what a replica tells about itself.
--- a/quorum/repair.go
+++ b/quorum/repair.go
@@ -75,3 +75,45 @@
 	}
 	return false
 }
+
+// HandOver transfers leadership to the voter that is furthest ahead, if this
+// replica leads, and returns when another replica leads or an election timeout
+// has passed.
+func (r *Replica) HandOver(ctx context.Context) {
+	for wait := time.Duration(0); wait < r.Election; wait += r.Heartbeat {
+		leading := false
+		err := r.do(ctx, func() {
+			if leading = r.role == consensus.Leader; leading && wait == 0 {
+				r.transfer()
+			}
+		})
+		if err != nil || !leading {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Clock.After(r.Heartbeat):
+		}
+	}
+}
+
+func (r *Replica) transfer() {
+	s := r.node.Status()
+	best := ""
+	for _, id := range s.Members.Voters {
+		if id != s.ID && (best == "" || s.Progress[id].Match > s.Progress[best].Match) {
+			best = id
+		}
+	}
+	if best == "" {
+		return
+	}
+	out, err := r.node.Transfer(r.Clock.Now(), best)
+	if err != nil {
+		r.Log.Warn().Err(err).Msg("leadership not handed over")
+		return
+	}
+	r.Log.Info().Str("to", best).Msg("handing leadership over")
+	r.handle(out)
+}
