--- /dev/null
+++ b/daemon/fault_test.go
@@ -0,0 +1,257 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/problem"
+)
+
+// Guards against a restart that brings an older inventory back: every process is
+// killed after many changes, and a change that was accepted is still in force.
+func TestRestartOfAllKeepsTheLastChange(t *testing.T) {
+	const changes = 300
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	for i := range changes {
+		g.mustApply("h1", uint64(i), fmt.Sprintf("c%d", i), g.inventory(fmt.Sprintf("r%d", i)))
+	}
+	for _, name := range g.names {
+		g.daemons[name].kill()
+	}
+	g.startAll()
+	for _, name := range g.names {
+		g.until(name+" has the last version", func() bool { return g.version(name) == changes })
+	}
+	status, _, refusal := g.apply("h2", changes-1, "late", g.inventory("late"))
+	is.Equal(status, http.StatusConflict) // an older base is refused after the restart too
+	is.Equal(refusal.Change, fmt.Sprintf("c%d", changes-1))
+	again := g.mustApply("h3", changes-1, fmt.Sprintf("c%d", changes-1), g.inventory(fmt.Sprintf("r%d", changes-1)))
+	is.Equal(again.Version, uint64(changes)) // a resend gets its first outcome
+}
+
+// Guards against a lost disk that votes with an empty log: the host comes back as
+// a learner, and a second host that is lost right after the repair loses nothing.
+func TestLostDiskAndSecondLossKeepAcceptedChanges(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.daemons["h2"].kill()
+	is.NoErr(os.RemoveAll(g.folder("h2")))
+	g.mustApply("h1", 1, "two", g.inventory("two"))
+	g.start("h2")
+	g.until("h2 is a voter again and its old identity is gone", func() bool {
+		return g.version("h2") == 2 && voters(g, "h1") == 3 && len(g.replicas("h1")) == 3
+	})
+	g.daemons["h1"].kill()
+	g.mustApply("h2", 2, "three", g.inventory("three"))
+	for _, name := range []string{"h2", "h3"} {
+		g.until(name+" has version 3", func() bool { return g.version(name) == 3 })
+	}
+}
+
+// voters counts the voters of the group.
+func voters(g *group, host string) int {
+	n := 0
+	for _, r := range g.replicas(host) {
+		if !r.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an empty group that is founded beside an existing one: a host
+// whose disk is lost while the others are down waits for them.
+func TestBlankReplicaFoundsNoSecondGroup(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	for _, name := range g.names {
+		g.daemons[name].kill()
+	}
+	is.NoErr(os.RemoveAll(g.folder("h1")))
+	g.start("h1")
+	time.Sleep(time.Second) // Founding would take two intervals of 200 ms.
+	is.Equal(g.ready("h1"), false)
+	g.start("h2")
+	g.start("h3")
+	g.until("h1 has the first change", func() bool { return g.version("h1") == 1 })
+}
+
+// Guards against damage that is taken for a torn write: a flipped bit in the log
+// is refused with the file and the offset, a torn tail is cut.
+func TestDamagedJournal(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	for i := range 5 {
+		g.mustApply("h1", uint64(i), fmt.Sprint("c", i), g.inventory(fmt.Sprint("r", i)))
+	}
+	g.daemons["h3"].kill()
+	logs, err := filepath.Glob(filepath.Join(g.folder("h3"), "log-*"))
+	is.NoErr(err)
+	is.Equal(len(logs), 1)
+	good, err := os.ReadFile(logs[0])
+	is.NoErr(err)
+
+	is.NoErr(os.WriteFile(logs[0], good[:len(good)-3], 0o600))
+	g.start("h3")
+	g.until("h3 starts with a torn tail", func() bool { return g.version("h3") == 5 })
+	g.daemons["h3"].kill()
+
+	bad := slices.Clone(good)
+	bad[len(bad)/2] ^= 4
+	is.NoErr(os.WriteFile(logs[0], bad, 0o600))
+	g.start("h3")
+	select {
+	case <-g.daemons["h3"].end:
+	case <-time.After(patience):
+		t.Fatal("the daemon runs with a damaged journal")
+	}
+	log := g.daemons["h3"].log.String()
+	is.True(strings.Contains(log, filepath.Base(logs[0])))
+	is.True(strings.Contains(log, "offset"))
+}
+
+// Guards against two accepted changes with one base, and against a loser that is
+// not told who won.
+func TestOperatorsWithEqualNumbers(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "first", g.inventory("first"))
+	for round := range 5 {
+		var wg sync.WaitGroup
+		var accepted atomic.Int32
+		won := make(chan string, 3)
+		for _, name := range g.names {
+			wg.Go(func() {
+				change := fmt.Sprintf("%s-%d", name, round)
+				status, _, refusal := g.apply(name, uint64(round+1), change, g.inventory(change))
+				if status == http.StatusOK {
+					accepted.Add(1)
+					return
+				}
+				won <- refusal.Change
+			})
+		}
+		wg.Wait()
+		close(won)
+		is.Equal(accepted.Load(), int32(1))
+		first := <-won
+		is.True(strings.HasSuffix(first, fmt.Sprintf("-%d", round)))
+		is.Equal(<-won, first) // both losers name the same winner
+	}
+}
+
+// Guards against an entry host that works on with an old inventory after a freeze
+// longer than its lease: the check is made when a request is sent.
+func TestFrozenHostGivesOutNoWorkOnAnOldInventory(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3", "h4")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(2)
+	g.daemons["h4"].signal(syscall.SIGSTOP)
+	g.mustApply("h1", 1, "two", g.inventory("two", "b"))
+	time.Sleep(2 * time.Second) // The lease of 1.5 s has run out.
+	done := make(chan *problem.Details, 1)
+	go func() {
+		_, refusal := g.query("h4", "thaw") // It waits in the socket until the thaw.
+		done <- refusal
+	}()
+	time.Sleep(200 * time.Millisecond)
+	g.daemons["h4"].signal(syscall.SIGCONT)
+	if refusal := <-done; refusal != nil {
+		is.Equal(refusal.Executed, problem.None)
+	} else {
+		is.Equal(g.version("h4"), uint64(2)) // it had renewed its lease before it took the request
+	}
+	g.until("h4 serves again", func() bool { return g.ready("h4") && g.version("h4") == 2 })
+}
+
+// Guards against a host that is cut off silently and goes on: packets vanish,
+// nothing is refused. Its lease ends, it refuses with a true "not run", and it
+// leaves the address list of the others.
+func TestSilentCutEndsTheLease(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3", "h4")
+	links := g.links("h4")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(1)
+	g.until("h1 lists h4", func() bool { return g.lists("h1", "h4") })
+	cut := time.Now()
+	for _, l := range links {
+		l.cut.Store(true)
+	}
+	g.until("h4 refuses", func() bool { a, _ := g.query("h4", "cut"); return a == nil })
+	is.True(time.Since(cut) < 2*time.Second+300*time.Millisecond) // 2 s, and the time of the query that sees it
+	_, refusal := g.query("h4", "after")
+	is.Equal(refusal.Executed, problem.None)
+	g.until("h1 does not list h4", func() bool { return !g.lists("h1", "h4") })
+	for _, l := range links {
+		l.cut.Store(false)
+	}
+	g.until("h4 serves again", func() bool { a, _ := g.query("h4", "back"); return a != nil })
+}
+
+// Guards against requests that are cut by a planned stop, or sent to a host that
+// has stopped while callers still hold its address.
+func TestRollingRestartCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(2)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var whole atomic.Int64
+	var failed sync.Map
+	for n := range 8 {
+		c := g.caller()
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				if err := c.send(fmt.Sprintf("%d-%d", n, i)); err != "" {
+					failed.Store(err, true)
+				} else {
+					whole.Add(1)
+				}
+			}
+		})
+	}
+	for _, name := range g.names {
+		g.daemons[name].signal(syscall.SIGTERM)
+		select {
+		case <-g.daemons[name].end:
+		case <-time.After(patience):
+			t.Fatal("the planned stop does not end")
+		}
+		g.start(name)
+		g.until(name+" serves again", func() bool { return g.ready(name) && g.lists(name, name) })
+	}
+	close(stop)
+	wg.Wait()
+	failed.Range(func(err, _ any) bool { t.Errorf("cut: %v", err); return true })
+	is.True(whole.Load() > 100)
+}
--- /dev/null
+++ b/daemon/link_test.go
@@ -0,0 +1,149 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"wasabirelay/answer"
+	"wasabirelay/host"
+	"wasabirelay/peer"
+	"wasabirelay/quorum"
+)
+
+// link carries the connections of one host to another. While it is cut, bytes
+// vanish in both directions and nothing is refused.
+type link struct {
+	cut atomic.Bool
+	to  string
+}
+
+// links puts a link between a host and each control host.
+func (g *group) links(name string) []*link {
+	g.t.Helper()
+	var out []*link
+	for other := range g.control[name] {
+		l := &link{to: local(g.ports[other][2])}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		g.t.Cleanup(func() { listener.Close() })
+		g.control[name][other] = listener.Addr().String()
+		go l.run(listener)
+		out = append(out, l)
+	}
+	return out
+}
+
+func (l *link) run(listener net.Listener) {
+	for {
+		a, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			b, err := net.Dial("tcp", l.to)
+			if err != nil {
+				a.Close()
+				return
+			}
+			go l.pipe(a, b)
+			go l.pipe(b, a)
+		}()
+	}
+}
+
+// pipe copies bytes, or drops them while the link is cut.
+func (l *link) pipe(from, to net.Conn) {
+	defer to.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !l.cut.Load() {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err == io.EOF && l.cut.Load() {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// lists reports whether a host lists another one as serving.
+func (g *group) lists(asked, name string) bool {
+	for _, a := range g.addresses(asked) {
+		if a.Host == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *group) addresses(asked string) []host.Address {
+	_, body := do("GET", "http://"+local(g.ports[asked][0])+"/v1/addresses?service=desk", nil, nil)
+	var list host.AddressList
+	_ = json.Unmarshal(body, &list)
+	return list.Addresses
+}
+
+// replicas returns the members of the group as the leader sees them.
+func (g *group) replicas(asked string) []quorum.Member {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c := &peer.Client{Address: netip.MustParseAddrPort(local(g.ports[asked][2]))}
+	defer c.Close()
+	var s quorum.Status
+	if c.Call(ctx, quorum.MethodStatus, quorum.StatusRequest{}, &s) != nil {
+		return nil
+	}
+	return s.Replicas
+}
+
+// caller keeps the address list for as long as it may and uses one address at a
+// time, without going on to the next one after a failure.
+type caller struct {
+	g     *group
+	list  []host.Address
+	until time.Time
+}
+
+func (g *group) caller() *caller { return &caller{g: g} }
+
+// send sends one query and returns why it failed, or "".
+func (c *caller) send(request string) string {
+	if time.Now().After(c.until) {
+		for _, name := range c.g.names {
+			if list := c.g.addresses(name); len(list) > 0 {
+				c.list, c.until = list, time.Now().Add(time.Second)
+				break
+			}
+		}
+	}
+	if len(c.list) == 0 {
+		return "no address"
+	}
+	at := c.list[rand.IntN(len(c.list))]
+	a, refusal := c.g.query(at.Host, request)
+	if a == nil {
+		return fmt.Sprintf("%s: status %d %s", at.Host, refusal.Status, refusal.Detail)
+	}
+	return check(a, request)
+}
+
+func check(a *answer.Answer, request string) string {
+	if a.Request != request || a.Coverage.Answered != a.Coverage.Total {
+		return fmt.Sprintf("answer %+v is not the whole answer to %s", a, request)
+	}
+	return ""
+}
--- /dev/null
+++ b/daemon/process_test.go
@@ -0,0 +1,347 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"wasabirelay/answer"
+	"wasabirelay/operator"
+	"wasabirelay/problem"
+)
+
+// The tests in this package run real processes on loopback with real files. They
+// wait for a state with a generous bound; a verdict never depends on how fast the
+// machine is, except where a promise states a time.
+
+// patience bounds the wait for a state that must come.
+const patience = 20 * time.Second
+
+var binaries struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binaries.dir != "" {
+		os.RemoveAll(binaries.dir)
+	}
+	os.Exit(code)
+}
+
+// program returns the path of a program of this module.
+func program(t *testing.T, name string) string {
+	t.Helper()
+	binaries.once.Do(func() {
+		binaries.dir, binaries.err = os.MkdirTemp("", "wasabirelay")
+		if binaries.err == nil {
+			var out []byte
+			out, binaries.err = exec.Command("go", "build", "-o", binaries.dir, "wasabirelay/cmd/...").CombinedOutput()
+			if binaries.err != nil {
+				binaries.err = fmt.Errorf("%w: %s", binaries.err, out)
+			}
+		}
+	})
+	if binaries.err != nil {
+		t.Fatal(binaries.err)
+	}
+	return filepath.Join(binaries.dir, name)
+}
+
+// freePorts returns ports that no listener has now.
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	ports := make([]int, n)
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	return ports
+}
+
+func local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// process is a program under test.
+type process struct {
+	cmd *exec.Cmd
+	log *bytes.Buffer
+	end chan struct{}
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(program(t, name), args...), log: &bytes.Buffer{}, end: make(chan struct{})}
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = p.cmd.Wait(); close(p.end) }()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		<-p.end
+		if t.Failed() {
+			t.Logf("%s %v:\n%s", name, args, p.log)
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.end
+}
+
+// group is a set of daemons.
+type group struct {
+	t     *testing.T
+	dir   string
+	names []string
+	ports map[string][3]int // caller, operator, peer
+	// control holds the peer addresses in the settings of each host, by host.
+	control map[string]map[string]string
+	data    map[string]bool
+	daemons map[string]*process
+}
+
+// newGroup prepares hosts; the first n keep the control state.
+func newGroup(t *testing.T, control int, names ...string) *group {
+	t.Helper()
+	g := &group{
+		t: t, dir: t.TempDir(), names: names, ports: map[string][3]int{}, control: map[string]map[string]string{},
+		data: map[string]bool{}, daemons: map[string]*process{},
+	}
+	ports := freePorts(t, 3*len(names))
+	for i, name := range names {
+		g.ports[name] = [3]int{ports[3*i], ports[3*i+1], ports[3*i+2]}
+		g.data[name] = i < control
+	}
+	for _, name := range names {
+		g.control[name] = map[string]string{}
+		for _, other := range names[:control] {
+			g.control[name][other] = local(g.ports[other][2])
+		}
+	}
+	return g
+}
+
+func (g *group) folder(name string) string { return filepath.Join(g.dir, name) }
+
+func (g *group) start(name string) {
+	g.t.Helper()
+	s := map[string]any{
+		"host": name, "centre": g.centre(name), "control": g.control[name], "log": "debug",
+		"caller":   map[string]any{"address": local(g.ports[name][0])},
+		"operator": map[string]any{"address": local(g.ports[name][1])},
+		"peer":     map[string]any{"address": local(g.ports[name][2])},
+	}
+	if g.data[name] {
+		s["data"] = g.folder(name)
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	path := filepath.Join(g.dir, name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+	g.daemons[name] = start(g.t, "wasabirelayd", path)
+}
+
+func (g *group) startAll() {
+	for _, name := range g.names {
+		g.start(name)
+	}
+}
+
+// centre puts hosts into data centres a, b, c in turn.
+func (g *group) centre(name string) string {
+	for i, n := range g.names {
+		if n == name {
+			return string(rune('a' + i%3))
+		}
+	}
+	return "a"
+}
+
+// inventory returns a document with the group's hosts; out lists data centres
+// that are taken out.
+func (g *group) inventory(note string, out ...string) string {
+	centres := map[string]any{"a": map[string]any{}, "b": map[string]any{}, "c": map[string]any{}}
+	for _, c := range out {
+		centres[c] = map[string]any{"out": true}
+	}
+	hosts := map[string]any{}
+	for _, name := range g.names {
+		p := g.ports[name]
+		hosts[name] = map[string]any{
+			"centre": g.centre(name), "caller": local(p[0]), "operator": local(p[1]), "peer": local(p[2]),
+			"control": g.data[name],
+		}
+	}
+	text, err := json.MarshalIndent(map[string]any{
+		"region": note, "centres": centres, "hosts": hosts,
+		"services": map[string]any{"desk": map[string]any{"slots": 8, "connections": 40, "deadline": "1s"}},
+		"rules":    map[string]any{"keep": "1s", "renew": "300ms", "expire": "2s"},
+	}, "", " ")
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return string(text)
+}
+
+// do sends a request and returns the status and the body; the status is 0 if
+// there was no answer.
+func do(method, url string, body any, header map[string]string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	var in io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil
+		}
+		in = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, in)
+	if err != nil {
+		return 0, nil
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return res.StatusCode, text
+}
+
+// apply sends a change to a host and returns the status and what was applied.
+func (g *group) apply(host string, base uint64, change, text string) (int, operator.Applied, operator.Refusal) {
+	status, body := do("POST", "http://"+local(g.ports[host][1])+"/v1/inventory",
+		operator.Apply{Base: base, Change: change, Operator: "test", Text: text}, nil)
+	var a operator.Applied
+	var f operator.Refusal
+	if status == http.StatusOK {
+		_ = json.Unmarshal(body, &a)
+	} else {
+		_ = json.Unmarshal(body, &f)
+	}
+	return status, a, f
+}
+
+// mustApply sends a change until it is accepted; a resend has the same identity.
+func (g *group) mustApply(host string, base uint64, change, text string) operator.Applied {
+	g.t.Helper()
+	var a operator.Applied
+	g.until("change "+change+" is accepted", func() bool {
+		status, applied, refusal := g.apply(host, base, change, text)
+		if status >= 400 && status < 500 {
+			g.t.Fatalf("change %s refused: %d %s %v", change, status, refusal.Detail, refusal.Faults)
+		}
+		a = applied
+		return status == http.StatusOK
+	})
+	return a
+}
+
+// version returns the inventory version that a host has, or 0.
+func (g *group) version(host string) uint64 {
+	_, body := do("GET", "http://"+local(g.ports[host][1])+"/v1/version", nil, nil)
+	var v operator.Version
+	_ = json.Unmarshal(body, &v)
+	return v.Inventory
+}
+
+func (g *group) ready(host string) bool {
+	status, _ := do("GET", "http://"+local(g.ports[host][0])+"/readyz", nil, nil)
+	return status == http.StatusOK
+}
+
+// query sends an idempotent query and returns the answer or the refusal.
+func (g *group) query(host, request string) (*answer.Answer, *problem.Details) {
+	status, body := do("POST", "http://"+local(g.ports[host][0])+"/v1/services/desk/query",
+		answer.Request{Request: request, Query: json.RawMessage(`{"q":1}`), Idempotent: true}, nil)
+	if status == http.StatusOK {
+		var a answer.Answer
+		if json.Unmarshal(body, &a) == nil {
+			return &a, nil
+		}
+	}
+	d := &problem.Details{Status: status, Executed: problem.Unknown}
+	_ = json.Unmarshal(body, d)
+	return nil, d
+}
+
+// until waits for a state.
+func (g *group) until(what string, ok func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	g.t.Fatalf("not within %s: %s", patience, what)
+}
+
+// searchers starts a stand-in for each shard in each of the data centres a, b, c
+// and returns them by name, such as "1-b".
+func (g *group) searchers(shards int, args ...string) map[string]*process {
+	g.t.Helper()
+	out := map[string]*process{}
+	ports := freePorts(g.t, 3*shards)
+	hosts := ""
+	for i, name := range g.names {
+		if i > 0 {
+			hosts += ","
+		}
+		hosts += local(g.ports[name][0])
+	}
+	for shard := range shards {
+		for i, centre := range []string{"a", "b", "c"} {
+			name := fmt.Sprintf("%d-%s", shard, centre)
+			out[name] = start(g.t, "standin", append([]string{
+				"--name", name, "--service", "desk", "--centre", centre, "--listen", local(ports[3*shard+i]),
+				"--hosts", hosts, "--shards", fmt.Sprint(shard), "--total", fmt.Sprint(shards), "--time", "1ms",
+				"--connections", "40", "--slots", "8",
+			}, args...)...)
+		}
+	}
+	g.until("a whole answer from every host", func() bool {
+		for _, name := range g.names {
+			if a, _ := g.query(name, "warm-up"); a == nil {
+				return false
+			}
+		}
+		return true
+	})
+	return out
+}
