--- a/control/command.go
+++ b/control/command.go
@@ -101,7 +101,9 @@
 	Name   string `json:"name"`
 	Holder string `json:"holder"`
 	// Index is the Result.Index of the grant that is given back. If it is set, a
-	// release that arrives after a later grant of the same holder is refused.
+	// release that arrives after a later grant of the same holder is refused. A
+	// holder that leaves it at 0 must know the result of the release before it asks
+	// again: a late release would end the new grant while the holder uses it.
 	Index uint64 `json:"index,omitempty"`
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -24,14 +24,14 @@
 	Index     uint64                      `json:"index"`
 	Clock     time.Time                   `json:"clock"`
 	Accepted  Accepted                    `json:"accepted"`
-	Changes   []changeOutcome             `json:"changes"`
-	Targets   map[string]*Target          `json:"targets"`
-	Histories map[string][]incarnation    `json:"histories"`
-	Known     map[string]map[uint64]int   `json:"known"`
-	Grants    map[string]map[string]grant `json:"grants"`
-	Suspects  map[string]suspect          `json:"suspects"`
-	Moves     map[string]MoveRecord       `json:"moves"`
-	Since     map[string]time.Time        `json:"since"`
+	Changes   []changeOutcome             `json:"changes,omitempty"`
+	Targets   map[string]*Target          `json:"targets,omitempty"`
+	Histories map[string][]incarnation    `json:"histories,omitempty"`
+	Known     map[string]map[uint64]int   `json:"known,omitempty"`
+	Grants    map[string]map[string]grant `json:"grants,omitempty"`
+	Suspects  map[string]suspect          `json:"suspects,omitempty"`
+	Moves     map[string]MoveRecord       `json:"moves,omitempty"`
+	Since     map[string]time.Time        `json:"since,omitempty"`
 	// ClaimClock and Claims are absent in the part that entry hosts hold.
 	ClaimClock time.Time    `json:"claimclock,omitzero"`
 	Claims     []keyedClaim `json:"claims,omitempty"`
--- a/control/state.go
+++ b/control/state.go
@@ -55,7 +55,7 @@
 // command changes nothing but the time.
 func (s *State) Apply(index uint64, c Command) Result {
 	s.index = index
-	r := Result{Index: index}
+	r := Result{Index: index, Version: s.accepted.Version}
 	switch {
 	case c.count() > 1:
 		r.Refusal = &Refusal{Kind: Invalid, Detail: "a command has one part"}
@@ -69,9 +69,6 @@
 		s.expire()
 		s.applyShared(&c, &r)
 	}
-	if r.Version == 0 {
-		r.Version = s.accepted.Version
-	}
 	return r
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -16,11 +16,11 @@
 // Holder is the host's side of a lease. The zero value holds no lease. It is not
 // safe for concurrent use.
 type Holder struct {
-	next     uint64
-	sent     []request
-	answered uint64
-	since    time.Time
-	length   time.Duration
+	next uint64
+	// sent holds the requests after the last one that was answered.
+	sent   []request
+	since  time.Time
+	length time.Duration
 }
 
 // request is a renewal that has no reply yet.
@@ -47,8 +47,8 @@
 // host holds a valid lease.
 func (h *Holder) Reply(number uint64, length time.Duration, now time.Time) bool {
 	i := slices.IndexFunc(h.sent, func(r request) bool { return r.number == number })
-	if i >= 0 && number > h.answered {
-		h.answered, h.since, h.length = number, h.sent[i].at, length-length/driftShare
+	if i >= 0 {
+		h.since, h.length = h.sent[i].at, length-length/driftShare
 		h.sent = slices.Delete(h.sent, 0, i+1)
 	}
 	return h.Valid(now)
