--- a/route/health.go
+++ b/route/health.go
@@ -35,8 +35,10 @@
 	// others from being sent.
 	probeHold = time.Second
 	// coldFirst and coldLast bound how long a target is treated as cold after a
-	// reply that says so. The time doubles if the target is still cold after it.
-	coldFirst = 2 * time.Second
+	// reply that says so. The time doubles if the next such reply comes soon after
+	// it. It is short at first, because a warm target of 2 slots sheds now and then
+	// when the sub-requests of several hosts meet.
+	coldFirst = 250 * time.Millisecond
 	coldLast  = 16 * time.Second
 	// overloadShare is the share of shed replies of the peers above which they count
 	// as overloaded: 4 in a row for a service, 1 for a replica.
@@ -75,13 +77,7 @@
 			peers = append(peers, rec)
 		}
 	}
-	for _, rec := range peers {
-		rec.alone = len(peers) < 2
-		if rec.alone {
-			continue
-		}
-		rec.peerShed = median(peers, rec, func(p *record) (float64, bool) { return p.shedShare(now), true })
-	}
+	compareShed(now, peers)
 	for i := 0; i < len(peers) && len(peers) > 1; i++ {
 		if why, bad := outlier(now, peers[i], peers); bad {
 			t.eject(now, peers[i], why)
@@ -91,6 +87,26 @@
 	}
 }
 
+// compareShed notes what the peers of each replica shed. If all replicas of a shard
+// are suspected to be cold, the cause is overload, and none is.
+func compareShed(now time.Time, peers []*record) {
+	suspected := 0
+	for _, rec := range peers {
+		if rec.alone = len(peers) < 2; rec.alone {
+			return
+		}
+		rec.peerShed = median(peers, rec, func(p *record) (float64, bool) { return p.shedShare(now), true })
+		if now.Before(rec.coldUntil) && !rec.saidCold {
+			suspected++
+		}
+	}
+	if suspected == len(peers) {
+		for _, rec := range peers {
+			rec.coldUntil = now
+		}
+	}
+}
+
 // outlier compares a replica with its peers.
 func outlier(now time.Time, r *record, peers []*record) (reason, bool) {
 	if r.failures > failureLimit {
@@ -197,10 +213,10 @@
 	switch {
 	case now.Before(r.coldUntil):
 		said = said || r.saidCold
-	case r.coldHold == 0 || now.Sub(r.coldUntil) > settle:
-		r.coldHold = coldFirst
-	default:
+	case now.Sub(r.coldUntil) < r.coldHold/2:
 		r.coldHold = min(2*r.coldHold, coldLast)
+	default:
+		r.coldHold = coldFirst
 	}
 	r.saidCold = said
 	r.coldUntil = now.Add(r.coldHold)
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -16,8 +16,11 @@
 	// windowCount is the number of past windows. The learned value is the median of
 	// theirs, so it follows a change after half of them: 40 s under load.
 	windowCount = 8
-	// refresh is how many samples apart the value is recomputed in the first window.
-	refresh = 64
+	// refresh is how many samples apart the value is recomputed in the first window,
+	// and refreshLimit the share of samples above it from which it is not: otherwise
+	// it would follow a fault in the first seconds at once.
+	refresh      = 64
+	refreshLimit = 0.1
 	// lowest, highest (microseconds) and digits bound a histogram to about 20 KiB.
 	lowest  = 1
 	highest = 60_000_000
@@ -27,6 +30,9 @@
 	exceedWeight = 1.0 / 64
 	// exceedLimit is the share above which everything counts as slow.
 	exceedLimit = 0.25
+	// riseFactor is how far the share that exceeds the learned value may exceed the
+	// planned one before sub-requests that lost against their hedges raise the value.
+	riseFactor = 2
 	// serviceShedWeight is the weight of a reply in the share of shed replies of a
 	// service.
 	serviceShedWeight = 1.0 / 32
@@ -51,30 +57,45 @@
 }
 
 // observe records the latency of a sub-request. One that timed out or lost against
-// its hedge counts with the time it had taken if that exceeds the learned value:
-// leaving it out would lower the quantile, and so cause more and more hedges. A
-// hedge that was cancelled early says nothing.
+// its hedge counts if it had taken longer than the learned value: leaving it out
+// would lower the quantile, and so cause more and more hedges. A hedge that was
+// cancelled early says nothing.
 func (s *service) observe(now time.Time, latency time.Duration, o Outcome) {
+	exceeds := s.delay > 0 && latency > s.delay
 	switch o {
 	case Success:
-		s.record(now, latency)
+		s.record(now, latency, exceeds)
 		s.shed -= serviceShedWeight * s.shed
-	case TimedOut, Cancelled:
-		if s.delay > 0 && latency >= s.delay {
-			s.record(now, latency)
+	case TimedOut:
+		if exceeds {
+			s.record(now, latency, true)
+		}
+	case Cancelled:
+		if exceeds {
+			s.record(now, s.bound(latency), true)
 		}
 	case Shed:
 		s.shed += serviceShedWeight * (1 - s.shed)
 	}
 }
 
-func (s *service) record(now time.Time, latency time.Duration) {
+// bound is what a sub-request that lost against its hedge counts with. As many as
+// planned exceed the learned value, so taking the time at which they lost would
+// make the quantile jump between the two. If far more do, it has to rise.
+func (s *service) bound(latency time.Duration) time.Duration {
+	if s.exceed <= riseFactor*(1-s.quantile) {
+		return s.delay
+	}
+	return latency
+}
+
+func (s *service) record(now time.Time, latency time.Duration, exceeds bool) {
 	if s.current == nil {
 		s.current, s.started = hdrhistogram.New(lowest, highest, digits), now
 	}
 	if s.delay > 0 {
 		value := 0.0
-		if latency > s.delay {
+		if exceeds {
 			value = 1
 		}
 		s.exceed += exceedWeight * (value - s.exceed)
@@ -116,7 +137,7 @@
 			return
 		}
 	}
-	if quantile == s.quantile && s.computed > 0 && count < s.computed+refresh {
+	if quantile == s.quantile && s.computed > 0 && (count < s.computed+refresh || s.exceed > refreshLimit) {
 		return
 	}
 	s.quantile, s.computed = quantile, count
--- a/route/route.go
+++ b/route/route.go
@@ -144,7 +144,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rec := t.record(target)
-	rec.inFlight = max(0, rec.inFlight-1)
 	s := t.service(service)
 	s.observe(now, latency, o)
 	rec.observe(now, latency, o)
@@ -159,6 +158,7 @@
 			rec.suspect(now, false)
 		}
 	}
+	rec.inFlight = max(0, rec.inFlight-1)
 }
 
 // HedgeAfter returns the delay after which a sub-request is hedged: the learned
