answer, poison: test the promises and gate the first byte

Change: connections pass their first write through a gate that runs the check, and that stays shut after the sender has given the sub-request up. A sub-request that is cancelled before it was sent is not sent. A request body whose unknown member has an empty name is refused with the field "body"; the fuzz target found the refusal without a field.

Conclusion: "none" is only reported while no byte can have left.

--- /dev/null
+++ b/answer/claim_test.go
@@ -0,0 +1,184 @@
+package answer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/control"
+	"wasabirelay/problem"
+	"wasabirelay/target"
+)
+
+// finishes returns the outcomes that were proposed for a key.
+func (c *cluster) finishes(key string) []control.Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []control.Outcome
+	for _, cmd := range c.commands {
+		if cmd.Finish != nil && cmd.Finish.Key == key {
+			out = append(out, cmd.Finish.Outcome)
+		}
+	}
+	return out
+}
+
+// Guards against promise 8: no byte may leave before the claim is committed, and
+// the outcome is recorded.
+func TestClaimComesFirst(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(node("a", 0, 2, 9), node("b", 1, 2, 9))
+	record := c.Propose
+	c.Propose = func(ctx context.Context, cmd control.Command) (control.Result, error) {
+		if cmd.Claim != nil {
+			is.Equal(len(c.to()), 0) // a sub-request was sent before the claim
+		}
+		return record(ctx, cmd)
+	}
+	_, err := c.Answer(t.Context(), c.once("k"))
+	is.NoErr(err)
+	c.drained(t)
+	is.Equal(len(c.to()), 2)
+	is.Equal(c.commands[0].Claim.Host, "h1")
+	is.Equal(c.finishes("k"), []control.Outcome{control.OutcomeRan})
+}
+
+// Guards against promise 8: after a byte may have left, neither a retry nor a
+// hedge nor a restart runs the request again; before, another replica is asked.
+func TestNotIdempotentRunsAtMostOnce(t *testing.T) {
+	for _, tc := range []struct {
+		outcome Outcome
+		sent    bool
+		want    []string
+		finish  control.Outcome
+	}{
+		{Reset, true, []string{"a"}, control.OutcomeUnknown},
+		{BadReply, true, []string{"a"}, control.OutcomeUnknown},
+		{Shed, true, []string{"a"}, control.OutcomeUnknown},
+		{SnapshotGone, true, []string{"a"}, control.OutcomeUnknown},
+		{ConnectFailed, false, []string{"a", "b"}, control.OutcomeRan},
+	} {
+		t.Run(tc.outcome.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(node("a", 0, 1, 8, 9), node("b", 0, 1, 8, 9))
+			c.does["a"] = fails(tc.outcome, tc.sent)
+			_, _ = c.Answer(t.Context(), c.once("k"))
+			c.drained(t)
+			is.Equal(c.to(), tc.want)
+			is.Equal(c.finishes("k"), []control.Outcome{tc.finish})
+		})
+	}
+}
+
+// Guards against a hedge of a request that is not idempotent.
+func TestNotIdempotentIsNotHedged(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(node("a", 0, 1, 9), node("b", 0, 1, 9))
+	open := make(chan struct{})
+	c.does["a"] = after(open, replies)
+	c.HedgeAfter = func(time.Time, string, float64) (time.Duration, bool) { return time.Millisecond, true }
+	done := c.ask(t.Context(), c.once("k"))
+	<-c.arrived
+	c.waiters(t, 2)
+	c.clock.Advance(100 * time.Millisecond)
+	close(open)
+	is.NoErr((<-done).err)
+	is.Equal(c.to(), []string{"a"})
+}
+
+// Guards against promises 7 and 8 for each result of a claim.
+func TestClaimResults(t *testing.T) {
+	answer := &Answer{Request: "r1", Service: desk}
+	for _, tc := range []struct {
+		name     string
+		result   control.Result
+		err      error
+		fetched  *Answer
+		fetchErr error
+		status   int
+		executed problem.Executed
+	}{
+		{name: "response lost", err: errors.New("timeout"), status: 503, executed: problem.Unknown},
+		{name: "refused before it was proposed", err: problem.Unavailable("survivor", ""), status: 503, executed: problem.None},
+		{name: "other content", result: control.Result{Refusal: &control.Refusal{Kind: control.Conflict}}, status: 422, executed: problem.None},
+		{name: "holder has the answer", result: control.Result{Holder: "h2", Outcome: control.OutcomeRan}, fetched: answer, status: 200},
+		{name: "holder has lost the answer", result: control.Result{Holder: "h2", Outcome: control.OutcomeRan}, status: 409, executed: problem.Ran},
+		{name: "holder is gone, finished", result: control.Result{Holder: "h2", Outcome: control.OutcomeRan}, fetchErr: errors.New("no route"), status: 409, executed: problem.Ran},
+		{name: "holder is gone, pending", result: control.Result{Holder: "h2", Outcome: control.Pending}, fetchErr: errors.New("no route"), status: 409, executed: problem.Unknown},
+		{name: "first was not run", result: control.Result{Holder: "h2", Outcome: control.OutcomeNone}, status: 409, executed: problem.None},
+		{name: "this host restarted", result: control.Result{Holder: "h1", Outcome: control.Pending}, status: 409, executed: problem.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(node("a", 0, 1, 9))
+			c.Propose = func(context.Context, control.Command) (control.Result, error) { return tc.result, tc.err }
+			c.Fetch = func(_ context.Context, host, key string) (*Answer, error) {
+				is.Equal(host+key, "h2k")
+				return tc.fetched, tc.fetchErr
+			}
+			a, err := c.Answer(t.Context(), c.once("k"))
+			is.Equal(len(c.to()), 0) // a request without the first claim ran
+			if tc.status == http.StatusOK {
+				is.NoErr(err)
+				is.Equal(a, tc.fetched)
+				return
+			}
+			d := refused(t, a, err)
+			is.Equal(d.Status, tc.status)
+			is.Equal(d.Executed, tc.executed)
+		})
+	}
+}
+
+// Guards against promise 8 under two faults at once: the caller hangs up while a
+// shard is slow, and resends while the first request still runs.
+func TestResendWhileRunning(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(node("a", 0, 1, 9))
+	open := make(chan struct{})
+	c.does["a"] = after(open, replies)
+	ctx, hangUp := context.WithCancel(t.Context())
+	first := c.ask(ctx, c.once("k"))
+	<-c.arrived
+	hangUp()
+	second := c.ask(t.Context(), c.once("k"))
+	other := c.once("k")
+	other.Fingerprint = "other"
+	third := c.ask(t.Context(), other)
+	close(open)
+	one, two, three := <-first, <-second, <-third
+	is.NoErr(one.err)
+	is.NoErr(two.err)
+	is.Equal(two.answer, one.answer)
+	is.Equal(refused(t, three.answer, three.err).Status, http.StatusUnprocessableEntity)
+	is.Equal(c.to(), []string{"a"})
+	is.Equal(c.Stored(t.Context(), "k"), one.answer)
+	is.Equal(c.Stored(t.Context(), "unknown"), nil)
+}
+
+// Guards against unbounded memory: answers above 16 KiB are not kept, and the
+// oldest of more than 1,024 is evicted.
+func TestStoreIsBounded(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(node("a", 0, 1, 9))
+	c.does["a"] = func(_ context.Context, n *control.Target, sub *Subrequest) (*target.Reply, *SendError) {
+		r := good(n, sub)
+		r.Result = json.RawMessage(`"` + strings.Repeat("x", maxAnswer) + `"`)
+		return r, nil
+	}
+	_, err := c.Answer(t.Context(), c.once("large"))
+	is.NoErr(err)
+	is.Equal(c.Stored(t.Context(), "large"), nil)
+	b := bounded[int, int]{limit: 3}
+	for i := range 5 {
+		b.put(i, i)
+		b.put(i, i*10) // A second value for a key takes no room.
+	}
+	is.Equal(b.entries, map[int]int{2: 20, 3: 30, 4: 40})
+}
--- a/answer/decode.go
+++ b/answer/decode.go
@@ -19,6 +19,7 @@
 
 // Names of fields in refusals and of labels of metrics.
 const (
+	fieldBody    = "body"
 	fieldRequest = "request"
 	fieldService = "service"
 )
@@ -40,7 +41,7 @@
 func decodeRequest(body []byte) (*Request, *problem.Details) {
 	var members map[string]json.RawMessage
 	if err := json.Unmarshal(body, &members); err != nil || members == nil {
-		return nil, problem.BadField("body", "a JSON object is needed")
+		return nil, problem.BadField(fieldBody, "a JSON object is needed")
 	}
 	var q Request
 	fields := map[string]struct {
@@ -55,6 +56,9 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(members)) {
 		f, known := fields[name]
+		if !known && !isName(name) {
+			return nil, problem.BadField(fieldBody, "a member has an empty, long or unprintable name")
+		}
 		if !known {
 			return nil, problem.BadField(name, "unknown member; known are request, query, route, accept and idempotent")
 		}
--- a/answer/flight.go
+++ b/answer/flight.go
@@ -28,6 +28,9 @@
 	ctx       context.Context
 	stop      context.CancelFunc
 	cancelled atomic.Bool
+	// number is the number of the sub-request in the tracker of package poison; 0
+	// until a byte may leave.
+	number atomic.Uint64
 }
 
 // fly sends the sub-request, checks the reply and reports the outcome.
@@ -40,11 +43,7 @@
 		attribute.String("wasabi.kind", string(f.sub.Kind)), attribute.String("wasabi.request", f.sub.Request),
 	))
 	defer span.End()
-	number := f.s.Poison.Begin(poison.Flight{
-		Fingerprint: f.fingerprint, Service: f.sub.Service, Target: f.target.Name,
-		Incarnation: f.target.Incarnation, Shard: f.sub.Shard,
-	})
-	defer f.s.Poison.End(number)
+	defer func() { f.s.Poison.End(f.number.Load()) }()
 	began := f.s.Clock.Now()
 	f.s.Start(began, f.target)
 	e := f.send(ctx)
@@ -59,12 +58,28 @@
 	span.SetAttributes(attribute.String("wasabi.outcome", outcome.String()))
 	now := f.s.Clock.Now()
 	f.s.Done(now, f.target, f.sub.Service, now.Sub(began), outcome)
-	if e.err != nil && e.err.Outcome == Reset && e.err.Sent && f.s.Poison.Reset(now, number) {
+	if e.err != nil && e.err.broken() && f.s.Poison.Reset(now, f.number.Load()) {
 		f.s.checkHealth(f.target, f.hold)
 	}
 	return e
 }
 
+// check permits the first byte. The number is set before cancelled is read, so
+// that either check sees the cancellation or cancel sees that a byte may leave.
+func (f *flight) check() error {
+	if err := f.s.checkSend(f.sub.Service, f.target, f.sub.Snapshot); err != nil {
+		return err
+	}
+	f.number.Store(f.s.Poison.Begin(poison.Flight{
+		Fingerprint: f.fingerprint, Service: f.sub.Service, Target: f.target.Name,
+		Incarnation: f.target.Incarnation, Shard: f.sub.Shard,
+	}))
+	if f.cancelled.Load() {
+		return errors.New("the sub-request is not needed any more")
+	}
+	return nil
+}
+
 // send sends the sub-request and counts a reply that is not accepted.
 func (f *flight) send(ctx context.Context) event {
 	reply, failure := f.s.Send(ctx, f.target, f.sub)
--- a/answer/refusal.go
+++ b/answer/refusal.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"wasabirelay/control"
 	"wasabirelay/problem"
@@ -21,6 +22,12 @@
 	}
 }
 
+// poisoned reports whether the view refuses the fingerprint of a query.
+func poisoned(v *control.View, q *Query, now time.Time) bool {
+	until, held := v.Poisoned[q.Fingerprint]
+	return held && now.Before(until)
+}
+
 // refusePoison returns the refusal of a query whose fingerprint is held.
 func refusePoison(v *control.View, q *Query) *problem.Details {
 	return &problem.Details{
--- a/answer/reply.go
+++ b/answer/reply.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -17,24 +18,37 @@
 
 func (e *ReplyError) Error() string { return "reply not accepted: " + e.Reason }
 
-// readReply reads a reply of status 200. The error is a *ReplyError if the reply
-// itself is at fault.
-func readReply(res *http.Response) (*target.Reply, error) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return nil, &ReplyError{Reason: "length"}
+// reasonLength is the reason of a reply that was cut short.
+const reasonLength = "length"
+
+// ReadReply returns the reply of a target from its HTTP response. The error's
+// cause is a *ReplyError if a reply of status 200 is at fault.
+func ReadReply(status int, h http.Header, body []byte) (*target.Reply, *SendError) {
+	if status != http.StatusOK {
+		reason := h.Get(target.HeaderReason)
+		err := errors.Errorf("target replied with status %d %s", status, reason)
+		return nil, &SendError{Outcome: StatusOutcome(status, reason), Sent: true, Err: err}
+	}
+	length := int64(-1)
+	if text := h.Get("Content-Length"); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return nil, &SendError{Outcome: BadReply, Sent: true, Err: &ReplyError{Reason: reasonLength}}
+		}
+		length = n
 	}
+	reply, err := decodeReply(body, length)
 	if err != nil {
-		return nil, errors.Wrap(err, "read reply")
+		return nil, &SendError{Outcome: BadReply, Sent: true, Err: err}
 	}
-	return decodeReply(body, res.ContentLength)
+	return reply, nil
 }
 
 // decodeReply reads the body of a reply. length is the announced length, or
 // negative if none was announced.
 func decodeReply(body []byte, length int64) (*target.Reply, error) {
 	if len(body) > maxBody || (length >= 0 && length != int64(len(body))) {
-		return nil, &ReplyError{Reason: "length"}
+		return nil, &ReplyError{Reason: reasonLength}
 	}
 	var reply target.Reply
 	decoder := json.NewDecoder(bytes.NewReader(body))
--- a/answer/run.go
+++ b/answer/run.go
@@ -59,13 +59,8 @@
 // nothing was run.
 func (r *run) selectSnapshot(v *control.View) (*snapshot, *problem.Details) {
 	ix := r.s.index(v, r.q.Service)
-	r.drawn = ix.draw(r.s.Draw())
-	best, covered := ix.choose(r.usable(ix, r.drawn), r.skip)
-	if r.drawn != "" && (best == nil || covered < best.total) {
-		// A share is an upper limit: the version can't answer alone yet.
-		r.drawn = ""
-		best, covered = ix.choose(r.usable(ix, r.drawn), r.skip)
-	}
+	best, covered, drawn := r.choose(ix, ix.draw(r.s.Draw()))
+	r.drawn = drawn
 	switch {
 	case best == nil && len(ix.disputed()) > 0:
 		return nil, problem.Unavailable("disputed", fmt.Sprintf("targets announce different shard counts of snapshots %v", ix.disputed()))
@@ -77,6 +72,17 @@
 	return best, nil
 }
 
+// choose selects a snapshot for the drawn version. A share is an upper limit: if
+// the version can't answer alone, the query goes to the versions without a limit.
+func (r *run) choose(ix *index, drawn string) (best *snapshot, covered int, version string) {
+	best, covered = ix.choose(r.usable(ix, drawn), r.skip)
+	if drawn != "" && (best == nil || covered < best.total) {
+		best, covered = ix.choose(r.usable(ix, ""), r.skip)
+		return best, covered, ""
+	}
+	return best, covered, drawn
+}
+
 // usable returns the filter for targets that may answer this query.
 func (r *run) usable(ix *index, drawn string) func(*control.Target) bool {
 	return func(t *control.Target) bool {
@@ -153,11 +159,12 @@
 	}
 	r.skip[r.number] = true
 	ix := r.s.index(view, r.q.Service)
-	best, covered := ix.choose(r.usable(ix, r.drawn), r.skip)
+	best, covered, drawn := r.choose(ix, r.drawn)
 	if best == nil || covered*len(r.round.parts) <= r.round.reachable()*best.total {
 		return false
 	}
 	r.abandon()
+	r.drawn = drawn
 	r.begin(best.number, best.total)
 	return true
 }
@@ -214,7 +221,7 @@
 	if snap == nil || a.shard >= len(snap.shards) {
 		return noReplica
 	}
-	if a.kind != First && r.lastForSuspect(snap.shards[a.shard], a.shard) {
+	if poisoned(view, r.q, r.s.Clock.Now()) || (a.kind != First && r.lastForSuspect(snap.shards[a.shard], a.shard)) {
 		return noSuspect
 	}
 	if _, ok := r.s.HedgeAfter(r.s.Clock.Now(), r.q.Service, rules(view).Hedge.Quantile); a.kind == Hedge && !ok {
@@ -298,7 +305,7 @@
 			Deadline: r.q.Deadline, Query: r.q.Query,
 		},
 	}
-	f.sub.Check = func() error { return r.s.checkSend(r.q.Service, t, r.number) }
+	f.sub.Check = f.check
 	f.ctx, f.stop = clockwork.WithDeadline(context.WithoutCancel(r.ctx), r.s.Clock, r.q.Deadline.Add(linger))
 	for len(r.flights) <= a.attempt {
 		r.flights = append(r.flights, nil)
@@ -335,6 +342,10 @@
 	if f.cancelled.Swap(true) {
 		return
 	}
+	if f.number.Load() == 0 {
+		f.stop() // It was not sent, and check will not let it.
+		return
+	}
 	if f.target.Cancel {
 		r.s.goBackground(func(ctx context.Context) {
 			if err := r.s.Cancel(ctx, f.target, f.sub); err != nil {
--- a/answer/seams.go
+++ b/answer/seams.go
@@ -80,6 +80,13 @@
 
 func (e *SendError) Error() string { return e.Outcome.String() + ": " + e.Err.Error() }
 
+// broken reports whether the connection ended after the request was sent, which
+// a target that dies causes.
+func (e *SendError) broken() bool {
+	var reply *ReplyError
+	return e.Sent && (e.Outcome == Reset || (errors.As(e.Err, &reply) && reply.Reason == reasonLength))
+}
+
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
--- a/answer/send.go
+++ b/answer/send.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,29 +33,56 @@
 	reasonSnapshot = "snapshot"
 )
 
+// idlePerTarget is the number of connections that the largest deployments keep to
+// one searcher (100); the standard client keeps 2.
+const idlePerTarget = 100
+
 // Cancellation is the body of POST /cancel.
 type Cancellation struct {
 	Request string `json:"request"`
 	Shard   int    `json:"shard"`
 }
 
-// HTTP sends sub-requests over a plain client. Exported fields are set before use.
-type HTTP struct {
-	Client *http.Client
-	Clock  clockwork.Clock
+// sender sends sub-requests over the standard HTTP client.
+type sender struct {
+	client *http.Client
+	clock  clockwork.Clock
 }
 
-// Send sends a sub-request. Its Check runs when the client reads the body, which
-// is directly before the first byte: the headers are below the 4 KiB that the
-// client buffers.
-func (h *HTTP) Send(ctx context.Context, t *control.Target, sub *Subrequest) (*target.Reply, *SendError) {
-	body := &gate{check: sub.Check, data: bytes.NewReader(sub.Query)}
-	req, err := NewHTTPRequest(ctx, h.Clock.Now(), t, sub, body)
+func newSender(clock clockwork.Clock) *sender {
+	dialer := &net.Dialer{}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &gatedConn{Conn: conn}, nil
+		},
+		MaxIdleConnsPerHost: idlePerTarget,
+		// The announced length is checked against the body as it was sent.
+		DisableCompression: true,
+	}
+	return &sender{client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, clock: clock}
+}
+
+// noRedirect keeps the client from repeating a sub-request at another address.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// send sends a sub-request. Its Check runs at the first write to the connection.
+func (s *sender) send(ctx context.Context, t *control.Target, sub *Subrequest) (*target.Reply, *SendError) {
+	g := &gate{check: sub.Check}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*gatedConn); ok {
+			conn.gate.Store(g)
+		}
+	}})
+	req, err := NewHTTPRequest(ctx, s.clock.Now(), t, sub)
 	if err != nil {
 		return nil, &SendError{Outcome: Failed, Err: err}
 	}
-	res, err := h.Client.Do(req)
-	sent, refusal := body.shut()
+	res, err := s.client.Do(req)
+	sent, refusal := g.shut()
 	if refusal != nil {
 		return nil, &SendError{Outcome: Cancelled, Err: refusal}
 	}
@@ -61,22 +90,21 @@
 		return nil, sendError(err, sent)
 	}
 	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return nil, statusError(res)
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		err = &ReplyError{Reason: reasonLength}
 	}
-	reply, err := readReply(res)
 	if err != nil {
 		return nil, sendError(err, true)
 	}
-	return reply, nil
+	return ReadReply(res.StatusCode, res.Header, text)
 }
 
-// gate is the body of a sub-request. It lets the first read pass only if check
-// permits it and shut has not been called, so that no byte leaves after the
-// sender has decided that none did.
+// gate lets the first write of a sub-request pass only if check permits it and
+// shut has not been called, so that no byte leaves after the sender has decided
+// that none did.
 type gate struct {
 	check func() error
-	data  *bytes.Reader
 
 	mu      sync.Mutex
 	sent    bool
@@ -84,29 +112,27 @@
 	refusal error
 }
 
-// errShut is the error of a read after shut.
+// errShut is the error of a write after shut.
 var errShut = errors.New("sub-request was given up")
 
-// Read implements io.Reader.
-func (g *gate) Read(p []byte) (int, error) {
+// pass returns nil if a write may go on.
+func (g *gate) pass() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.sent {
-		if g.closed {
-			return 0, errShut
-		}
-		if g.refusal = g.check(); g.refusal != nil {
-			g.closed = true
-			return 0, g.refusal
-		}
-		g.sent = true
+	if g.sent {
+		return nil
+	}
+	if g.closed {
+		return errShut
+	}
+	if g.refusal = g.check(); g.refusal != nil {
+		g.closed = true
+		return g.refusal
 	}
-	return g.data.Read(p)
+	g.sent = true
+	return nil
 }
 
-// Close implements io.Closer.
-func (g *gate) Close() error { return nil }
-
 // shut reports whether a byte may have left, or why check refused.
 func (g *gate) shut() (sent bool, refusal error) {
 	g.mu.Lock()
@@ -115,16 +141,34 @@
 	return g.sent, g.refusal
 }
 
+// gatedConn is a connection whose writes pass the gate of the sub-request that
+// has the connection. A body that checks on its first read comes too late,
+// because the client flushes the headers before it reads such a body.
+type gatedConn struct {
+	net.Conn
+	gate atomic.Pointer[gate]
+}
+
+// Write implements net.Conn.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if g := c.gate.Load(); g != nil {
+		if err := g.pass(); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
 // NewHTTPRequest returns the HTTP request of a sub-request with the trace
-// context of ctx. body yields the query.
-func NewHTTPRequest(ctx context.Context, now time.Time, t *control.Target, sub *Subrequest, body io.ReadCloser) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address.String()+"/query", body)
+// context of ctx.
+func NewHTTPRequest(ctx context.Context, now time.Time, t *control.Target, sub *Subrequest) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address.String()+"/query", bytes.NewReader(sub.Query))
 	if err != nil {
 		return nil, errors.Wrap(err, "build sub-request")
 	}
-	// Without GetBody, which the body's type prevents, the client can't send the
-	// request again on another connection by itself.
-	req.ContentLength = int64(len(sub.Query))
+	// Without GetBody, the client can't send the request again on another
+	// connection by itself.
+	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(target.HeaderRequest, sub.Request)
 	req.Header.Set(target.HeaderShard, strconv.Itoa(sub.Shard))
@@ -176,35 +220,26 @@
 	}
 }
 
-func statusError(res *http.Response) *SendError {
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxBody)) // Keeps the connection usable.
-	reason := res.Header.Get(target.HeaderReason)
-	return &SendError{
-		Outcome: StatusOutcome(res.StatusCode, reason), Sent: true,
-		Err: errors.Errorf("target replied with status %d %s", res.StatusCode, reason),
-	}
-}
-
-// Cancel posts the cancellation of a sub-request.
-func (h *HTTP) Cancel(ctx context.Context, t *control.Target, sub *Subrequest) error {
+// cancel posts the cancellation of a sub-request.
+func (s *sender) cancel(ctx context.Context, t *control.Target, sub *Subrequest) error {
 	body, err := json.Marshal(Cancellation{Request: sub.Request, Shard: sub.Shard})
 	if err != nil {
 		return errors.Wrap(err, "encode cancellation")
 	}
-	return h.call(ctx, http.MethodPost, t, "/cancel", body)
+	return s.call(ctx, http.MethodPost, t, "/cancel", body)
 }
 
-// Health asks for the target's health. A reply of any status is an answer.
-func (h *HTTP) Health(ctx context.Context, t *control.Target) error {
-	return h.call(ctx, http.MethodGet, t, "/health", nil)
+// health asks for the target's health. A reply of any status is an answer.
+func (s *sender) health(ctx context.Context, t *control.Target) error {
+	return s.call(ctx, http.MethodGet, t, "/health", nil)
 }
 
-func (h *HTTP) call(ctx context.Context, method string, t *control.Target, path string, body []byte) error {
+func (s *sender) call(ctx context.Context, method string, t *control.Target, path string, body []byte) error {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.Address.String()+path, bytes.NewReader(body)) //nolint:gosec // The address is the one that the target announced.
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
-	res, err := h.Client.Do(req) //nolint:gosec // The address is the one that the target announced.
+	res, err := s.client.Do(req) //nolint:gosec // The address is the one that the target announced.
 	if err != nil {
 		return errors.Wrap(err, "call target")
 	}
--- a/answer/serve.go
+++ b/answer/serve.go
@@ -49,12 +49,12 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		d := problem.BadField("body", "at most 1048576 bytes are allowed")
+		d := problem.BadField(fieldBody, "at most 1048576 bytes are allowed")
 		d.Status = http.StatusRequestEntityTooLarge
 		return nil, d
 	}
 	if err != nil {
-		return nil, problem.BadField("body", "the body can't be read")
+		return nil, problem.BadField(fieldBody, "the body can't be read")
 	}
 	view, err := s.View()
 	if err != nil {
@@ -84,7 +84,7 @@
 		return nil, refuseLease(err)
 	}
 	now := s.Clock.Now()
-	if until, held := view.Poisoned[q.Fingerprint]; held && now.Before(until) {
+	if poisoned(view, q, now) {
 		return nil, refusePoison(view, q)
 	}
 	end := q.Deadline.Add(-margin(q.Deadline.Sub(now)))
--- /dev/null
+++ b/answer/serve_test.go
@@ -0,0 +1,285 @@
+package answer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+	"wasabirelay/problem"
+	"wasabirelay/target"
+)
+
+// post sends a query to the HTTP interface of a cluster.
+func (c *cluster) post(service, body string, header ...string) *httptest.ResponseRecorder {
+	mux := http.NewServeMux()
+	c.Register(mux)
+	r := httptest.NewRequest(http.MethodPost, "/v1/services/"+service+"/query", strings.NewReader(body))
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, r)
+	return w
+}
+
+// Guards against a refusal that does not say what is wrong with a request.
+func TestBadRequestsNameTheField(t *testing.T) {
+	const good = `{"request":"r1","query":{"q":1},"idempotent":true}`
+	for _, tc := range []struct {
+		body, field string
+		status      int
+		header      []string
+	}{
+		{`{"request":`, "body", 400, nil},
+		{`null`, "body", 400, nil},
+		{`[1]`, "body", 400, nil},
+		{`{"query":1,"idempotent":true}`, "request", 400, nil},
+		{`{"request":7,"query":1,"idempotent":true}`, "request", 400, nil},
+		{`{"request":"a b","query":1,"idempotent":true}`, "request", 400, nil},
+		{`{"request":"` + strings.Repeat("r", 129) + `","query":1,"idempotent":true}`, "request", 400, nil},
+		{`{"request":"r1","idempotent":true}`, "query", 400, nil},
+		{`{"request":"r1","query":null,"idempotent":true}`, "query", 400, nil},
+		{`{"request":"r1","query":1,"idempotent":"yes"}`, "idempotent", 400, nil},
+		{`{"request":"r1","query":1,"idempotant":true}`, "idempotant", 400, nil},
+		{`{"request":"r1","query":1,"idempotent":true,"accept":{"coverage":1.1}}`, "accept.coverage", 400, nil},
+		{`{"request":"r1","query":1,"idempotent":true,"accept":{"share":1}}`, "accept", 400, nil},
+		{`{"request":"r1","query":1,"idempotent":true,"route":"x"}`, "route", 400, nil},
+		{`{"request":"r1","query":1}`, HeaderKey, 400, nil},
+		{`{"request":"r1","query":1}`, HeaderKey, 400, []string{HeaderKey, "with space"}},
+		{good, target.HeaderTimeout, 400, []string{target.HeaderTimeout, "0"}},
+		{good, target.HeaderTimeout, 400, []string{target.HeaderTimeout, "82ms"}},
+		{good, target.HeaderTimeout, 400, []string{target.HeaderTimeout, "82000000"}},
+		{`"` + strings.Repeat("x", maxBody) + `"`, "body", 413, nil},
+	} {
+		t.Run(tc.field, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(node("a", 0, 1, 9))
+			w := c.post(desk, tc.body, tc.header...)
+			var d problem.Details
+			is.NoErr(json.Unmarshal(w.Body.Bytes(), &d))
+			is.Equal(w.Code, tc.status)
+			is.Equal(d.Field, tc.field)
+			is.Equal(d.Executed, problem.None)
+			is.True(d.Detail != "")
+			is.Equal(len(c.to()), 0)
+		})
+	}
+	is := is.New(t)
+	is.Equal(newCluster().post("no-such", good).Code, http.StatusNotFound)
+}
+
+// Guards against promise 7 on a host without a lease: it refuses, and nothing is sent.
+func TestLeaseLost(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(node("a", 0, 1, 9))
+	c.lost = errors.New("lease lost")
+	w := c.post(desk, `{"request":"r1","query":1,"idempotent":true}`)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Content-Type"), problem.ContentType)
+	is.True(strings.Contains(w.Body.String(), `"executed":"none"`))
+	is.Equal(len(c.to()), 0)
+}
+
+// Guards against figures and traces that do not show hedges, retries and results,
+// and against labels that callers can create.
+func TestTracesAndMetrics(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(node("a", 0, 1, 9), node("b", 0, 1, 9))
+	c.does["a"] = fails(Failed, true)
+	spans := tracetest.NewSpanRecorder()
+	c.Tracer = sdk.NewTracerProvider(sdk.WithSpanProcessor(spans))
+	const traceID = "4bf92f3577b34da6a3ce929d0e0e4736"
+	w := c.post(desk, `{"request":"r1","query":1,"idempotent":true}`, "traceparent", "00-"+traceID+"-00f067aa0ba902b7-01")
+	is.Equal(w.Code, http.StatusOK)
+	c.drained(t)
+	kinds := map[string]int{}
+	for _, s := range spans.Ended() {
+		is.Equal(s.SpanContext().TraceID().String(), traceID)
+		for _, a := range s.Attributes() {
+			if a.Key == "wasabi.kind" {
+				kinds[a.Value.AsString()]++
+			}
+		}
+	}
+	is.Equal(len(spans.Ended()), 3)
+	is.Equal(kinds, map[string]int{"first": 1, "retry": 1})
+	is.Equal(c.value("wasabirelay_queries_total", "complete"), 1.0)
+	is.Equal(c.value("wasabirelay_subrequests_total", "retry"), 1.0)
+	c.post("made-up-7", `{}`)
+	is.Equal(c.value("wasabirelay_queries_total", "made-up-7"), 0.0)
+	is.Equal(c.value("wasabirelay_queries_total", "unknown"), 1.0)
+}
+
+// wire returns a Service with the default Send on the real clock, and one real
+// HTTP target per handler for the same shard.
+func wire(t *testing.T, handlers ...http.HandlerFunc) *cluster {
+	t.Helper()
+	var targets []*control.Target
+	for i, h := range handlers {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		n := node(fmt.Sprintf("t%d", i), 0, 1, 9)
+		n.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+		targets = append(targets, n)
+	}
+	c := newCluster(targets...)
+	c.Clock, c.Send, c.Health = clockwork.NewRealClock(), nil, nil
+	c.view.Inventory.Services = map[string]inventory.Service{desk: {Routes: []string{"fast"}}}
+	return c
+}
+
+func echo(w http.ResponseWriter, r *http.Request) { _, _ = w.Write(echoed(r)) }
+
+// echoed returns the right reply to a sub-request.
+func echoed(r *http.Request) []byte {
+	result, _ := io.ReadAll(r.Body)
+	text, _ := json.Marshal(target.Reply{Request: r.Header.Get(target.HeaderRequest), Snapshot: 9, Result: result, End: true})
+	return text
+}
+
+// Guards against a sub-request whose headers or body do not follow the interface.
+func TestSubrequestOnTheWire(t *testing.T) {
+	is := is.New(t)
+	var got http.Header
+	c := wire(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		echo(w, r)
+	})
+	w := c.post(desk, `{"request":"r1","query":{ "q" : 1 },"idempotent":true,"route":"fast"}`,
+		target.HeaderTimeout, "5000", "traceparent", "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01")
+	is.Equal(w.Code, http.StatusOK)
+	is.True(strings.Contains(w.Body.String(), `"result":{"q":1}`))
+	is.True(strings.HasPrefix(got.Get(target.HeaderRequest), "r1/"))
+	is.Equal(got.Get(target.HeaderShard)+got.Get(target.HeaderSnapshot), "09")
+	is.Equal(got.Get(HeaderRoute), "fast")
+	is.True(strings.Contains(got.Get("traceparent"), "4bf92f3577b34da6a3ce929d0e0e4736"))
+	is.True(len(got.Get(target.HeaderTimeout)) == 4) // below 5,000 and above 999 ms
+}
+
+// Guards against promise 6 on the wire: replies that are cut short, doubled or
+// malformed, redirects and resets are never part of an answer.
+func TestBrokenRepliesOnTheWire(t *testing.T) {
+	for _, tc := range []struct {
+		name, reason string
+		target       http.HandlerFunc
+	}{
+		{"cut short", reasonLength, func(w http.ResponseWriter, r *http.Request) {
+			text := echoed(r)
+			w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+			_, _ = w.Write(text[:len(text)-5])
+		}},
+		{"cut short without a length", "form", func(w http.ResponseWriter, r *http.Request) {
+			text := echoed(r)
+			_, _ = w.Write(text[:len(text)/2])
+			w.(http.Flusher).Flush()
+		}},
+		{"doubled", "form", func(w http.ResponseWriter, r *http.Request) {
+			text := echoed(r)
+			_, _ = w.Write(append(text, text...))
+		}},
+		{"too large", reasonLength, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, maxBody+1)) }},
+		{"redirected", "", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/other", http.StatusFound) }},
+		{"reset", "", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+		{"draining", "", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(target.HeaderReason, reasonDraining)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int32
+			c := wire(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/query" {
+					calls.Add(1)
+					tc.target(w, r)
+				}
+			}, echo, echo) // With two, a reset would leave the last replica alone.
+			w := c.post(desk, `{"request":"r1","query":"mine","idempotent":true}`, target.HeaderTimeout, "60000")
+			is.Equal(w.Code, http.StatusOK)
+			is.True(strings.Contains(w.Body.String(), `"result":"mine"`))
+			is.Equal(calls.Load(), int32(1)) // the client sent the request again by itself
+			if tc.reason != "" {
+				is.NoErr(c.waitDropped(t, tc.reason, 1))
+			}
+			c.drained(t)
+		})
+	}
+}
+
+// Guards against promises 4, 7 and 9 at the moment of sending: when Check refuses
+// while the connection is being opened, no byte reaches the target.
+func TestGateStopsTheFirstByte(t *testing.T) {
+	is := is.New(t)
+	var bytes atomic.Int32
+	c := wire(t, func(http.ResponseWriter, *http.Request) { bytes.Add(1) })
+	c.init()
+	sub := &Subrequest{Request: "r", Query: []byte("1"), Deadline: time.Now().Add(time.Minute)}
+	sub.Check = func() error { return errors.New("lease lost") }
+	_, failure := c.Send(t.Context(), c.view.Targets[desk][0], sub)
+	is.Equal(failure.Outcome, Cancelled)
+	is.True(!failure.Sent)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	sub.Check = func() error { return nil }
+	_, failure = c.Send(ctx, c.view.Targets[desk][0], sub)
+	is.Equal(failure.Outcome, Cancelled)
+	is.True(!failure.Sent)
+	is.Equal(bytes.Load(), int32(0))
+	g := gate{check: sub.Check}
+	sent, _ := g.shut()
+	is.True(!sent && errors.Is(g.pass(), errShut)) // a byte left after it was said that none did
+}
+
+func FuzzDecodeRequest(f *testing.F) {
+	for _, s := range []string{`{"request":"r","query":{"a":[1]},"idempotent":true}`, `{"accept":{"coverage":0.5}}`, `null`, `{"":0}`, `{"query":`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		q, bad := decodeRequest(body)
+		if bad != nil {
+			if bad.Field == "" || bad.Executed != problem.None {
+				t.Fatalf("refusal without a field: %+v", bad)
+			}
+			return
+		}
+		if !isName(q.Request) || !json.Valid(q.Query) || q.Accept.Coverage < 0 || q.Accept.Coverage > 1 {
+			t.Fatalf("accepted %+v", q)
+		}
+	})
+}
+
+func FuzzDecodeReply(f *testing.F) {
+	f.Add([]byte(`{"request":"r/1","shard":0,"snapshot":9,"result":1,"end":true}`), int64(64))
+	f.Add([]byte(`{"request":"r/1","shard":0,"snapshot":9,"result":1`), int64(-1))
+	f.Add([]byte(`{}{}`), int64(4))
+	f.Fuzz(func(t *testing.T, body []byte, length int64) {
+		sub := &Subrequest{Request: "r/1", Snapshot: 9}
+		reply, err := decodeReply(body, length)
+		var bad *ReplyError
+		if err != nil {
+			if !errors.As(err, &bad) {
+				t.Fatalf("error of another type: %v", err)
+			}
+			return
+		}
+		if checkReply(sub, reply) == nil && (!json.Valid(body) || reply.Request != "r/1" || !reply.End || !json.Valid(reply.Result)) {
+			t.Fatalf("accepted %q", body)
+		}
+	})
+}
--- a/answer/service.go
+++ b/answer/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +20,6 @@
 	// linger is how long after the deadline of its query a sub-request may run to
 	// completion, because closing the connection costs up to 6 ms on its next use.
 	linger = time.Second
-	// idlePerTarget is the number of connections that the largest deployments
-	// keep to one searcher (100); the standard client keeps 2.
-	idlePerTarget = 100
 	// background bounds cancellations, health checks and proposals that no caller
 	// waits for.
 	background = time.Second
@@ -66,14 +62,11 @@
 }
 
 func (s *Service) setSeams() {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy, transport.DisableCompression = nil, true // Targets are called directly, and lengths are checked.
-	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = 0, idlePerTarget
-	h := &HTTP{Client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, Clock: s.Clock}
+	h := newSender(s.Clock)
 	d := &defaults{}
-	set(&s.Send, h.Send)
-	set(&s.Cancel, h.Cancel)
-	set(&s.Health, h.Health)
+	set(&s.Send, h.send)
+	set(&s.Cancel, h.cancel)
+	set(&s.Health, h.health)
 	set(&s.Pick, d.pick)
 	set(&s.Start, func(time.Time, *control.Target) {})
 	set(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
@@ -88,9 +81,6 @@
 	set(&s.Draw, rand.Float64)
 }
 
-// noRedirect keeps the client from repeating a sub-request at another address.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // index returns the index of a service in a view. The first use of a view also
 // reports disputed shard counts and compares incarnations.
 func (s *Service) index(v *control.View, service string) *index {
