--- /dev/null
+++ b/consensus/group_test.go
@@ -0,0 +1,366 @@
+package consensus_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	. "wasabirelay/consensus"
+)
+
+const (
+	election  = 100 * time.Millisecond
+	heartbeat = 20 * time.Millisecond
+	step      = 5 * time.Millisecond
+
+	// Snapshots are frequent and few older entries are kept, so that members
+	// often need a snapshot.
+	interval = 40
+	trailing = 20
+)
+
+// member is a node with its disk and its state machine, which is a hash of the
+// applied entries.
+type member struct {
+	node       *Node
+	disk       Saved
+	up, frozen bool
+	applied    uint64
+	hash       uint64
+}
+
+type packet struct {
+	at time.Time
+	m  Message
+}
+
+// group runs members over a simulated network and checks the promises of the
+// package after every call.
+type group struct {
+	t       rapid.TB
+	now     time.Time
+	rand    *rand.Rand
+	members map[string]*member
+	wire    []packet
+	cut     map[[2]string]bool // from, to
+	faulty  bool               // drop, duplicate, delay, crash
+	seen    []func(m Message)  // observe every message that is sent
+
+	leaders map[uint64]string // by term
+	votes   map[string]string // by voter and term
+	history []uint64          // state hash by committed index
+	reads   map[uint64]uint64 // index committed when the read began
+	done    map[uint64]bool
+	nextID  uint64
+}
+
+func newGroup(t rapid.TB, seed uint64, ids ...string) *group {
+	g := &group{
+		t: t, now: time.Unix(0, 0), rand: rand.New(rand.NewPCG(seed, 1)), history: []uint64{0},
+		members: map[string]*member{}, cut: map[[2]string]bool{}, leaders: map[uint64]string{},
+		votes: map[string]string{}, reads: map[uint64]uint64{}, done: map[uint64]bool{},
+	}
+	for _, id := range ids {
+		g.join(id, Found(ids))
+	}
+	return g
+}
+
+func (g *group) join(id string, saved Saved) {
+	g.members[id] = &member{disk: saved}
+	g.start(id)
+}
+
+// start starts a member from its disk.
+func (g *group) start(id string) {
+	m := g.members[id]
+	m.node = &Node{
+		ID: id, Rand: rand.New(rand.NewPCG(g.rand.Uint64(), 2)), Election: election, Heartbeat: heartbeat,
+		MaxBatch: 16, MaxInflight: 4, Trailing: trailing,
+	}
+	m.up, m.applied, m.hash = true, 0, 0
+	if s := m.disk.Snapshot; s != nil {
+		m.applied, m.hash = s.Index, binary.LittleEndian.Uint64(s.Data)
+	}
+	if err := m.node.Start(g.now, m.disk); err != nil {
+		g.t.Fatalf("%s does not restart: %v", id, err)
+	}
+}
+
+func (g *group) ids() []string { return slices.Sorted(maps.Keys(g.members)) }
+
+// handle does what the package asks of its caller, and checks the output.
+func (g *group) handle(id string, out Output) {
+	m := g.members[id]
+	if m.up = !g.chance(2000); !m.up {
+		return // crashed before anything was saved
+	}
+	m.persist(out)
+	if m.up = !g.chance(2000); !m.up {
+		return // crashed before anything was sent
+	}
+	g.checkLeader(id)
+	for _, msg := range out.Messages {
+		g.checkPromise(id, msg)
+		g.transmit(msg)
+	}
+	if s := out.Snapshot; s != nil {
+		m.applied, m.hash = s.Index, binary.LittleEndian.Uint64(s.Data)
+		g.checkHistory(id, s.Index, m.hash)
+	}
+	for _, e := range out.Committed {
+		g.apply(id, e)
+	}
+	for _, r := range out.Reads {
+		if r.Index < g.reads[r.ID] {
+			g.t.Fatalf("%s confirmed read %d at %d, but %d was committed before it began", id, r.ID, r.Index, g.reads[r.ID])
+		}
+		g.done[r.ID] = true
+	}
+	if s := m.node.Snapshot(); m.applied >= interval && (s == nil || m.applied >= s.Index+interval) {
+		g.compact(id)
+	}
+}
+
+func (m *member) persist(out Output) {
+	if out.Hard != nil {
+		m.disk.Hard = *out.Hard
+	}
+	if len(out.Entries) > 0 {
+		replaced := func(e Entry) bool { return e.Index >= out.Entries[0].Index }
+		m.disk.Entries = append(slices.DeleteFunc(slices.Clone(m.disk.Entries), replaced), out.Entries...)
+	}
+	if out.Snapshot != nil {
+		m.disk.Snapshot, m.disk.Entries = out.Snapshot, nil
+	}
+}
+
+func (g *group) compact(id string) {
+	m := g.members[id]
+	if err := m.node.Compact(m.applied, binary.LittleEndian.AppendUint64(nil, m.hash)); err != nil {
+		g.t.Fatalf("%s: %v", id, err)
+	}
+	m.disk.Snapshot = m.node.Snapshot()
+	m.disk.Entries = slices.DeleteFunc(slices.Clone(m.disk.Entries), func(e Entry) bool { return e.Index <= m.applied })
+}
+
+func (g *group) apply(id string, e Entry) {
+	m := g.members[id]
+	if e.Index != m.applied+1 {
+		g.t.Fatalf("%s applied %d after %d", id, e.Index, m.applied)
+	}
+	m.applied = e.Index
+	m.hash = xxhash.Sum64String(fmt.Sprintf("%d %d %d %s %x %v", m.hash, e.Index, e.Term, e.Kind, e.Data, e.Members))
+	g.checkHistory(id, e.Index, m.hash)
+}
+
+// checkHistory guards against committed entries that differ between members.
+func (g *group) checkHistory(id string, index, hash uint64) {
+	if index == uint64(len(g.history)) {
+		g.history = append(g.history, hash)
+	}
+	if index > uint64(len(g.history)) || g.history[index] != hash {
+		g.t.Fatalf("%s committed something else at index %d", id, index)
+	}
+}
+
+// checkLeader guards against two leaders in one term.
+func (g *group) checkLeader(id string) {
+	s := g.members[id].node.Status()
+	if s.Fault != "" {
+		g.t.Fatalf("%s: %s", id, s.Fault)
+	}
+	if s.Role != Leader {
+		return
+	}
+	if other, ok := g.leaders[s.Term]; ok && other != id {
+		g.t.Fatalf("%s and %s both lead term %d", id, other, s.Term)
+	}
+	g.leaders[s.Term] = id
+}
+
+// checkPromise guards against promises that are not on disk, against votes and
+// candidacies of members that are not voters, and against two votes in a term.
+func (g *group) checkPromise(id string, msg Message) {
+	disk := g.members[id].disk
+	last := uint64(len(disk.Entries))
+	if disk.Snapshot != nil {
+		last += disk.Snapshot.Index
+	}
+	standing, candidate := msg.Kind == Vote || msg.Kind == PreVote, id
+	voting := !msg.Reject && (msg.Kind == AckVote || msg.Kind == AckPreVote)
+	if voting {
+		candidate = msg.To
+	}
+	switch {
+	case standing && !disk.Members().Voter(id), voting && !disk.Members().Elector(id):
+		g.t.Fatalf("%s is not a voter, but sends %+v", id, msg)
+	case msg.Kind == AckAppend && !msg.Reject && msg.Index > last:
+		g.t.Fatalf("%s acknowledges index %d, but has saved only %d", id, msg.Index, last)
+	case msg.Kind == Vote || voting && msg.Kind == AckVote:
+		vote := fmt.Sprint(id, " in term ", msg.Term)
+		if other, ok := g.votes[vote]; ok && other != candidate || disk.Hard != (HardState{Term: msg.Term, Vote: candidate}) {
+			g.t.Fatalf("%s votes for %s, voted for %q, and has saved %+v", vote, candidate, other, disk.Hard)
+		}
+		g.votes[vote] = candidate
+	}
+}
+
+// chance reports true once in n calls while there are faults.
+func (g *group) chance(n int) bool { return g.faulty && g.rand.IntN(n) == 0 }
+
+// transmit puts a message on the wire, possibly late, twice or not at all.
+func (g *group) transmit(m Message) {
+	for _, seen := range g.seen {
+		seen(m)
+	}
+	if g.cut[[2]string{m.From, m.To}] || g.chance(20) {
+		return
+	}
+	for copies := 1; copies > 0; copies-- {
+		delay := time.Millisecond
+		if g.faulty {
+			delay += time.Duration(g.rand.Int64N(int64(heartbeat)))
+		}
+		if g.chance(50) {
+			delay += time.Duration(g.rand.Int64N(int64(3 * election)))
+		}
+		if g.chance(20) {
+			copies++
+		}
+		g.wire = append(g.wire, packet{g.now.Add(delay), m})
+	}
+}
+
+// run advances the time, delivers what is due and ticks every running member.
+func (g *group) run(d time.Duration) {
+	for end := g.now.Add(d); g.now.Before(end); {
+		g.now = g.now.Add(step)
+		g.deliver()
+		for _, id := range g.ids() {
+			if node := g.members[id].node; g.running(id) && !g.now.Before(node.Next()) {
+				g.handle(id, node.Tick(g.now))
+			}
+		}
+	}
+}
+
+// deliver hands over the packets that are due. Packets for a frozen member wait
+// until it resumes, as they would in its socket.
+func (g *group) deliver() {
+	wire := g.wire
+	g.wire = nil
+	for _, p := range wire {
+		m := g.members[p.m.To]
+		switch {
+		case m == nil || !m.up: // dropped
+		case p.at.After(g.now) || m.frozen:
+			g.wire = append(g.wire, p)
+		default:
+			g.handle(p.m.To, m.node.Step(g.now, p.m))
+		}
+	}
+}
+
+// leader returns the running leader with the largest term, or "".
+func (g *group) leader() string {
+	best, term := "", uint64(0)
+	for _, id := range g.ids() {
+		m := g.members[id]
+		if s := m.node.Status(); g.running(id) && s.Role == Leader && s.Term > term {
+			best, term = id, s.Term
+		}
+	}
+	return best
+}
+
+// elect runs until there is a leader that has committed an entry of its term.
+func (g *group) elect() string {
+	g.t.Helper()
+	for range 200 {
+		if id := g.leader(); id != "" && g.status(id).Ready {
+			return id
+		}
+		g.run(step)
+	}
+	g.t.Fatalf("no leader is elected")
+	return ""
+}
+
+// running reports whether the member handles calls.
+func (g *group) running(id string) bool {
+	m := g.members[id]
+	return m.up && !m.frozen
+}
+
+func (g *group) status(id string) Status { return g.members[id].node.Status() }
+
+func (g *group) propose(id string, count int) {
+	for range count {
+		if !g.running(id) {
+			return
+		}
+		g.nextID++
+		_, out, err := g.members[id].node.Propose(g.now, binary.LittleEndian.AppendUint64(nil, g.nextID))
+		if err == nil {
+			g.handle(id, out)
+		}
+	}
+}
+
+// read starts a read and returns its identifier, or 0 if it is refused.
+func (g *group) read(id string) uint64 {
+	if !g.running(id) {
+		return 0
+	}
+	g.nextID++
+	out, err := g.members[id].node.Read(g.now, g.nextID)
+	if err != nil {
+		return 0
+	}
+	read := g.nextID
+	g.reads[read] = uint64(len(g.history) - 1)
+	g.handle(id, out)
+	return read
+}
+
+func (g *group) change(id string, action Action, who string) error {
+	if !g.running(id) {
+		return nil
+	}
+	_, out, err := g.members[id].node.Change(g.now, Membership{Action: action, ID: who})
+	if err == nil {
+		g.handle(id, out)
+	}
+	return err
+}
+
+// isolate cuts the links of a member in the given directions.
+func (g *group) isolate(id string, inbound, outbound bool) {
+	for _, other := range g.ids() {
+		g.cut[[2]string{other, id}] = g.cut[[2]string{other, id}] || inbound
+		g.cut[[2]string{id, other}] = g.cut[[2]string{id, other}] || outbound
+	}
+}
+
+// others lists the members except id.
+func (g *group) others(id string) []string {
+	return slices.DeleteFunc(g.ids(), func(other string) bool { return other == id })
+}
+
+// count counts the messages that are sent from now on.
+func (g *group) count(which func(m Message) bool) *int {
+	count := new(int)
+	g.seen = append(g.seen, func(m Message) {
+		if which(m) {
+			*count++
+		}
+	})
+	return count
+}
--- /dev/null
+++ b/consensus/schedule_test.go
@@ -0,0 +1,181 @@
+package consensus_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	. "wasabirelay/consensus"
+)
+
+// actions are the events of a random schedule with their chances in percent.
+var actions = []struct {
+	name   string
+	weight int
+	do     func(g *group)
+}{
+	{"run", 10, func(g *group) { g.run(2 * heartbeat) }},
+	{"wait", 10, func(g *group) { g.run(2 * election) }},
+	{"propose", 6, func(g *group) { g.propose(g.pick(), 1+g.rand.IntN(20)) }},
+	{"burst", 8, func(g *group) { g.propose(g.target(), 20+g.rand.IntN(80)) }},
+	{"read", 6, func(g *group) { g.read(g.pick()) }},
+	{"reads", 6, func(g *group) { id := g.target(); g.read(id); g.run(step); g.read(id) }},
+	{"crash", 3, func(g *group) { g.members[g.pick()].up = false }},
+	{"restart", 8, func(g *group) { g.restart(g.pick()) }},
+	{"freeze", 3, func(g *group) { g.members[g.target()].frozen = true }},
+	{"resume", 6, func(g *group) { g.members[g.pick()].frozen = false }},
+	{"cut", 2, func(g *group) { g.isolate(g.pick(), true, true) }},
+	{"cutin", 2, func(g *group) { g.isolate(g.target(), true, false) }},
+	{"cutout", 2, func(g *group) { g.isolate(g.pick(), false, true) }},
+	{"heal", 6, func(g *group) { clear(g.cut) }},
+	{"transfer", 3, func(g *group) { g.transfer(g.target(), g.pick()) }},
+	{"lose", 5, func(g *group) { g.lose(g.pick()) }},
+	{"repair", 10, func(g *group) { g.repair(g.target()) }},
+	{"remove", 4, func(g *group) { g.remove(g.target(), g.pick()) }},
+}
+
+// act performs a random action and returns its name.
+func (g *group) act() string {
+	for k := g.rand.IntN(100); ; {
+		for _, a := range actions {
+			if k -= a.weight; k < 0 {
+				a.do(g)
+				return a.name
+			}
+		}
+	}
+}
+
+// pick returns a random member whose disk exists.
+func (g *group) pick() string {
+	ids := g.ids()
+	return ids[g.rand.IntN(len(ids))]
+}
+
+// target returns the leader, or any member if there is none.
+func (g *group) target() string {
+	if id := g.leader(); id != "" {
+		return id
+	}
+	return g.pick()
+}
+
+func (g *group) restart(id string) {
+	if m := g.members[id]; !m.up {
+		m.frozen = false
+		g.start(id)
+	}
+}
+
+func (g *group) transfer(id, to string) {
+	if g.running(id) {
+		out, _ := g.members[id].node.Transfer(g.now, to)
+		g.handle(id, out)
+	}
+}
+
+// survives reports whether the voters whose disks exist, without id, are a
+// majority, now and once a joining member is a voter. More losses than that lose
+// data under any protocol.
+func (g *group) survives(m Members, id string) bool {
+	majority := func(voters []string) bool {
+		alive := slices.DeleteFunc(slices.Clone(voters), func(v string) bool { return g.members[v] == nil || v == id })
+		return len(alive) > len(voters)/2
+	}
+	return majority(m.Voters) && majority(slices.Concat(m.Voters, m.Joining))
+}
+
+// lose destroys a disk. The host comes back blank, under a new identity.
+func (g *group) lose(id string) {
+	for _, m := range g.members {
+		if known := m.disk.Members(); len(known.Voters) > 0 && !g.survives(known, id) {
+			return
+		}
+	}
+	delete(g.members, id)
+	g.nextID++
+	g.join(fmt.Sprintf("%s.%d", id[:2], g.nextID), Saved{})
+}
+
+// repair makes the next step towards a configuration of the existing members.
+func (g *group) repair(leader string) {
+	m := g.status(leader).Members
+	for _, id := range g.ids() {
+		switch {
+		case m.Learner(id):
+			_ = g.change(leader, Promote, id)
+		case !m.Contains(id):
+			_ = g.change(leader, Add, id)
+		}
+	}
+	for _, id := range slices.Concat(m.Voters, m.Joining, m.Learners) {
+		if g.members[id] == nil {
+			_ = g.change(leader, Remove, id)
+		}
+	}
+}
+
+// remove removes a member if the others can still form a majority without the
+// lost ones.
+func (g *group) remove(leader, id string) {
+	rest := g.status(leader).Members
+	rest.Voters = slices.DeleteFunc(rest.Voters, func(voter string) bool { return voter == id })
+	if len(rest.Voters) >= 3 && g.survives(rest, "") {
+		_ = g.change(leader, Remove, id)
+	}
+}
+
+// checkLive ends all faults. It guards against a group that stays unavailable or
+// cannot be repaired, and against committed entries that disappear.
+func (g *group) checkLive() {
+	g.faulty = false
+	clear(g.cut)
+	for _, id := range g.ids() {
+		g.members[id].frozen = false
+		g.restart(id)
+	}
+	g.run(20 * election)
+	for range 2 * len(g.members) * 3 {
+		g.repair(g.elect())
+		g.run(heartbeat)
+	}
+	leader := g.elect()
+	read := g.read(leader)
+	g.propose(leader, 3)
+	g.run(4 * election)
+	leader = g.elect()
+	s := g.status(leader)
+	if !g.done[read] {
+		g.t.Fatalf("a read without faults is not confirmed")
+	}
+	if s.Commit != s.Last || s.Commit != uint64(len(g.history)-1) {
+		g.t.Fatalf("the leader has committed %d of %d; %d were committed before", s.Commit, s.Last, len(g.history)-1)
+	}
+	if !slices.Equal(s.Members.Voters, g.ids()) {
+		g.t.Fatalf("the voters are %v instead of %v", s.Members.Voters, g.ids())
+	}
+	for _, id := range s.Members.Voters {
+		if m := g.members[id]; m.applied != s.Commit {
+			g.t.Fatalf("%s has applied %d of %d: %+v", id, m.applied, s.Commit, s.Progress[id])
+		}
+	}
+}
+
+// TestSchedules runs random faults, and guards against everything that group
+// checks after each call and checkLive at the end. The seed determines the whole
+// schedule, and rapid looks for the shortest one that fails.
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		voters := rapid.SampledFrom([]int{1, 2, 3, 3, 4, 5}).Draw(t, "voters")
+		g := newGroup(t, rapid.Uint64().Draw(t, "seed"), []string{"h1", "h2", "h3", "h4", "h5"}[:voters]...)
+		g.elect()
+		g.faulty = true
+		for range rapid.IntRange(20, 150).Draw(t, "actions") {
+			t.Log(g.act())
+			g.run(step)
+		}
+		g.checkLive()
+	})
+}
