answer: export the metrics of query traffic

Cause: queries, sub-requests and dropped replies were counted inside the package only.

Conclusion: the tests read the figures through a registry.

--- a/answer/cluster_test.go
+++ b/answer/cluster_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"wasabirelay/control"
 	"wasabirelay/inventory"
@@ -29,7 +30,8 @@
 // cluster is a Service on a fake clock with fake targets behind the Send seam.
 type cluster struct {
 	*Service
-	clock *clockwork.FakeClock
+	clock    *clockwork.FakeClock
+	registry *prometheus.Registry
 
 	mu       sync.Mutex
 	view     *control.View
@@ -55,6 +57,8 @@
 		Targets:   map[string][]*control.Target{desk: targets}, Known: map[string]map[uint64]int{},
 	}
 	c.Clock = c.clock
+	c.registry = prometheus.NewRegistry()
+	c.Registry = c.registry
 	c.View = func() (*control.View, error) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/answer/metrics.go
+++ b/answer/metrics.go
@@ -1,37 +1,60 @@
 package answer
 
 import (
-	"sync"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
-// metrics counts query traffic. It does not export its figures yet.
+// metrics are the figures of query traffic.
 type metrics struct {
-	mu     sync.Mutex
-	counts map[[2]string]float64
+	queries     *prometheus.CounterVec
+	subrequests *prometheus.CounterVec
+	dropped     *prometheus.CounterVec
+	disputed    *prometheus.GaugeVec
+	latency     *prometheus.HistogramVec
 }
 
-func newMetrics() *metrics { return &metrics{counts: map[[2]string]float64{}} }
-
-func (m *metrics) add(name, label string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.counts[[2]string{name, label}]++
+// newMetrics creates the metrics and registers them unless registry is nil.
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		queries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_queries_total", Help: "Queries by service and result.",
+		}, []string{fieldService, "result"}),
+		subrequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_subrequests_total", Help: "Sub-requests that were handed to a target, by kind: first, hedge, retry.",
+		}, []string{fieldService, "kind"}),
+		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_dropped_replies_total", Help: "Replies of targets that were not used, by reason.",
+		}, []string{fieldService, "reason"}),
+		disputed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "wasabirelay_disputed_snapshots", Help: "Snapshots whose shard count targets announce differently.",
+		}, []string{fieldService}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "wasabirelay_query_seconds", Help: "Time from the arrival of a query to its answer or refusal.",
+			// From 1 ms, doubling, with the 82 ms to design for as one bound.
+			Buckets: []float64{.001, .002, .004, .008, .016, .032, .05, .082, .128, .256, .512, 1, 2, 4},
+		}, []string{fieldService}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.queries, m.subrequests, m.dropped, m.disputed, m.latency)
+	}
+	return m
 }
 
 // query counts an answered or refused query.
-func (m *metrics) query(service, result string, _ time.Duration) {
-	m.add("wasabirelay_queries_total", result)
-	m.add("wasabirelay_queries_total", service)
+func (m *metrics) query(service, result string, took time.Duration) {
+	m.queries.WithLabelValues(service, result).Inc()
+	m.latency.WithLabelValues(service).Observe(took.Seconds())
 }
 
 // subrequest counts a sub-request that is handed to a target.
-func (m *metrics) subrequest(_ string, kind Kind) {
-	m.add("wasabirelay_subrequests_total", string(kind))
+func (m *metrics) subrequest(service string, kind Kind) {
+	m.subrequests.WithLabelValues(service, string(kind)).Inc()
 }
 
 // drop counts a reply that is not used.
-func (m *metrics) drop(_, reason string) { m.add("wasabirelay_dropped_replies_total", reason) }
+func (m *metrics) drop(service, reason string) { m.dropped.WithLabelValues(service, reason).Inc() }
 
 // dispute sets the number of snapshots with disputed shard counts.
-func (m *metrics) dispute(_ string, _ int) {}
+func (m *metrics) dispute(service string, n int) { m.disputed.WithLabelValues(service).Set(float64(n)) }
--- a/answer/metrics_test.go
+++ b/answer/metrics_test.go
@@ -8,9 +8,23 @@
 
 // value returns the value of a counter with the given value of one label.
 func (c *cluster) value(name, label string) float64 {
-	c.metrics.mu.Lock()
-	defer c.metrics.mu.Unlock()
-	return c.metrics.counts[[2]string{name, label}]
+	families, err := c.registry.Gather()
+	if err != nil {
+		return -1
+	}
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if l.GetValue() == label {
+					return m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return 0
 }
 
 // waitDropped waits until n replies were dropped for a reason.
--- a/answer/seams.go
+++ b/answer/seams.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
@@ -144,11 +145,12 @@
 type Service struct {
 	Seams
 	// Host is the name of this host.
-	Host   string
-	Clock  clockwork.Clock
-	Log    zerolog.Logger
-	Tracer trace.TracerProvider
-	Poison *poison.Tracker
+	Host     string
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Registry prometheus.Registerer
+	Tracer   trace.TracerProvider
+	Poison   *poison.Tracker
 
 	state
 }
--- a/answer/service.go
+++ b/answer/service.go
@@ -55,7 +55,7 @@
 			s.Poison = &poison.Tracker{}
 		}
 		s.tracer = s.Tracer.Tracer("wasabirelay/answer")
-		s.metrics = newMetrics()
+		s.metrics = newMetrics(s.Registry)
 		s.store.init()
 		s.setSeams()
 	})
