--- a/answer/claim.go
+++ b/answer/claim.go
@@ -30,13 +30,11 @@
 		d = problem.Unavailable("claim", "the outcome of the claim is not known: "+err.Error())
 		d.Executed = problem.Unknown
 		return verdict{refusal: d}
-	case result.Refusal == nil && result.Holder == "":
-		return verdict{run: true}
 	case result.Refusal == nil:
+		return verdict{run: true}
+	case result.Refusal.Kind == control.Taken:
 		return verdict{holder: result.Holder, outcome: result.Outcome}
-	}
-	switch result.Refusal.Kind {
-	case control.Conflict, control.Taken, control.Invalid:
+	case result.Refusal.Kind == control.Conflict:
 		return verdict{refusal: refuseOtherContent()}
 	default:
 		return verdict{refusal: problem.Unavailable("claim", result.Refusal.Detail)}
--- a/answer/reply.go
+++ b/answer/reply.go
@@ -18,8 +18,12 @@
 
 func (e *ReplyError) Error() string { return "reply not accepted: " + e.Reason }
 
-// reasonLength is the reason of a reply that was cut short.
-const reasonLength = "length"
+const (
+	// reasonLength is the reason of a reply that was cut short or is too large.
+	reasonLength = "length"
+	// reasonForm is the reason of a reply that is not one JSON document.
+	reasonForm = "form"
+)
 
 // ReadReply returns the reply of a target from its HTTP response. The error's
 // cause is a *ReplyError if a reply of status 200 is at fault.
@@ -53,11 +57,11 @@
 	var reply target.Reply
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	if err := decoder.Decode(&reply); err != nil {
-		return nil, &ReplyError{Reason: "form"}
+		return nil, &ReplyError{Reason: reasonForm}
 	}
 	// A second document in the same body is a doubled reply.
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, &ReplyError{Reason: "form"}
+		return nil, &ReplyError{Reason: reasonForm}
 	}
 	return &reply, nil
 }
--- a/answer/run.go
+++ b/answer/run.go
@@ -86,10 +86,15 @@
 // usable returns the filter for targets that may answer this query.
 func (r *run) usable(ix *index, drawn string) func(*control.Target) bool {
 	return func(t *control.Target) bool {
-		return !r.failed[t.Name] && ix.serves(t.Version, drawn) && (t.State != control.Cold || r.s.Granted(ix.view, t))
+		return !r.failed[t.Name] && ix.serves(t.Version, drawn) && (!r.s.cold(t) || r.s.Granted(ix.view, t))
 	}
 }
 
+// cold reports whether a target is cold or behaves as if it were.
+func (s *Service) cold(t *control.Target) bool {
+	return t.State == control.Cold || s.SuspectCold(s.Clock.Now(), t)
+}
+
 // fanOut runs rounds until every shard has settled or ctx ends.
 func (r *run) fanOut(best *snapshot) {
 	defer close(r.done)
@@ -276,13 +281,14 @@
 	}
 	c := Choice{
 		Service: r.q.Service, Shard: a.shard, Replicas: snap.shards[a.shard], Exclude: exclude, Allow: r.usable(ix, drawn),
+		NoProbe: !r.q.Idempotent,
 	}
 	for {
 		t, ok := r.s.Pick(r.s.Clock.Now(), c)
 		if !ok {
 			return nil, nil
 		}
-		if t.State != control.Cold {
+		if !r.s.cold(t) {
 			return t, func() {}
 		}
 		if release, granted := r.s.Grant(t); granted {
--- a/answer/seams.go
+++ b/answer/seams.go
@@ -99,6 +99,9 @@
 	// Exclude holds the names of targets that were asked already.
 	Exclude map[string]bool
 	Allow   func(*control.Target) bool
+	// NoProbe keeps requests that can't be retried away from targets that are only
+	// probed.
+	NoProbe bool
 }
 
 // Seams connect the service to the rest of the daemon. View is required; every
@@ -118,6 +121,8 @@
 	Pick  func(now time.Time, c Choice) (*control.Target, bool)
 	Start func(now time.Time, t *control.Target)
 	Done  func(now time.Time, t *control.Target, service string, latency time.Duration, o Outcome)
+	// SuspectCold reports whether a target behaves as if it were cold.
+	SuspectCold func(now time.Time, t *control.Target) bool
 	// HedgeAfter returns the delay of hedges, or false while none may be sent.
 	HedgeAfter func(now time.Time, service string, quantile float64) (time.Duration, bool)
 	// Sent counts a first sub-request; Extra draws a hedge or a retry from the
--- a/answer/send.go
+++ b/answer/send.go
@@ -220,25 +220,41 @@
 	}
 }
 
+// newCancellation returns the request that cancels a sub-request.
+func newCancellation(ctx context.Context, t *control.Target, sub *Subrequest) (*http.Request, error) {
+	body, err := json.Marshal(Cancellation{Request: sub.Request, Shard: sub.Shard})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode cancellation")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address.String()+"/cancel", bytes.NewReader(body)) //nolint:gosec // The address is the one that the target announced.
+	return req, errors.Wrap(err, "build cancellation")
+}
+
+// newHealth returns the request for a target's health.
+func newHealth(ctx context.Context, t *control.Target) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address.String()+"/health", http.NoBody)
+	return req, errors.Wrap(err, "build health request")
+}
+
 // cancel posts the cancellation of a sub-request.
 func (s *sender) cancel(ctx context.Context, t *control.Target, sub *Subrequest) error {
-	body, err := json.Marshal(Cancellation{Request: sub.Request, Shard: sub.Shard})
+	req, err := newCancellation(ctx, t, sub)
 	if err != nil {
-		return errors.Wrap(err, "encode cancellation")
+		return err
 	}
-	return s.call(ctx, http.MethodPost, t, "/cancel", body)
+	return s.call(req)
 }
 
 // health asks for the target's health. A reply of any status is an answer.
 func (s *sender) health(ctx context.Context, t *control.Target) error {
-	return s.call(ctx, http.MethodGet, t, "/health", nil)
-}
-
-func (s *sender) call(ctx context.Context, method string, t *control.Target, path string, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.Address.String()+path, bytes.NewReader(body)) //nolint:gosec // The address is the one that the target announced.
+	req, err := newHealth(ctx, t)
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return err
 	}
+	return s.call(req)
+}
+
+func (s *sender) call(req *http.Request) error {
 	res, err := s.client.Do(req) //nolint:gosec // The address is the one that the target announced.
 	if err != nil {
 		return errors.Wrap(err, "call target")
--- a/answer/service.go
+++ b/answer/service.go
@@ -70,6 +70,7 @@
 	set(&s.Pick, d.pick)
 	set(&s.Start, func(time.Time, *control.Target) {})
 	set(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
+	set(&s.SuspectCold, func(time.Time, *control.Target) bool { return false })
 	set(&s.HedgeAfter, func(time.Time, string, float64) (time.Duration, bool) { return 0, false })
 	set(&s.Sent, d.countSent)
 	set(&s.Extra, d.extra)
