--- a/answer/seams.go
+++ b/answer/seams.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
@@ -80,6 +81,13 @@
 
 func (e *SendError) Error() string { return e.Outcome.String() + ": " + e.Err.Error() }
 
+// broken reports whether the connection ended after the request was sent, which
+// a target that dies causes.
+func (e *SendError) broken() bool {
+	var reply *ReplyError
+	return e.Sent && (e.Outcome == Reset || (errors.As(e.Err, &reply) && reply.Reason == reasonLength))
+}
+
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
@@ -91,6 +99,9 @@
 	// Exclude holds the names of targets that were asked already.
 	Exclude map[string]bool
 	Allow   func(*control.Target) bool
+	// NoProbe keeps requests that can't be retried away from targets that are only
+	// probed.
+	NoProbe bool
 }
 
 // Seams connect the service to the rest of the daemon. View is required; every
@@ -110,6 +121,8 @@
 	Pick  func(now time.Time, c Choice) (*control.Target, bool)
 	Start func(now time.Time, t *control.Target)
 	Done  func(now time.Time, t *control.Target, service string, latency time.Duration, o Outcome)
+	// SuspectCold reports whether a target behaves as if it were cold.
+	SuspectCold func(now time.Time, t *control.Target) bool
 	// HedgeAfter returns the delay of hedges, or false while none may be sent.
 	HedgeAfter func(now time.Time, service string, quantile float64) (time.Duration, bool)
 	// Sent counts a first sub-request; Extra draws a hedge or a retry from the
@@ -137,11 +150,12 @@
 type Service struct {
 	Seams
 	// Host is the name of this host.
-	Host   string
-	Clock  clockwork.Clock
-	Log    zerolog.Logger
-	Tracer trace.TracerProvider
-	Poison *poison.Tracker
+	Host     string
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Registry prometheus.Registerer
+	Tracer   trace.TracerProvider
+	Poison   *poison.Tracker
 
 	state
 }
--- a/answer/service.go
+++ b/answer/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +20,6 @@
 	// linger is how long after the deadline of its query a sub-request may run to
 	// completion, because closing the connection costs up to 6 ms on its next use.
 	linger = time.Second
-	// idlePerTarget is the number of connections that the largest deployments
-	// keep to one searcher (100); the standard client keeps 2.
-	idlePerTarget = 100
 	// background bounds cancellations, health checks and proposals that no caller
 	// waits for.
 	background = time.Second
@@ -59,24 +55,22 @@
 			s.Poison = &poison.Tracker{}
 		}
 		s.tracer = s.Tracer.Tracer("wasabirelay/answer")
-		s.metrics = newMetrics()
+		s.metrics = newMetrics(s.Registry)
 		s.store.init()
 		s.setSeams()
 	})
 }
 
 func (s *Service) setSeams() {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy, transport.DisableCompression = nil, true // Targets are called directly, and lengths are checked.
-	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = 0, idlePerTarget
-	h := &HTTP{Client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, Clock: s.Clock}
+	h := newSender(s.Clock)
 	d := &defaults{}
-	set(&s.Send, h.Send)
-	set(&s.Cancel, h.Cancel)
-	set(&s.Health, h.Health)
+	set(&s.Send, h.send)
+	set(&s.Cancel, h.cancel)
+	set(&s.Health, h.health)
 	set(&s.Pick, d.pick)
 	set(&s.Start, func(time.Time, *control.Target) {})
 	set(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
+	set(&s.SuspectCold, func(time.Time, *control.Target) bool { return false })
 	set(&s.HedgeAfter, func(time.Time, string, float64) (time.Duration, bool) { return 0, false })
 	set(&s.Sent, d.countSent)
 	set(&s.Extra, d.extra)
@@ -88,9 +82,6 @@
 	set(&s.Draw, rand.Float64)
 }
 
-// noRedirect keeps the client from repeating a sub-request at another address.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // index returns the index of a service in a view. The first use of a view also
 // reports disputed shard counts and compares incarnations.
 func (s *Service) index(v *control.View, service string) *index {
