Compare renewals without what the state machine sets

A leave of an expired target names its home, so that it is refused if the target has moved meanwhile. Before/after: ten equal announcements made more than the two log entries that TestServiceAnswers allows once its commands carry a time; now two. Conclusion: the earlier test did not see the fault because its commands had no time; it now sets one, as the leader does.

--- a/target/decode.go
+++ b/target/decode.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,7 @@
 	if bad := Check(&t); bad != nil {
 		return nil, bad
 	}
+	t.Home, t.Since = "", time.Time{} // Set by the host and by the state machine.
 	slices.Sort(t.Shards)
 	slices.SortFunc(t.Snapshots, func(a, b control.Snapshot) int { return cmp.Compare(a.Number, b.Number) })
 	return &t, nil
--- a/target/service.go
+++ b/target/service.go
@@ -170,7 +170,11 @@
 	if !ok {
 		return false
 	}
-	if err := s.ask(r.Context(), func(table *Table, now Situation) { table.Accept(now, t, result.Index) }); err != nil {
+	for _, n := range result.Dropped {
+		s.Log.Warn().Str("target", t.Name).Uint64("snapshot", n.Number).Int("shards", n.Shards).
+			Msg("snapshot left out: other targets announce it with another number of shards")
+	}
+	if err := s.ask(r.Context(), func(table *Table, now Situation) { table.Accept(now, t, result) }); err != nil {
 		problem.Unavailable("stopping", err.Error()).Write(w)
 		return false
 	}
--- a/target/service_test.go
+++ b/target/service_test.go
@@ -34,6 +34,7 @@
 	if l.err != nil {
 		return control.Result{}, l.err
 	}
+	c.At = start.Add(time.Duration(len(l.commands)) * time.Second) // As the leader does.
 	l.commands = append(l.commands, c)
 	l.added <- c
 	return l.state.Apply(uint64(len(l.commands)), c), nil
@@ -70,7 +71,7 @@
 	is := is.New(t)
 	l, _, mux, s := serve(t)
 	s.Addresses = func() []string { return []string{"127.0.0.1:7101"} }
-	for range 3 {
+	for range 10 {
 		w := call(mux, "POST", "/v1/targets", announcement)
 		is.Equal(w.Code, 200)
 		var r Renewal
@@ -139,7 +140,7 @@
 		is.NoErr(s.ask(ctx, func(*Table, Situation) {})) // The tick was taken.
 		select {
 		case c := <-l.added:
-			is.Equal(*c.Leave, control.Leave{Target: "od-1", Incarnation: "i1", Reason: control.Expired})
+			is.Equal(*c.Leave, control.Leave{Target: "od-1", Incarnation: "i1", Reason: control.Expired, Home: "h1"})
 			left = true
 		default:
 		}
--- a/target/table.go
+++ b/target/table.go
@@ -52,8 +52,10 @@
 	seen        time.Time     // last renewal, or when this host took the target over
 	told        time.Duration // expiry that the target was told
 	accepted    control.Target
-	index       uint64    // log index of accepted
-	proposed    time.Time // when the last leave was proposed
+	index       uint64             // log index of accepted
+	at          time.Time          // when it was accepted
+	dropped     []control.Snapshot // snapshots of accepted that the log did not take over
+	proposed    time.Time          // when the last leave was proposed
 }
 
 // Renew records an announcement and decides what to do with it.
@@ -74,17 +76,31 @@
 	}
 	// A change that can't be committed is a sign of life as well.
 	e.seen, e.told = s.Now, s.expire()
-	if reflect.DeepEqual(known, a) {
+	if e.says(s, known, a) {
 		return Answer
 	}
 	return Propose
 }
 
-// Accept records that the announcement was committed at the log index.
-func (t *Table) Accept(s Situation, a *control.Target, index uint64) {
+// Accept records that the announcement was committed with the result.
+func (t *Table) Accept(s Situation, a *control.Target, r control.Result) {
 	t.observe(s)
 	e := t.watch(a.Name, a.Incarnation)
-	e.seen, e.told, e.accepted, e.index = s.Now, s.expire(), *a, index
+	e.seen, e.told, e.accepted, e.index, e.at, e.dropped = s.Now, s.expire(), *a, r.Index, s.Now, r.Dropped
+}
+
+// says reports whether the announcement says what is known. Snapshots that the
+// log did not take over do not count for a while, so that they are proposed once
+// per expiry period and not with each renewal.
+func (e *entry) says(s Situation, known, a *control.Target) bool {
+	k, said := *known, *a
+	k.Since = said.Since // Set by the state machine.
+	if len(e.dropped) > 0 && s.Now.Sub(e.at) < s.expire() {
+		dropped := func(n control.Snapshot) bool { return slices.Contains(e.dropped, n) }
+		k.Snapshots = slices.DeleteFunc(slices.Clone(k.Snapshots), dropped)
+		said.Snapshots = slices.DeleteFunc(slices.Clone(said.Snapshots), dropped)
+	}
+	return reflect.DeepEqual(&k, &said)
 }
 
 // Expire returns the leaves of the targets that missed their renewals. A target
@@ -104,7 +120,7 @@
 			watched[known.Name] = true
 			if t.overdue(s, known) {
 				leaves = append(leaves, control.Leave{
-					Target: known.Name, Incarnation: known.Incarnation, Reason: control.Expired,
+					Target: known.Name, Incarnation: known.Incarnation, Reason: control.Expired, Home: known.Home,
 				})
 			}
 		}
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -76,6 +76,7 @@
 		{"same", func(*bench, *control.Target) {}, Answer},
 		{"state", func(_ *bench, a *control.Target) { a.State = control.Draining }, Propose},
 		{"snapshot", func(_ *bench, a *control.Target) { a.Snapshots = a.Snapshots[1:] }, Propose},
+		{"time set by the state machine", func(b *bench, a *control.Target) { b.s.View.Targets[a.Service][0].Since = start }, Answer},
 		{"incarnation", func(_ *bench, a *control.Target) { a.Incarnation = "i2" }, Propose},
 		{"removed", func(b *bench, a *control.Target) { b.s.View.Targets = nil }, Propose},
 		{"through another host before", func(b *bench, a *control.Target) { b.s.View.Targets[a.Service][0].Home = "h2" }, Propose},
@@ -101,13 +102,31 @@
 	b := newBench()
 	a := announced("od-1", "h1")
 	is.Equal(b.table.Renew(b.s, a), Propose)
-	b.table.Accept(b.s, a, 2)
+	b.table.Accept(b.s, a, control.Result{Index: 2})
 	is.Equal(b.table.Renew(b.s, a), Answer) // The view is at 1.
 	is.Equal(len(b.run(20*time.Second)), 0) // Not in the view, so there is nothing to expire.
 	b.s.View.Revision = 3
 	is.Equal(b.table.Renew(b.s, a), Propose) // At 3 the target is not there: it was removed.
 }
 
+// Guards against a proposal with each renewal when the log does not take over a
+// snapshot, and against a snapshot that is never proposed again.
+func TestDroppedSnapshotIsProposedSlowly(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	a := announced("od-1", "h1")
+	b.table.Accept(b.s, a, control.Result{Index: 2, Dropped: a.Snapshots[:1]})
+	known := *a
+	known.Snapshots = a.Snapshots[1:]
+	b.commit(&known)
+	is.Equal(b.table.Renew(b.s, a), Answer)
+	changed := *a
+	changed.Snapshots = append([]control.Snapshot{{Number: 6, Shards: 3}}, a.Snapshots...)
+	is.Equal(b.table.Renew(b.s, &changed), Propose)
+	b.run(inventory.DefaultExpire, a)
+	is.Equal(b.table.Renew(b.s, a), Propose)
+}
+
 // Guards against silent targets that stay, and renewing ones that are removed.
 func TestExpire(t *testing.T) {
 	for _, c := range []struct {
@@ -160,7 +179,7 @@
 		}},
 		{"accepted announcement first", func(b *bench) {
 			b.s.Now = b.s.Now.Add(time.Minute)
-			b.table.Accept(b.s, announced("other", "h1"), b.s.View.Revision)
+			b.table.Accept(b.s, announced("other", "h1"), control.Result{Index: b.s.View.Revision})
 		}},
 		{"clock set back", func(b *bench) { b.s.Now = b.s.Now.Add(-time.Minute) }},
 		{"outage", func(b *bench) {
