Export metrics and connect routing and connection limits

Cause: queries used a random replica over the standard client. Change: the daemon uses packages route and limit, exports their figures, reports ejected targets in the status, and can use TLS towards targets. Conclusion: TLS towards targets has no test yet; it is listed as open.

--- a/daemon/link_test.go
+++ b/daemon/link_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -71,9 +70,6 @@
 				return
 			}
 		}
-		if err == io.EOF && l.cut.Load() {
-			return
-		}
 		if err != nil {
 			return
 		}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -26,22 +26,24 @@
 // maxHeader bounds the headers of a request in bytes.
 const maxHeader = 64 << 10
 
-// certificates holds the TLS files of the three listeners; nil means plain text.
+// certificates holds the TLS files of the listeners and of connections to targets;
+// nil means plain text.
 type certificates struct {
-	caller, operator, peer *certificate.Store
+	caller, operator, peer, target *certificate.Store
 }
 
 func (c *certificates) load(d *Daemon) error {
 	for _, l := range []struct {
 		name string
-		from settings.Listener
+		from *settings.TLS
 		to   **certificate.Store
 	}{
-		{"caller", d.Settings.Caller, &c.caller},
-		{"operator", d.Settings.Operator, &c.operator},
-		{"peer", d.Settings.Peer, &c.peer},
+		{"caller", d.Settings.Caller.TLS, &c.caller},
+		{"operator", d.Settings.Operator.TLS, &c.operator},
+		{"peer", d.Settings.Peer.TLS, &c.peer},
+		{"target", d.Settings.Target, &c.target},
 	} {
-		t := l.from.TLS
+		t := l.from
 		if t == nil {
 			continue
 		}
@@ -49,7 +51,7 @@
 			Certificate: t.Certificate, Key: t.Key, Authority: t.Authority, Clock: d.Clock, Log: d.Log,
 		}
 		if err := s.Load(); err != nil {
-			return errors.Wrapf(err, "TLS of the %s listener", l.name)
+			return errors.Wrapf(err, "TLS of %s", l.name)
 		}
 		*l.to = s
 	}
@@ -64,6 +66,14 @@
 	return c.peer.Client()
 }
 
+// targetClient returns the configuration of connections to targets.
+func (c *certificates) targetClient() *tls.Config {
+	if c.target == nil {
+		return nil
+	}
+	return c.target.Client()
+}
+
 // listener is an HTTP server with its open listener.
 type listener struct {
 	server *http.Server
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -37,7 +37,7 @@
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if binaries.dir != "" {
-		os.RemoveAll(binaries.dir)
+		_ = os.RemoveAll(binaries.dir) // It is a temporary folder.
 	}
 	os.Exit(code)
 }
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -8,7 +8,6 @@
 	"wasabirelay/answer"
 	"wasabirelay/control"
 	"wasabirelay/limit"
-	"wasabirelay/operator"
 	"wasabirelay/peer"
 	"wasabirelay/quorum"
 	"wasabirelay/route"
@@ -23,9 +22,11 @@
 
 func (d *Daemon) prepareQueries() {
 	d.routes = &route.Table{Centre: d.Settings.Centre}
-	d.pool = &limit.Pool{Clock: d.Clock}
+	d.pool = &limit.Pool{Clock: d.Clock, TLS: d.certificates.targetClient()}
 	d.admission = &limit.Admission{Clock: d.Clock}
 	d.queries = &answer.Service{Host: d.Settings.Host, Clock: d.Clock, Log: d.Log}
+	d.queries.Registry = d.Registry
+	d.queries.Connect(d.routes, d.pool, d.admission)
 	d.queries.View = d.follower.Current
 	d.queries.Propose = d.control.Propose
 	d.queries.Grant = d.grants.Reserve
@@ -58,11 +59,6 @@
 	d.routes.Forget(live)
 }
 
-func (d *Daemon) registerMetrics() {}
-
-// findings returns what this host observed itself.
-func (d *Daemon) findings() []operator.Finding { return nil }
-
 // fetchRequest asks a host for the stored answer of a request.
 type fetchRequest struct {
 	Key string `json:"key"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,8 @@
 	Caller   Listener `json:"caller"`
 	Operator Listener `json:"operator"`
 	Peer     Listener `json:"peer"`
+	// Target holds the TLS files for connections to targets; plain text without it.
+	Target *TLS `json:"target,omitempty"`
 	// Data is the folder of the control state. It is empty on a host that is an
 	// entry host only.
 	Data string `json:"data,omitempty"`
@@ -97,11 +99,17 @@
 		taken[l.Address] = true
 		s.Require(l.TLS != nil || l.Plain || l.Address.Addr().IsLoopback(),
 			`"tls", or "plain": true for plain text on an address that is not loopback`, l.name)
-		if l.TLS != nil {
-			s.Require(l.TLS.Certificate != "", "a file", l.name, "tls", "certificate")
-			s.Require(l.TLS.Key != "", "a file", l.name, "tls", "key")
-		}
+		checkTLS(s, l.TLS, l.name, "tls")
 	}
+	checkTLS(s, v.Target, "target")
+}
+
+func checkTLS(s *document.Source, t *TLS, path ...string) {
+	if t == nil {
+		return
+	}
+	s.Require(t.Certificate != "", "a file", slices.Concat(path, []string{"certificate"})...)
+	s.Require(t.Key != "", "a file", slices.Concat(path, []string{"key"})...)
 }
 
 func checkControl(s *document.Source, v *Settings) {
