--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,9 +35,9 @@
 const (
 	// flushTimeout bounds the export of the last spans.
 	flushTimeout = 2 * time.Second
-	// sweepInterval is how often unused grants are released and connection shares
-	// are divided anew.
-	sweepInterval = 500 * time.Millisecond
+	// sweepInterval is how often unused grants are released, idle connections are
+	// looked after and connection shares are divided anew.
+	sweepInterval = time.Second
 )
 
 // Daemon is one process. Exported fields are set before Run.
@@ -201,6 +201,7 @@
 			d.divide()
 		case <-ticker.Chan():
 			d.grants.Sweep()
+			d.pool.Sweep()
 			d.divide()
 		}
 	}
--- a/host/follower.go
+++ b/host/follower.go
@@ -326,6 +326,11 @@
 		}
 	}
 	v := f.state.View()
+	if v.Version != f.view.Load().Version {
+		// The renewal acknowledges the change; without it a change would be in force
+		// only after the next regular renewal.
+		f.next = time.Time{}
+	}
 	f.view.Store(v)
 	if f.Changed != nil {
 		f.Changed(v)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"sync/atomic"
 	"time"
@@ -83,7 +85,9 @@
 	c := &Conn{tcp: &timedConn{Conn: nc}}
 	ready := make(chan struct{})
 	stream := jsonrpc2.NewBufferedStream(c.tcp, jsonrpc2.VarintObjectCodec{})
-	c.rpc = jsonrpc2.NewConn(ctx, stream, &dispatcher{conn: c, handlers: handlers, ready: ready})
+	// The library logs every connection that ends; callers see that as errors.
+	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+	c.rpc = jsonrpc2.NewConn(ctx, stream, &dispatcher{conn: c, handlers: handlers, ready: ready}, quiet)
 	close(ready)
 	return c
 }
--- a/quorum/propose.go
+++ b/quorum/propose.go
@@ -92,6 +92,7 @@
 	for i := range entries {
 		e := &entries[i]
 		r.applied = e.Index
+		r.logged += len(e.Data)
 		result, shared := r.applyOne(e)
 		fed = append(fed, FeedEntry{Index: e.Index, Command: shared})
 		r.answer(e, result)
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -23,16 +23,17 @@
 // Default timing of the replicated log. An election ends well within a lease, so
 // that entry hosts bridge a change of leader.
 const (
-	DefaultElection  = 300 * time.Millisecond
-	DefaultHeartbeat = 60 * time.Millisecond
+	DefaultElection  = 400 * time.Millisecond
+	DefaultHeartbeat = 100 * time.Millisecond
 )
 
 const (
 	// eventBacklog bounds the events that wait for the control goroutine.
 	eventBacklog = 1024
-	// snapshotInterval is the number of commands between snapshots. It bounds the
-	// log that a restart has to read.
-	snapshotInterval = 256
+	// snapshotEntries is the least number of entries between snapshots. Beyond it a
+	// snapshot is taken when the log has outgrown the last one, so that a restart
+	// reads at most about twice the state and snapshots cost no more than the log.
+	snapshotEntries = 32
 )
 
 // Replica is a control replica. Exported fields are set before Run.
@@ -60,8 +61,11 @@
 	at       time.Time
 	applied  uint64
 	compact  uint64
-	term     uint64
-	role     consensus.Role
+	// logged and compacted are the bytes of the log since the last snapshot and
+	// those of the snapshot.
+	logged, compacted int
+	term              uint64
+	role              consensus.Role
 
 	waiters map[uint64]waiter
 	feed    feed
@@ -126,7 +130,7 @@
 }
 
 func (r *Replica) restore(s *consensus.Snapshot) error {
-	r.applied, r.compact = s.Index, s.Index
+	r.applied, r.compact, r.compacted = s.Index, s.Index, len(s.Data)
 	if len(s.Data) == 0 {
 		return nil
 	}
@@ -247,9 +251,9 @@
 	}
 }
 
-// snapshot compacts the log after snapshotInterval commands.
+// snapshot compacts the log once it has outgrown the last snapshot.
 func (r *Replica) snapshot() {
-	if r.applied < r.compact+snapshotInterval {
+	if r.applied < r.compact+snapshotEntries || r.logged < r.compacted {
 		return
 	}
 	data, err := r.state.Snapshot()
@@ -265,7 +269,7 @@
 		r.fatal = errors.Wrap(err, "save snapshot")
 		return
 	}
-	r.compact = r.applied
+	r.compact, r.logged, r.compacted = r.applied, 0, len(data)
 }
 
 // hostOf returns the host of a member's identity.
