Measure query traffic with real daemons and searchers

Adds script/bench query: open-loop load whose latency counts from the schedule, a capacity probe, and a random replica and a naive hedge as baselines on searchers of the same shape. It prints one figure a line and writes a table and plots.

--- /dev/null
+++ b/bench/caller.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wasabirelay/answer"
+	"wasabirelay/problem"
+	"wasabirelay/target"
+)
+
+// callerConnections bounds the idle connections that the load generator keeps to
+// each entry host.
+const callerConnections = 2048
+
+// noReply is the reason of a request that an entry host did not reply to.
+const noReply = "no reply"
+
+// Caller sends queries to the entry hosts in turn.
+type Caller struct {
+	Service string
+	Hosts   []netip.AddrPort
+	// Failover resends a request that got no reply to the next host.
+	Failover bool
+	HTTP     *http.Client
+}
+
+func newCaller(service string, hosts []netip.AddrPort) *Caller {
+	return &Caller{Service: service, Hosts: hosts, HTTP: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: callerConnections, DisableCompression: true},
+	}}
+}
+
+// Send sends a query to the n-th host, modulo their number. A key is set for a
+// request that is not idempotent.
+func (c *Caller) Send(ctx context.Context, n int, request, key string) Sample {
+	for try := 0; ; try++ {
+		s, err := c.post(ctx, c.Hosts[(n+try)%len(c.Hosts)], request, key)
+		if err == nil || !c.Failover || try == len(c.Hosts)-1 || ctx.Err() != nil {
+			return s
+		}
+	}
+}
+
+func (c *Caller) post(ctx context.Context, host netip.AddrPort, request, key string) (Sample, error) {
+	body := `{"request":"` + request + `","query":` + baselineQuery + `,"idempotent":` + strconv.FormatBool(key == "") + `}`
+	url := "http://" + host.String() + "/v1/services/" + c.Service + "/query"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return Sample{Refused: true}, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set(answer.HeaderKey, key)
+	}
+	if end, ok := ctx.Deadline(); ok {
+		req.Header.Set(target.HeaderTimeout, strconv.FormatInt(max(1, time.Until(end).Milliseconds()), 10))
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return Sample{Refused: true, Reason: noReply}, errors.Wrap(err, "call host")
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return Sample{Refused: true}, errors.Wrap(err, "read answer")
+	}
+	if res.StatusCode != http.StatusOK {
+		var d problem.Details
+		if err := json.Unmarshal(text, &d); err != nil {
+			return Sample{Refused: true, Reason: http.StatusText(res.StatusCode)}, nil
+		}
+		return Sample{Refused: true, Reason: d.Title + ": " + d.Detail}, nil
+	}
+	var a answer.Answer
+	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&a); err != nil {
+		return Sample{Refused: true}, errors.Wrap(err, "decode answer")
+	}
+	return Sample{Whole: a.Coverage.Total > 0 && a.Coverage.Answered == a.Coverage.Total}, nil
+}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -38,8 +38,11 @@
 	Value float64  `json:"value"`
 	Unit  string   `json:"unit"`
 	Base  *float64 `json:"base,omitempty"`
-	Hosts int      `json:"hosts,omitempty"`
-	Note  string   `json:"note,omitempty"`
+	// Bound is the stated target, in words.
+	Bound string `json:"bound,omitempty"`
+	Shape string `json:"shape,omitempty"`
+	Hosts int    `json:"hosts,omitempty"`
+	Note  string `json:"note,omitempty"`
 }
 
 // Print writes the figure as one line.
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -14,6 +15,7 @@
 type options struct {
 	Bin     string  `help:"Folder of the programs." required:"" type:"existingdir"`
 	Control control `cmd:"" help:"Measure the control plane."`
+	Query   query   `cmd:"" help:"Measure query traffic."`
 }
 
 type control struct {
@@ -25,6 +27,20 @@
 	return (&bench.Control{Bin: o.Bin, Sizes: c.Sizes, Out: os.Stdout}).Run(context.Background())
 }
 
+type query struct {
+	Shapes []string      `help:"Workloads: order-desk, siparis-masasi." default:"order-desk,siparis-masasi"`
+	Length time.Duration `help:"Length of one phase." default:"5s"`
+	Report string        `help:"Folder of the table and the plots." default:"report"`
+	Seed   uint64        `help:"Seed of the schedules." default:"1"`
+}
+
+// Run implements the command.
+func (q *query) Run(o *options) error {
+	return (&bench.Query{
+		Bin: o.Bin, Shapes: q.Shapes, Length: q.Length, Report: q.Report, Seed: q.Seed, Out: os.Stdout,
+	}).Run(context.Background())
+}
+
 func main() {
 	var o options
 	k := kong.Parse(&o, kong.Description("Measures wasabirelay with real processes on this machine."))
--- a/searcher/count.go
+++ b/searcher/count.go
@@ -88,7 +88,9 @@
 }
 
 // Counts returns a copy of the counts.
-func (s *Searcher) Counts() Counts {
+func (s *Searcher) Counts() Counts { return s.countsOf(true) }
+
+func (s *Searcher) countsOf(runs bool) Counts {
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,6 +100,9 @@
 		out.Refused[reason] = n
 	}
 	out.Runs = map[string]map[int]int{}
+	if !runs {
+		return out
+	}
 	for id, n := range s.counts.runs {
 		if out.Runs[id.request] == nil {
 			out.Runs[id.request] = map[int]int{}
@@ -107,7 +112,11 @@
 	return out
 }
 
-func (s *Searcher) showCounts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) }
+// showCounts leaves the runs out if the query has runs=false: with 65,536
+// identities they take several megabytes.
+func (s *Searcher) showCounts(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.countsOf(r.URL.Query().Get("runs") != "false"))
+}
 
 // refuse answers a sub-request that was not run.
 func (s *Searcher) refuse(w http.ResponseWriter, reason, detail string) {
