Count a probe that lost against its hedge as failed

Cause: a target ejected for its latency was probed by a real sub-request. With hedges, the probe lost and was cancelled, which neither reinstated the target nor set the time of the next probe, so the next query probed again at once: each host had one sub-request at the straggler at all times, and the p90 of queries rose from 44 to 60 ms.

Tried: ejecting replicas whose sub-requests lose against hedges in a row. It was reverted.

--- a/route/health.go
+++ b/route/health.go
@@ -147,8 +147,10 @@
 }
 
 // judgeOutcome ejects on the first connection error, and reinstates an ejected
-// target or extends its ejection after a sub-request that was sent since.
-func (t *Table) judgeOutcome(now time.Time, r *record, sent time.Time, o Outcome) {
+// target or extends its ejection after a sub-request that was sent since. A probe
+// that lost against its hedge failed: without that, a slow target gets the next
+// probe at once, and has one sub-request of each host at all times.
+func (t *Table) judgeOutcome(now time.Time, r *record, sent time.Time, o Outcome, lost bool) {
 	if !r.ejected {
 		if o == ConnectFailed || o == Reset {
 			t.eject(now, r, unreachable)
@@ -158,10 +160,10 @@
 	if sent.Before(r.since) {
 		return
 	}
-	switch o {
-	case Success:
+	switch {
+	case o == Success:
 		t.reinstate(now, r, now.Sub(sent))
-	case ConnectFailed, Reset, BadReply, TimedOut, Failed:
+	case lost, o == ConnectFailed, o == Reset, o == BadReply, o == TimedOut, o == Failed:
 		t.extend(now, r)
 	default:
 		r.probing = time.Time{}
--- a/route/route.go
+++ b/route/route.go
@@ -146,9 +146,10 @@
 	defer t.mu.Unlock()
 	rec := t.record(target)
 	s := t.service(service)
+	lost := o == Cancelled && s.delay > 0 && latency > s.delay // against its hedge
 	s.observe(now, latency, o)
 	rec.observe(now, latency, o)
-	t.judgeOutcome(now, rec, now.Add(-latency), o)
+	t.judgeOutcome(now, rec, now.Add(-latency), o, lost)
 	switch o {
 	case DrainingReply:
 		rec.drainingUntil = now.Add(drainingHold)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -199,6 +199,27 @@
 	}
 }
 
+// TestLostProbe guards against a slow target that is probed without a pause, because
+// its probes lose against their hedges.
+func TestLostProbe(t *testing.T) {
+	is := is.New(t)
+	tb, list := table(), replicas("izmir-a", "izmir-a")
+	for range windowSamples {
+		end(tb, at(0), list[1], 10*time.Millisecond, Success)
+	}
+	delay, ok := tb.HedgeAfter(at(0), list[0].Service, 0.95)
+	is.True(ok)
+	end(tb, at(0), list[0], time.Millisecond, ConnectFailed) // ejects it
+	c := Choice{Service: list[0].Service, Replicas: list}
+	due := at(2 * firstInterval)
+	r, _ := tb.Pick(due, c)
+	is.Equal(r.Name, "t0") // the probe
+	due = due.Add(2 * delay)
+	end(tb, due, list[0], 2*delay, Cancelled)
+	is.Equal(share(tb, due, c, 100)["t0"], 0)
+	is.Equal(share(tb, due.Add(3*firstInterval), c, 1)["t0"], 1)
+}
+
 // TestEarlyHedges guards against ordinary hedges that use the whole budget, so that
 // the sub-requests held by a straggler get none.
 func TestEarlyHedges(t *testing.T) {
