Follow an overload's end with the hedge delay

Cause: the delay is the median over up to eight windows of 10 s, so the latencies of an overload, such as the capacity probe of the bench, hold it above the service time of healthy searchers for tens of seconds.

The delay now falls at once if the latest window is below half of it. It still rises only with the median, so that a fault does not raise it.

--- a/bench/query.go
+++ b/bench/query.go
@@ -27,6 +27,7 @@
 	// calmShare is the share of the measured capacity at which all figures are taken
 	// but those of overload. At 0.4, the two searchers that are left of three run at
 	// 0.6 of theirs.
+	// Of two, the one that is left runs at 0.8.
 	calmShare = 0.4
 	// probeWorkers is the number of queries under way in the capacity probe: 8 times
 	// as many sub-requests as 30 searchers with 2 slots run.
@@ -319,6 +320,10 @@
 
 // straggler makes one searcher slow, without giving the clients time to learn it.
 func (t *trial) straggler(ctx context.Context) error {
+	// The baselines ran meanwhile, so that the entry hosts had no traffic.
+	if err := t.settle(ctx); err != nil {
+		return err
+	}
 	p99, extra := map[string]float64{}, map[string]float64{}
 	for _, s := range []sender{t.relay(), t.randomly(), t.naively()} {
 		if err := s.set.items[0].Fault(map[string]any{"slow": straggling}); err != nil {
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -33,6 +33,9 @@
 	// riseFactor is how far the share that exceeds the learned value may exceed the
 	// planned one before sub-requests that lost against their hedges raise the value.
 	riseFactor = 2
+	// fallFactor is how far the latest window must be below the learned value to be
+	// used instead. At 2, the spread between windows of 100 samples has no effect.
+	fallFactor = 2
 	// serviceShedWeight is the weight of a reply in the share of shed replies of a
 	// service.
 	serviceShedWeight = 1.0 / 32
@@ -130,13 +133,11 @@
 	if s.current == nil {
 		return
 	}
-	var count int64 = 1 // past windows do not change
-	if len(s.past) == 0 {
-		count = s.current.TotalCount()
-		if count < windowSamples {
-			return
-		}
+	count := s.current.TotalCount()
+	if len(s.past) == 0 && count < windowSamples {
+		return
 	}
+	count = max(count, 1) // at the start of a window, past ones still give a value
 	if quantile == s.quantile && s.computed > 0 && (count < s.computed+refresh || s.exceed > refreshLimit) {
 		return
 	}
@@ -145,7 +146,9 @@
 }
 
 // value returns the median over the past windows of the quantile in microseconds,
-// or that of the first window while there is no other.
+// or that of the first window while there is no other. If the latest window is far
+// below the median, an overload has ended, and its own quantile is used: a delay
+// that is too long holds hedges back, one that is too short is bounded by the budget.
 func (s *service) value(quantile float64) int64 {
 	if len(s.past) == 0 {
 		return s.current.ValueAtQuantile(100 * quantile)
@@ -155,5 +158,13 @@
 		values = append(values, w.ValueAtQuantile(100*quantile))
 	}
 	slices.Sort(values)
-	return values[(len(values)-1)/2]
+	learned := values[(len(values)-1)/2]
+	last := s.past[len(s.past)-1]
+	if s.current.TotalCount() >= windowSamples {
+		last = s.current
+	}
+	if recent := last.ValueAtQuantile(100 * quantile); fallFactor*recent < learned {
+		return recent
+	}
+	return learned
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -199,6 +199,28 @@
 	}
 }
 
+// TestHedgeAfterOverload guards against hedges that stay late for many seconds after
+// an overload, because its latencies fill the past windows.
+func TestHedgeAfterOverload(t *testing.T) {
+	is := is.New(t)
+	tb, r := table(), replicas("izmir-a")[0]
+	now := at(0)
+	feed := func(latency time.Duration, n int) {
+		for range n {
+			now = now.Add(100 * time.Millisecond)
+			tb.HedgeAfter(now, r.Service, 0.95)
+			end(tb, now, r, latency, Success)
+		}
+	}
+	feed(200*time.Millisecond, 4*windowSamples)
+	delay, _ := tb.HedgeAfter(now, r.Service, 0.95)
+	is.True(delay > 150*time.Millisecond)
+	feed(20*time.Millisecond, 2*windowSamples+refresh)
+	delay, ok := tb.HedgeAfter(now, r.Service, 0.95)
+	is.True(ok)
+	is.True(delay < 30*time.Millisecond)
+}
+
 // TestLostProbe guards against a slow target that is probed without a pause, because
 // its probes lose against their hedges.
 func TestLostProbe(t *testing.T) {
