--- a/answer/claim_test.go
+++ b/answer/claim_test.go
@@ -29,26 +29,6 @@
 	return out
 }
 
-// Guards against promise 8: no byte may leave before the claim is committed, and
-// the outcome is recorded.
-func TestClaimComesFirst(t *testing.T) {
-	is := is.New(t)
-	c := newCluster(node("a", 0, 2, 9), node("b", 1, 2, 9))
-	record := c.Propose
-	c.Propose = func(ctx context.Context, cmd control.Command) (control.Result, error) {
-		if cmd.Claim != nil {
-			is.Equal(len(c.to()), 0) // a sub-request was sent before the claim
-		}
-		return record(ctx, cmd)
-	}
-	_, err := c.Answer(t.Context(), c.once("k"))
-	is.NoErr(err)
-	c.drained(t)
-	is.Equal(len(c.to()), 2)
-	is.Equal(c.commands[0].Claim.Host, "h1")
-	is.Equal(c.finishes("k"), []control.Outcome{control.OutcomeRan})
-}
-
 // Guards against promise 8: after a byte may have left, neither a retry nor a
 // hedge nor a restart runs the request again; before, another replica is asked.
 func TestNotIdempotentRunsAtMostOnce(t *testing.T) {
@@ -64,7 +44,7 @@
 		{SnapshotGone, true, []string{"a"}, control.OutcomeUnknown},
 		{ConnectFailed, false, []string{"a", "b"}, control.OutcomeRan},
 	} {
-		t.Run(tc.outcome.String(), func(t *testing.T) {
+		t.Run(outcomes[tc.outcome], func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(node("a", 0, 1, 8, 9), node("b", 0, 1, 8, 9))
 			c.does["a"] = fails(tc.outcome, tc.sent)
@@ -74,22 +54,9 @@
 			is.Equal(c.finishes("k"), []control.Outcome{tc.finish})
 		})
 	}
-}
-
-// Guards against a hedge of a request that is not idempotent.
-func TestNotIdempotentIsNotHedged(t *testing.T) {
-	is := is.New(t)
-	c := newCluster(node("a", 0, 1, 9), node("b", 0, 1, 9))
-	open := make(chan struct{})
-	c.does["a"] = after(open, replies)
-	c.HedgeAfter = func(time.Time, string, float64) (time.Duration, bool) { return time.Millisecond, true }
-	done := c.ask(t.Context(), c.once("k"))
-	<-c.arrived
-	c.waiters(t, 2)
-	c.clock.Advance(100 * time.Millisecond)
-	close(open)
-	is.NoErr((<-done).err)
-	is.Equal(c.to(), []string{"a"})
+	r, now := newRound(1, false), time.Now()
+	r.placed(r.start().asks[0].attempt, node("a", 0, 1, 9), now)
+	is.New(t).Equal(len(r.tick(now.Add(time.Hour)).asks), 0) // a hedge
 }
 
 // taken is the result of a claim that is not the first.
@@ -141,9 +108,9 @@
 	}
 }
 
-// Guards against a claim that is read differently than the state machine means
-// it: the first host runs the request, and a resend through another host gets the
-// first answer.
+// Guards against a byte that leaves before the claim is committed, and against a
+// claim that is read differently than the state machine means it: the first host
+// runs the request, and a resend through another host gets the first answer.
 func TestClaimsOfTwoHosts(t *testing.T) {
 	is := is.New(t)
 	h1, h2 := newCluster(node("a", 0, 1, 9)), newCluster(node("a", 0, 1, 9))
@@ -152,7 +119,9 @@
 	h1.Propose = func(_ context.Context, cmd control.Command) (control.Result, error) {
 		h1.mu.Lock()
 		defer h1.mu.Unlock()
-		index++
+		if index++; index == 1 {
+			is.Equal(len(h1.sentTo), 0) // a sub-request was sent before the claim
+		}
 		return log.Apply(index, cmd), nil
 	}
 	h2.Host, h2.Propose = "h2", h1.Propose
@@ -189,6 +158,7 @@
 	other := c.once("k")
 	other.Fingerprint = "other"
 	third := c.ask(t.Context(), other)
+	c.waiters(t, 4) // The deadlines of three queries and of the one sub-request.
 	close(open)
 	one, two, three := <-first, <-second, <-third
 	is.NoErr(one.err)
--- a/answer/cluster_test.go
+++ b/answer/cluster_test.go
@@ -151,7 +151,7 @@
 // fails returns a behaviour that fails at once.
 func fails(o Outcome, sent bool) behaviour {
 	return func(context.Context, *control.Target, *Subrequest) (*target.Reply, *SendError) {
-		return nil, &SendError{Outcome: o, Sent: sent, Err: errors.New(o.String())}
+		return nil, &SendError{Outcome: o, Sent: sent, Err: errors.New(outcomes[o])}
 	}
 }
 
--- a/answer/connect.go
+++ b/answer/connect.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
@@ -17,13 +16,8 @@
 // Connect makes the seams use this host's replica selection, connections and
 // admission. It is called before Register or Answer, after Clock is set.
 func (s *Service) Connect(table *route.Table, pool *limit.Pool, admission *limit.Admission) {
-	s.Pick = func(now time.Time, c Choice) (*control.Target, bool) { return table.Pick(now, route.Choice(c)) }
-	s.Start = table.Start
-	s.Done = func(now time.Time, t *control.Target, service string, latency time.Duration, o Outcome) {
-		table.Done(now, t, service, latency, route.Outcome(o))
-	}
-	s.SuspectCold = table.SuspectCold
-	s.HedgeAfter = table.HedgeAfter
+	s.Pick, s.Start, s.Done = table.Pick, table.Start, table.Done
+	s.SuspectCold, s.HedgeAfter = table.SuspectCold, table.HedgeAfter
 	s.Sent = func(service string) { table.Budget(service).Sent() }
 	s.Extra = func(service string, share float64) bool { return table.Budget(service).Extra(share) }
 	s.Admit = admission.Admit
--- a/answer/flight.go
+++ b/answer/flight.go
@@ -55,7 +55,7 @@
 			outcome = Cancelled
 		}
 	}
-	span.SetAttributes(attribute.String("wasabi.outcome", outcome.String()))
+	span.SetAttributes(attribute.String("wasabi.outcome", outcomes[outcome]))
 	now := f.s.Clock.Now()
 	f.s.Done(now, f.target, f.sub.Service, now.Sub(began), outcome)
 	if e.err != nil && e.err.broken() && f.s.Poison.Reset(now, f.number.Load()) {
--- a/answer/query_test.go
+++ b/answer/query_test.go
@@ -347,7 +347,7 @@
 		{ConnectFailed, false, []string{"a", "b"}},
 		{SnapshotGone, true, []string{"a", "b"}},
 	} {
-		t.Run(tc.outcome.String(), func(t *testing.T) {
+		t.Run(outcomes[tc.outcome], func(t *testing.T) {
 			c := newCluster(node("a", 0, 1, 9), node("b", 0, 1, 9))
 			c.does["a"] = fails(tc.outcome, tc.sent)
 			c.Extra = func(string, float64) bool { return false }
--- a/answer/run.go
+++ b/answer/run.go
@@ -201,7 +201,7 @@
 	case ConnectFailed, Reset, DrainingReply, ColdReply:
 		r.failed[f.target.Name] = true
 	}
-	r.do(r.round.failed(f.id, e.err.Sent, e.err.Outcome.free() || !e.err.Sent))
+	r.do(r.round.failed(f.id, e.err.Sent, costsNothing(e.err.Outcome) || !e.err.Sent))
 }
 
 // late counts a reply that came after its round.
@@ -331,9 +331,6 @@
 
 // hedgeAt returns when a sub-request that is sent now is hedged, or zero.
 func (r *run) hedgeAt(now time.Time, quantile float64) time.Time {
-	if !r.q.Idempotent {
-		return time.Time{}
-	}
 	after, ok := r.s.HedgeAfter(now, r.q.Service, quantile)
 	if !ok {
 		return time.Time{}
--- a/answer/seams.go
+++ b/answer/seams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,6 +12,7 @@
 
 	"wasabirelay/control"
 	"wasabirelay/poison"
+	"wasabirelay/route"
 	"wasabirelay/target"
 )
 
@@ -36,38 +36,34 @@
 }
 
 // Outcome is how a sub-request ended, for the selection of replicas.
-type Outcome int
+type Outcome = route.Outcome
 
 // Values of Outcome.
 const (
-	Success Outcome = iota
-	Shed
-	DrainingReply
-	ColdReply
-	SnapshotGone
-	ConnectFailed
-	Reset
-	BadReply
-	TimedOut
-	Cancelled
-	Failed
+	Success       = route.Success
+	Shed          = route.Shed
+	DrainingReply = route.DrainingReply
+	ColdReply     = route.ColdReply
+	SnapshotGone  = route.SnapshotGone
+	ConnectFailed = route.ConnectFailed
+	Reset         = route.Reset
+	BadReply      = route.BadReply
+	TimedOut      = route.TimedOut
+	Cancelled     = route.Cancelled
+	Failed        = route.Failed
 )
 
-// String returns the name used in traces.
-func (o Outcome) String() string {
-	names := []string{
-		"success", reasonShed, reasonDraining, reasonCold, reasonSnapshot, "connect", "reset", "reply", "timeout", "cancelled", "failed",
-	}
-	if o < 0 || int(o) >= len(names) {
-		return fmt.Sprint(int(o))
-	}
-	return names[o]
+// outcomes holds the names of outcomes in traces and errors.
+var outcomes = map[Outcome]string{
+	Success: "success", Shed: reasonShed, DrainingReply: reasonDraining, ColdReply: reasonCold,
+	SnapshotGone: reasonSnapshot, ConnectFailed: "connect", Reset: "reset", BadReply: "reply",
+	TimedOut: "timeout", Cancelled: "cancelled", Failed: "failed",
 }
 
-// free reports whether a target with this outcome did no work, so that asking
-// another replica adds no load. Sheds and cold replies are not free, because
-// repeating them multiplies the load of an overloaded service.
-func (o Outcome) free() bool {
+// costsNothing reports whether a target with this outcome did no work, so that
+// asking another replica adds no load. Sheds and cold replies are not free,
+// because repeating them multiplies the load of an overloaded service.
+func costsNothing(o Outcome) bool {
 	return o == ConnectFailed || o == DrainingReply || o == SnapshotGone
 }
 
@@ -79,7 +75,7 @@
 	Err  error
 }
 
-func (e *SendError) Error() string { return e.Outcome.String() + ": " + e.Err.Error() }
+func (e *SendError) Error() string { return outcomes[e.Outcome] + ": " + e.Err.Error() }
 
 // broken reports whether the connection ended after the request was sent, which
 // a target that dies causes.
@@ -91,18 +87,8 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// Choice is what a replica is selected from. It has the shape of route.Choice.
-type Choice struct {
-	Service  string
-	Shard    int
-	Replicas []*control.Target
-	// Exclude holds the names of targets that were asked already.
-	Exclude map[string]bool
-	Allow   func(*control.Target) bool
-	// NoProbe keeps requests that can't be retried away from targets that are only
-	// probed.
-	NoProbe bool
-}
+// Choice is what a replica is selected from.
+type Choice = route.Choice
 
 // Seams connect the service to the rest of the daemon. View is required; every
 // other nil field gets a default. They are set before use.
--- a/answer/serve_test.go
+++ b/answer/serve_test.go
@@ -231,7 +231,7 @@
 	is := is.New(t)
 	var calls atomic.Int32
 	c := wire(t, pooled, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/query" {
+		if r.URL.Path != "/health" {
 			calls.Add(1)
 			broken(w, r)
 		}
@@ -302,6 +302,9 @@
 			}
 			return
 		}
+		if length >= 0 && length != int64(len(body)) {
+			t.Fatalf("accepted %d bytes announced as %d", len(body), length)
+		}
 		if checkReply(sub, reply) == nil && (!json.Valid(body) || reply.Request != "r/1" || !reply.End || !json.Valid(reply.Result)) {
 			t.Fatalf("accepted %q", body)
 		}
