poison: clear suspects that are answered elsewhere

Cause: every request in flight at a death was reported. A query that fans out over a failing data centre would have been refused after its own single run.

Change: a suspect is reported when a second target of the same shard dies of it, or when no target answers the request for that shard within 1 s. A host refuses at once what it has reported often enough, without waiting for the view. A request that is not idempotent is refused as poison only after its claim, because "none" would not be true for a resend of a request that ran. Refusals for coverage advise a retry only if that is safe.

Conclusion: a request is blamed only if nothing shows it to be harmless.

--- a/answer/claim.go
+++ b/answer/claim.go
@@ -72,6 +72,9 @@
 		return nil, verdict.refusal
 	case !verdict.run:
 		return s.first(ctx, q, verdict)
+	case s.poisoned(v, q):
+		s.proposeFinish(q, control.OutcomeNone)
+		return nil, refusePoison(v, q)
 	}
 	return s.runClaimed(r, best)
 }
@@ -86,13 +89,18 @@
 	} else {
 		s.store.keep(r.q.Key, r.q.Fingerprint, a)
 	}
+	s.proposeFinish(r.q, outcome)
+	return a, refusal
+}
+
+// proposeFinish records the outcome of a claim without making the caller wait.
+func (s *Service) proposeFinish(q *Query, outcome control.Outcome) {
 	s.goBackground(func(ctx context.Context) {
-		finish := &control.Finish{Key: r.q.Key, Host: s.Host, Outcome: outcome}
+		finish := &control.Finish{Key: q.Key, Host: s.Host, Outcome: outcome}
 		if _, err := s.Propose(ctx, control.Command{Finish: finish}); err != nil {
-			s.Log.Warn().Err(err).Str("key", r.q.Key).Msg("outcome of a claimed request not recorded")
+			s.Log.Warn().Err(err).Str("key", q.Key).Msg("outcome of a claimed request not recorded")
 		}
 	})
-	return a, refusal
 }
 
 // first gets the outcome of the first request with the same key.
--- a/answer/flight.go
+++ b/answer/flight.go
@@ -92,6 +92,7 @@
 		}
 	}
 	if failure == nil {
+		f.s.Poison.Succeeded(f.fingerprint, f.sub.Shard)
 		return event{flight: f, result: reply.Result}
 	}
 	var bad *ReplyError
@@ -106,6 +107,7 @@
 	s.goBackground(func(ctx context.Context) {
 		alive := s.Health(ctx, t) == nil
 		s.report(s.Poison.Checked(s.Clock.Now(), t.Name, t.Incarnation, alive, hold))
+		s.reportDue()
 	})
 }
 
--- a/answer/refusal.go
+++ b/answer/refusal.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"time"
 
 	"wasabirelay/control"
 	"wasabirelay/problem"
@@ -15,26 +14,33 @@
 func refuseCoverage(r *round, number uint64, executed problem.Executed) *problem.Details {
 	c, _, _ := r.coverage()
 	text, _ := json.Marshal(c) // A struct of integers can't fail.
+	retry := 0
+	if r.idempotent || executed == problem.None {
+		retry = 1
+	}
 	return &problem.Details{
 		Type: "urn:wasabirelay:coverage", Title: "Coverage below what the caller accepts",
-		Status: http.StatusServiceUnavailable, Executed: executed, Coverage: text, Retry: 1,
+		Status: http.StatusServiceUnavailable, Executed: executed, Coverage: text, Retry: retry,
 		Detail: fmt.Sprintf("%d of %d shards of snapshot %d answered", c.Answered, c.Total, number),
 	}
 }
 
-// poisoned reports whether the view refuses the fingerprint of a query.
-func poisoned(v *control.View, q *Query, now time.Time) bool {
+// poisoned reports whether the fingerprint of a query is refused: by the view, or
+// because of deaths that this host reported and that have not reached the view yet.
+func (s *Service) poisoned(v *control.View, q *Query) bool {
+	now := s.Clock.Now()
 	until, held := v.Poisoned[q.Fingerprint]
-	return held && now.Before(until)
+	return (held && now.Before(until)) || s.Poison.Deaths(now, q.Fingerprint) >= rules(v).Poison.Deaths
 }
 
 // refusePoison returns the refusal of a query whose fingerprint is held.
 func refusePoison(v *control.View, q *Query) *problem.Details {
+	rule := rules(v).Poison
 	return &problem.Details{
 		Type: "urn:wasabirelay:poison", Title: "Request crashes targets", Status: http.StatusUnprocessableEntity,
 		Executed: problem.None, Rule: "poison",
-		Detail: fmt.Sprintf("fingerprint %s was in flight at the deaths of at least %d targets; refused until %s",
-			q.Fingerprint, rules(v).Poison.Deaths, v.Poisoned[q.Fingerprint].UTC().Format("2006-01-02T15:04:05Z")),
+		Detail: fmt.Sprintf("fingerprint %s was in flight at the deaths of at least %d targets and is refused for %s",
+			q.Fingerprint, rule.Deaths, rule.Hold.Duration),
 	}
 }
 
--- a/answer/run.go
+++ b/answer/run.go
@@ -226,10 +226,10 @@
 	if snap == nil || a.shard >= len(snap.shards) {
 		return noReplica
 	}
-	if poisoned(view, r.q, r.s.Clock.Now()) || (a.kind != First && r.lastForSuspect(snap.shards[a.shard], a.shard)) {
+	if r.s.poisoned(view, r.q) || (a.kind != First && r.lastForSuspect(snap.shards[a.shard], a.shard)) {
 		return noSuspect
 	}
-	if _, ok := r.s.HedgeAfter(r.s.Clock.Now(), r.q.Service, rules(view).Hedge.Quantile); a.kind == Hedge && !ok {
+	if a.kind == Hedge && r.hedgeAt(r.s.Clock.Now(), rules(view).Hedge.Quantile).IsZero() {
 		return noBudget // Everything became slow after the hedge was planned.
 	}
 	t, release := r.pick(ix, snap, a)
@@ -251,7 +251,7 @@
 // shard has at most one replica that has neither failed nor runs the request now.
 // That replica is not put at risk by a hedge or a retry.
 func (r *run) lastForSuspect(replicas []*control.Target, shard int) bool {
-	if r.s.Poison.Deaths(r.s.Clock.Now(), r.q.Fingerprint) == 0 {
+	if !r.s.Poison.Suspected(r.s.Clock.Now(), r.q.Fingerprint) {
 		return false
 	}
 	safe := 0
--- a/answer/seams.go
+++ b/answer/seams.go
@@ -140,8 +140,9 @@
 	Clock    clockwork.Clock
 	Log      zerolog.Logger
 	Registry prometheus.Registerer
-	Tracer   trace.TracerProvider
-	Poison   *poison.Tracker
+	// Tracer is where spans go; nil stands for the global provider.
+	Tracer trace.TracerProvider
+	Poison *poison.Tracker
 
 	state
 }
--- a/answer/serve.go
+++ b/answer/serve.go
@@ -84,7 +84,7 @@
 		return nil, refuseLease(err)
 	}
 	now := s.Clock.Now()
-	if poisoned(view, q, now) {
+	if q.Idempotent && s.poisoned(view, q) { // answerOnce looks up the claim first.
 		return nil, refusePoison(view, q)
 	}
 	end := q.Deadline.Add(-margin(q.Deadline.Sub(now)))
--- a/answer/service.go
+++ b/answer/service.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"wasabirelay/control"
 	"wasabirelay/inventory"
@@ -49,7 +49,7 @@
 			s.Clock = clockwork.NewRealClock()
 		}
 		if s.Tracer == nil {
-			s.Tracer = noop.NewTracerProvider()
+			s.Tracer = otel.GetTracerProvider()
 		}
 		if s.Poison == nil {
 			s.Poison = &poison.Tracker{}
@@ -116,6 +116,7 @@
 		}
 		return t.Incarnation, true
 	}, rules(ix.view).Poison.Hold.Duration))
+	s.reportDue()
 }
 
 // report proposes suspects without making the caller wait.
@@ -131,6 +132,14 @@
 	}
 }
 
+// reportDue reports the suspects that are not cleared within the grace period.
+// Drain does not wait for it.
+func (s *Service) reportDue() {
+	if s.Poison.Pending() {
+		s.Clock.AfterFunc(poison.Grace, func() { s.report(s.Poison.Due(s.Clock.Now())) })
+	}
+}
+
 // goBackground runs f outside of any query. Drain waits for it.
 func (s *Service) goBackground(f func(ctx context.Context)) {
 	s.work.Go(func() {
@@ -169,6 +178,9 @@
 	if r.Hedge.Quantile <= 0 {
 		r.Hedge.Quantile = inventory.DefaultQuantile
 	}
+	if r.Poison.Deaths <= 0 {
+		r.Poison.Deaths = inventory.DefaultDeaths
+	}
 	if r.Poison.Hold.Duration <= 0 {
 		r.Poison.Hold.Duration = inventory.DefaultHold
 	}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,11 +1,16 @@
 // Package poison recognizes requests that crash the targets that run them. It
 // keeps the sub-requests in flight per target incarnation and turns observed
 // deaths into suspects. It holds no sockets and no clock.
+//
+// A death may have another cause, and a request that is sent often is in flight at
+// most deaths. A suspect is therefore reported only if a second target of the same
+// shard dies of it, or if no target answers it for that shard within Grace.
 package poison
 
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,6 +19,11 @@
 	"wasabirelay/control"
 )
 
+// Grace is how long a reply for the same shard clears a suspect after a death. It
+// is the default deadline of a query, in which a retry or the next copy of a
+// harmless request is answered.
+const Grace = time.Second
+
 const (
 	// window is how long after a reset a new incarnation of the target confirms
 	// its death. It exceeds the default time until a silent target is removed
@@ -54,9 +64,23 @@
 	flights  map[uint64]Flight
 	lives    map[life]map[uint64]struct{}
 	resets   map[life]*reset
+	pending  map[part]*pending
 	suspects map[string]*suspect
 }
 
+// part is one request for one shard.
+type part struct {
+	fingerprint string
+	shard       int
+}
+
+// pending holds the deaths of a part that are not yet reported.
+type pending struct {
+	due    time.Time
+	hold   time.Duration
+	deaths []control.SuspectRequest
+}
+
 // life is one incarnation of one target.
 type life struct{ target, incarnation string }
 
@@ -65,14 +89,14 @@
 	at       time.Time
 	checking bool
 	dead     bool
-	// flights holds one flight per fingerprint that was in flight.
-	flights map[string]Flight
+	// flights holds one flight per part that was in flight.
+	flights map[part]Flight
 }
 
-// suspect holds the deaths that one fingerprint was seen at.
+// suspect holds the reported deaths of one fingerprint with their shards.
 type suspect struct {
 	until  time.Time
-	deaths map[life]struct{}
+	deaths map[life]int
 }
 
 // Begin records a sub-request that is about to be sent and returns its number.
@@ -83,6 +107,7 @@
 		t.flights = map[uint64]Flight{}
 		t.lives = map[life]map[uint64]struct{}{}
 		t.resets = map[life]*reset{}
+		t.pending = map[part]*pending{}
 		t.suspects = map[string]*suspect{}
 	}
 	t.next++
@@ -125,7 +150,7 @@
 	l := life{f.Target, f.Incarnation}
 	r := t.resets[l]
 	if r == nil || (!r.dead && !r.checking && now.Sub(r.at) > window) {
-		r = &reset{flights: map[string]Flight{}}
+		r = &reset{flights: map[part]Flight{}}
 		t.resets[l] = r
 	}
 	if r.dead {
@@ -133,16 +158,16 @@
 	}
 	for n := range t.lives[l] {
 		other := t.flights[n]
-		r.flights[other.Fingerprint] = other
+		r.flights[part{other.Fingerprint, other.Shard}] = other
 	}
 	first := !r.checking
 	r.at, r.checking = now, true
 	return first
 }
 
-// Checked passes on whether the target answered its health check after a reset,
-// and returns the suspects to report if it did not. hold is how long a suspect
-// is remembered on this host.
+// Checked passes on whether the target answered its health check after a reset.
+// If it did not, it returns the suspects to report now, and others may be due
+// after Grace. hold is how long a suspect is remembered on this host.
 func (t *Tracker) Checked(now time.Time, target, incarnation string, alive bool, hold time.Duration) []control.SuspectRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,9 +183,44 @@
 	return t.died(now, l, r, hold)
 }
 
+// Succeeded clears a fingerprint for a shard that has answered it.
+func (t *Tracker) Succeeded(fingerprint string, shard int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.pending, part{fingerprint, shard})
+	s := t.suspects[fingerprint]
+	if s == nil {
+		return
+	}
+	maps.DeleteFunc(s.deaths, func(_ life, of int) bool { return of == shard })
+	if len(s.deaths) == 0 {
+		delete(t.suspects, fingerprint)
+	}
+}
+
+// Pending reports whether suspects wait for Grace to end.
+func (t *Tracker) Pending() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pending) > 0
+}
+
+// Due returns the suspects that were not cleared within Grace.
+func (t *Tracker) Due(now time.Time) []control.SuspectRequest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []control.SuspectRequest
+	for p, w := range t.pending {
+		if !now.Before(w.due) {
+			out = append(out, t.release(now, p, w)...)
+		}
+	}
+	return out
+}
+
 // Observe compares the incarnations that live now with the targets that reset a
-// connection, and returns the suspects of those that came back as a new
-// incarnation. A target that is absent from the view has not come back.
+// connection, and returns the suspects to report now of those that came back as a
+// new incarnation. A target that is absent from the view has not come back.
 func (t *Tracker) Observe(now time.Time, current func(target string) (incarnation string, ok bool), hold time.Duration) []control.SuspectRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -177,46 +237,84 @@
 	return out
 }
 
-// Deaths returns the number of distinct deaths that the fingerprint was seen at
-// on this host. A reset whose health check is still running counts, because a
-// retry would otherwise be sent before the check ends.
+// Deaths returns the number of distinct deaths of the fingerprint that this host
+// has reported and that are not cleared.
 func (t *Tracker) Deaths(now time.Time, fingerprint string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
+	return t.deaths(now, fingerprint)
+}
+
+func (t *Tracker) deaths(now time.Time, fingerprint string) int {
 	if s := t.suspects[fingerprint]; s != nil && now.Before(s.until) {
-		n = len(s.deaths)
+		return len(s.deaths)
+	}
+	return 0
+}
+
+// Suspected reports whether the fingerprint was seen at a death that is not
+// cleared. A reset whose health check still runs counts, because a retry would
+// otherwise be sent before the check ends.
+func (t *Tracker) Suspected(now time.Time, fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.deaths(now, fingerprint) > 0 {
+		return true
+	}
+	for p := range t.pending {
+		if p.fingerprint == fingerprint {
+			return true
+		}
 	}
 	for _, r := range t.resets {
-		if _, in := r.flights[fingerprint]; in && r.checking && !r.dead {
-			n++
+		for p := range r.flights {
+			if r.checking && p.fingerprint == fingerprint {
+				return true
+			}
 		}
 	}
-	return n
+	return false
 }
 
+// died makes the flights of a reset wait for Grace, and returns those of parts
+// that have died of two targets.
 func (t *Tracker) died(now time.Time, l life, r *reset, hold time.Duration) []control.SuspectRequest {
 	r.dead, r.checking, r.at = true, false, now
-	out := make([]control.SuspectRequest, 0, len(r.flights))
-	for fingerprint, f := range r.flights {
-		t.suspect(now, fingerprint, l, hold)
-		out = append(out, control.SuspectRequest{
-			Fingerprint: fingerprint, Service: f.Service, Target: f.Target, Incarnation: f.Incarnation, Shard: f.Shard,
+	var out []control.SuspectRequest
+	for p, f := range r.flights {
+		w := t.pending[p]
+		if w == nil {
+			if len(t.pending) >= maxSuspects {
+				continue // Many targets died at once, which no request explains.
+			}
+			w = &pending{due: now.Add(Grace), hold: hold}
+			t.pending[p] = w
+		}
+		w.deaths = append(w.deaths, control.SuspectRequest{
+			Fingerprint: f.Fingerprint, Service: f.Service, Target: l.target, Incarnation: l.incarnation, Shard: f.Shard,
 		})
+		if s := t.suspects[p.fingerprint]; len(w.deaths) > 1 || (s != nil && now.Before(s.until)) {
+			out = append(out, t.release(now, p, w)...)
+		}
 	}
 	r.flights = nil
 	return out
 }
 
-func (t *Tracker) suspect(now time.Time, fingerprint string, l life, hold time.Duration) {
-	s := t.suspects[fingerprint]
+// release moves the deaths of a part to the reported ones and returns them.
+func (t *Tracker) release(now time.Time, p part, w *pending) []control.SuspectRequest {
+	delete(t.pending, p)
+	s := t.suspects[p.fingerprint]
 	if s == nil || !now.Before(s.until) {
 		t.makeRoom(now)
-		s = &suspect{deaths: map[life]struct{}{}}
-		t.suspects[fingerprint] = s
+		s = &suspect{deaths: map[life]int{}}
+		t.suspects[p.fingerprint] = s
+	}
+	s.until = now.Add(w.hold)
+	for _, d := range w.deaths {
+		s.deaths[life{d.Target, d.Incarnation}] = p.shard
 	}
-	s.until = now.Add(hold)
-	s.deaths[l] = struct{}{}
+	return w.deaths
 }
 
 // makeRoom removes expired suspects, and the one that expires first if none has.
