answer: allocate less per sub-request

Cause: each sub-request copied a map, formatted its identity with fmt, built span attributes that nobody recorded, and asked for the learned hedge delay.

Change: the map is copied only when a grant is refused, the identity is concatenated, attributes are set on recorded spans only, and the hedge delay is read once per round.

--- a/answer/flight.go
+++ b/answer/flight.go
@@ -37,12 +37,15 @@
 func (f *flight) fly() event {
 	defer f.stop()
 	defer f.release()
-	ctx, span := f.s.tracer.Start(f.ctx, "sub-request", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
-		attribute.String("wasabi.service", f.sub.Service), attribute.String("wasabi.target", f.target.Name),
-		attribute.Int("wasabi.shard", f.sub.Shard), attribute.Int64("wasabi.snapshot", int64(f.sub.Snapshot)),
-		attribute.String("wasabi.kind", string(f.sub.Kind)), attribute.String("wasabi.request", f.sub.Request),
-	))
+	ctx, span := f.s.tracer.Start(f.ctx, "sub-request", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("wasabi.service", f.sub.Service), attribute.String("wasabi.target", f.target.Name),
+			attribute.Int("wasabi.shard", f.sub.Shard), attribute.Int64("wasabi.snapshot", int64(f.sub.Snapshot)),
+			attribute.String("wasabi.kind", string(f.sub.Kind)), attribute.String("wasabi.request", f.sub.Request),
+		)
+	}
 	defer func() { f.s.Poison.End(f.number.Load()) }()
 	began := f.s.Clock.Now()
 	f.s.Start(began, f.target)
--- a/answer/run.go
+++ b/answer/run.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
 	"wasabirelay/control"
-	"wasabirelay/inventory"
 	"wasabirelay/problem"
 )
 
@@ -38,6 +39,8 @@
 	failed   map[string]bool
 	executed problem.Executed
 	asked    int
+	// hedge is the delay of hedges in this round, 0 if there are none.
+	hedge time.Duration
 }
 
 // event is the end of a flight.
@@ -130,6 +133,7 @@
 	r.number = number
 	r.round = newRound(total, r.q.Idempotent)
 	r.flights = nil
+	r.hedge = r.hedgeDelay()
 	r.do(r.round.start())
 }
 
@@ -229,7 +233,7 @@
 	if r.s.poisoned(view, r.q) || (a.kind != First && r.lastForSuspect(snap.shards[a.shard], a.shard)) {
 		return noSuspect
 	}
-	if a.kind == Hedge && r.hedgeAt(r.s.Clock.Now(), rules(view).Hedge.Quantile).IsZero() {
+	if a.kind == Hedge && r.hedgeDelay() == 0 {
 		return noBudget // Everything became slow after the hedge was planned.
 	}
 	t, release := r.pick(ix, snap, a)
@@ -243,7 +247,7 @@
 	if a.kind == First {
 		r.s.Sent(r.q.Service)
 	}
-	r.start(a, t, release, rules(view))
+	r.start(a, t, release, rules(view).Poison.Hold.Duration)
 	return notDenied
 }
 
@@ -275,13 +279,9 @@
 }
 
 func (r *run) pickVersion(ix *index, snap *snapshot, a ask, drawn string) (*control.Target, func()) {
-	exclude := map[string]bool{}
-	for name := range r.round.parts[a.shard].tried {
-		exclude[name] = true
-	}
 	c := Choice{
-		Service: r.q.Service, Shard: a.shard, Replicas: snap.shards[a.shard], Exclude: exclude, Allow: r.usable(ix, drawn),
-		NoProbe: !r.q.Idempotent,
+		Service: r.q.Service, Shard: a.shard, Replicas: snap.shards[a.shard], Exclude: r.round.parts[a.shard].tried,
+		Allow: r.usable(ix, drawn), NoProbe: !r.q.Idempotent,
 	}
 	for {
 		t, ok := r.s.Pick(r.s.Clock.Now(), c)
@@ -294,19 +294,21 @@
 		if release, granted := r.s.Grant(t); granted {
 			return t, release
 		}
-		exclude[t.Name] = true
+		exclude := map[string]bool{t.Name: true}
+		maps.Copy(exclude, c.Exclude)
+		c.Exclude = exclude
 	}
 }
 
 // start hands a sub-request to its target.
-func (r *run) start(a ask, t *control.Target, release func(), rules inventory.Rules) {
+func (r *run) start(a ask, t *control.Target, release func(), hold time.Duration) {
 	now := r.s.Clock.Now()
 	r.asked++
 	f := &flight{
 		s: r.s, round: r.round, id: a.attempt, target: t, release: release, fingerprint: r.q.Fingerprint,
-		hold: rules.Poison.Hold.Duration,
+		hold: hold,
 		sub: &Subrequest{
-			Request: fmt.Sprintf("%s/%s/%d", r.q.Request.Request, r.nonce, r.asked),
+			Request: r.q.Request.Request + "/" + r.nonce + "/" + strconv.Itoa(r.asked),
 			Service: r.q.Service, Route: r.q.Route, Shard: a.shard, Snapshot: r.number, Kind: a.kind,
 			Deadline: r.q.Deadline, Query: r.q.Query,
 		},
@@ -317,7 +319,11 @@
 		r.flights = append(r.flights, nil)
 	}
 	r.flights[a.attempt] = f
-	r.round.placed(a.attempt, t, r.hedgeAt(now, rules.Hedge.Quantile))
+	var hedgeAt time.Time
+	if r.hedge > 0 {
+		hedgeAt = now.Add(r.hedge)
+	}
+	r.round.placed(a.attempt, t, hedgeAt)
 	r.s.metrics.subrequest(r.q.Service, a.kind)
 	r.s.work.Go(func() {
 		e := f.fly()
@@ -329,13 +335,17 @@
 	})
 }
 
-// hedgeAt returns when a sub-request that is sent now is hedged, or zero.
-func (r *run) hedgeAt(now time.Time, quantile float64) time.Time {
-	after, ok := r.s.HedgeAfter(now, r.q.Service, quantile)
+// hedgeDelay returns the delay of hedges, or 0 while none may be sent.
+func (r *run) hedgeDelay() time.Duration {
+	view, err := r.s.View()
+	if err != nil {
+		return 0
+	}
+	after, ok := r.s.HedgeAfter(r.s.Clock.Now(), r.q.Service, rules(view).Hedge.Quantile)
 	if !ok {
-		return time.Time{}
+		return 0
 	}
-	return now.Add(after)
+	return max(after, 1) // 0 stands for no hedge.
 }
 
 // cancel tells the target of a flight that its result is not needed. A target
