--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"wasabirelay/answer"
 	"wasabirelay/problem"
 )
 
@@ -255,3 +257,26 @@
 	failed.Range(func(err, _ any) bool { t.Errorf("cut: %v", err); return true })
 	is.True(whole.Load() > 100)
 }
+
+// Guards against a planned stop that ends while a long request still runs.
+func TestPlannedStopFinishesALongRequest(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(1)
+	for _, name := range g.searcherNames {
+		g.fault(name, map[string]any{"slow": 4000}) // 4 s; the wait before the end is 2.5 s
+	}
+	status := make(chan int, 1)
+	go func() {
+		code, _ := do("POST", "http://"+local(g.ports["h2"][0])+"/v1/services/desk/query", answer.Request{
+			Request: "long", Query: json.RawMessage(`{"q":1}`), Idempotent: true,
+		}, map[string]string{"Wasabi-Timeout": "5500"})
+		status <- code
+	}()
+	time.Sleep(100 * time.Millisecond)
+	g.daemons["h2"].signal(syscall.SIGTERM)
+	is.Equal(<-status, http.StatusOK)
+	<-g.daemons["h2"].end
+}
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -120,6 +120,9 @@
 	control map[string]map[string]string
 	data    map[string]bool
 	daemons map[string]*process
+	// searcherNames are the names of the stand-ins, admin their addresses for faults.
+	searcherNames []string
+	admin         map[string]string
 }
 
 // newGroup prepares hosts; the first n keep the control state.
@@ -312,12 +315,25 @@
 	g.t.Fatalf("not within %s: %s", patience, what)
 }
 
-// searchers starts a stand-in for each shard in each of the data centres a, b, c
-// and returns them by name, such as "1-b".
-func (g *group) searchers(shards int, args ...string) map[string]*process {
+// searchers starts stand-ins and waits for a whole answer from every host.
+func (g *group) searchers(shards int, args ...string) {
 	g.t.Helper()
-	out := map[string]*process{}
-	ports := freePorts(g.t, 3*shards)
+	g.spawn(shards, args...)
+	g.until("a whole answer from every host", func() bool {
+		for _, name := range g.names {
+			if a, _ := g.query(name, "warm-up"); a == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// spawn starts a stand-in for each shard in each of the data centres a, b, c,
+// with names such as "1-b".
+func (g *group) spawn(shards int, args ...string) {
+	g.t.Helper()
+	ports := freePorts(g.t, 6*shards)
 	hosts := ""
 	for i, name := range g.names {
 		if i > 0 {
@@ -325,23 +341,17 @@
 		}
 		hosts += local(g.ports[name][0])
 	}
+	g.admin = map[string]string{}
 	for shard := range shards {
 		for i, centre := range []string{"a", "b", "c"} {
 			name := fmt.Sprintf("%d-%s", shard, centre)
-			out[name] = start(g.t, "standin", append([]string{
-				"--name", name, "--service", "desk", "--centre", centre, "--listen", local(ports[3*shard+i]),
-				"--hosts", hosts, "--shards", fmt.Sprint(shard), "--total", fmt.Sprint(shards), "--time", "1ms",
-				"--connections", "40", "--slots", "8",
+			g.searcherNames = append(g.searcherNames, name)
+			g.admin[name] = local(ports[6*shard+2*i+1])
+			start(g.t, "standin", append([]string{
+				"--name", name, "--service", "desk", "--centre", centre, "--listen", local(ports[6*shard+2*i]),
+				"--admin", g.admin[name], "--hosts", hosts, "--shards", fmt.Sprint(shard), "--total", fmt.Sprint(shards),
+				"--time", "1ms", "--connections", "40", "--slots", "8",
 			}, args...)...)
 		}
 	}
-	g.until("a whole answer from every host", func() bool {
-		for _, name := range g.names {
-			if a, _ := g.query(name, "warm-up"); a == nil {
-				return false
-			}
-		}
-		return true
-	})
-	return out
 }
--- /dev/null
+++ b/daemon/traffic_test.go
@@ -0,0 +1,310 @@
+package daemon_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/answer"
+	"wasabirelay/problem"
+	"wasabirelay/searcher"
+)
+
+// few is the bound of "a few seconds" at today's size.
+const few = 2 * time.Second
+
+// fault switches a fault on at a stand-in.
+func (g *group) fault(name string, body map[string]any) {
+	g.t.Helper()
+	if status, text := do("POST", "http://"+g.admin[name]+"/fault", body, nil); status != http.StatusOK {
+		g.t.Fatalf("fault at %s: %d %s", name, status, text)
+	}
+}
+
+// counts returns what a stand-in counted; ok is false if it does not answer.
+func (g *group) counts(name string) (c searcher.Counts, ok bool) {
+	status, text := do("GET", "http://"+g.admin[name]+"/counts", nil, nil)
+	return c, status == http.StatusOK && json.Unmarshal(text, &c) == nil
+}
+
+// load sends queries to all hosts until stop is called, which returns the number
+// of whole answers and the reasons of the others.
+func (g *group) load(callers int, query string) (stop func() (int64, []string)) {
+	end := make(chan struct{})
+	var wg sync.WaitGroup
+	var whole atomic.Int64
+	var mu sync.Mutex
+	var failures []string
+	for n := range callers {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-end:
+					return
+				case <-time.After(4 * time.Millisecond):
+				}
+				request := fmt.Sprintf("%s-%d-%d", query, n, i)
+				host := g.names[(n+i)%len(g.names)]
+				a, refusal := g.query(host, request)
+				var why string
+				if a != nil {
+					why = check(a, request)
+				} else {
+					why = fmt.Sprintf("%s: %d %s %s", host, refusal.Status, refusal.Type, refusal.Detail)
+				}
+				if why == "" {
+					whole.Add(1)
+					continue
+				}
+				mu.Lock()
+				failures = append(failures, why)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() (int64, []string) {
+		close(end)
+		wg.Wait()
+		return whole.Load(), failures
+	}
+}
+
+// oneSnapshot reports whether all results of an answer come from its snapshot.
+func oneSnapshot(a *answer.Answer) bool {
+	for _, s := range a.Shards {
+		var result struct{ Snapshot uint64 }
+		if json.Unmarshal(s.Result, &result) != nil || result.Snapshot != a.Snapshot {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against work that reaches a data centre after operators have taken it
+// out, also through a host that is frozen at that moment: two faults at once.
+func TestDataCentreTakenOutGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3", "h4")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(2)
+	stop := g.load(8, "dc")
+	g.until("data centre b works", func() bool { c, _ := g.counts("0-b"); return c.Served > 20 })
+	g.daemons["h4"].signal(syscall.SIGSTOP)
+	g.mustApply("h1", 1, "two", g.inventory("two", "b"))
+	accepted := time.Now()
+	time.Sleep(few - time.Since(accepted))
+	g.daemons["h4"].signal(syscall.SIGCONT)
+	before := received(g, "0-b") + received(g, "1-b")
+	time.Sleep(time.Second)
+	is.Equal(received(g, "0-b")+received(g, "1-b"), before) // no new work after 2 s
+	whole, failures := stop()
+	is.True(whole > 100)
+	for _, f := range failures {
+		if !strings.HasPrefix(f, "h4: ") {
+			t.Errorf("only the frozen host may refuse: %s", f)
+		}
+	}
+}
+
+func received(g *group, name string) int {
+	c, _ := g.counts(name)
+	return c.Received
+}
+
+// Guards against new work for a target that has announced that it leaves.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(1)
+	stop := g.load(6, "leave")
+	g.until("the target works", func() bool { c, _ := g.counts("0-a"); return c.Served > 20 })
+	g.fault("0-a", map[string]any{"drain": true})
+	time.Sleep(few + time.Second)
+	c, ok := g.counts("0-a")
+	is.True(ok)
+	is.True(c.Last.Duration <= few)
+	_, failures := stop()
+	is.Equal(len(failures), 0)
+}
+
+// Guards against hosts that each send a cold target what it bears. Every target
+// starts cold and bears one sub-request, and three hosts have load for it.
+func TestColdTargetsGetNoMoreThanTheyBear(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.spawn(2, "--cold", "--bears", "1", "--warm-served", "30", "--warm-after", "0s", "--time", "5ms")
+	stop := g.load(9, "cold")
+	for _, name := range g.searcherNames {
+		g.until(name+" has become warm", func() bool { c, _ := g.counts(name); return c.Served >= 60 })
+	}
+	stop()
+	for _, name := range g.searcherNames {
+		c, _ := g.counts(name)
+		is.True(c.Cold >= 1)
+		is.True(c.Cold <= 1)
+		is.Equal(c.Refused["cold"], 0)
+	}
+}
+
+// Guards against a second run of a request that is not idempotent: the host that
+// runs it is killed, and the caller resends to the others with the same key.
+func TestNonIdempotentRequestRunsAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3", "h4")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(2)
+	for _, name := range g.searcherNames {
+		g.fault(name, map[string]any{"slow": 30}) // 30 ms, so that the kill meets running requests
+	}
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			request := fmt.Sprintf("book-%d", i)
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			for range 3 {
+				for _, name := range []string{"h4", "h1", "h2"} {
+					g.book(name, request)
+				}
+			}
+		})
+	}
+	time.Sleep(60 * time.Millisecond)
+	g.daemons["h4"].kill()
+	wg.Wait()
+	ran := 0
+	for _, name := range g.searcherNames {
+		c, ok := g.counts(name)
+		is.True(ok)
+		for request := range c.Runs {
+			if strings.HasPrefix(request, "book-") {
+				ran++
+			}
+		}
+	}
+	is.True(ran > 0)
+	is.Equal(g.doubled("book-"), 0) // no shard ran a request at two replicas
+}
+
+// doubled counts the pairs of request and shard that ran more than once over all
+// stand-ins.
+func (g *group) doubled(prefix string) int {
+	runs := map[string]int{}
+	for _, name := range g.searcherNames {
+		c, _ := g.counts(name)
+		for request, shards := range c.Runs {
+			for shard, n := range shards {
+				if strings.HasPrefix(request, prefix) {
+					runs[fmt.Sprint(request, "/", shard)] += n
+				}
+			}
+		}
+	}
+	doubled := 0
+	for _, n := range runs {
+		if n > 1 {
+			doubled++
+		}
+	}
+	return doubled
+}
+
+// book sends a request that is not idempotent.
+func (g *group) book(host, request string) {
+	do("POST", "http://"+local(g.ports[host][0])+"/v1/services/desk/query",
+		answer.Request{Request: request, Query: json.RawMessage(`{"book":1}`)}, map[string]string{"Idempotency-Key": request})
+}
+
+// Guards against replies that reach the wrong caller or reach it cut, against
+// mixed snapshots while the index changes, and against stragglers, at once.
+func TestAnswersStayWholeUnderReplyFaultsAndNewSnapshots(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(3)
+	for shard := range 3 {
+		g.fault(fmt.Sprintf("%d-a", shard), map[string]any{"crossed": 0.3, "cut": 0.3, "doubled": 0.3})
+		g.fault(fmt.Sprintf("%d-b", shard), map[string]any{"late": "50ms"})
+	}
+	seen := map[uint64]int{}
+	for i := range 300 {
+		switch i {
+		case 100: // The new index arrives at one replica after the other.
+			for _, name := range g.searcherNames {
+				g.fault(name, map[string]any{"snapshot": map[string]any{"number": 2}})
+			}
+		case 200:
+			for _, name := range g.searcherNames {
+				g.fault(name, map[string]any{"snapshot": map[string]any{"number": 3, "drop": true}})
+			}
+		}
+		request := fmt.Sprintf("s-%d", i)
+		a, refusal := g.query(g.names[i%3], request)
+		if a == nil {
+			// A refusal is allowed while replicas have dropped the snapshot that the
+			// host still knows; a wrong answer never is.
+			is.True(refusal.Executed != problem.None || refusal.Status == http.StatusServiceUnavailable)
+			continue
+		}
+		is.Equal(check(a, request), "")
+		is.True(oneSnapshot(a))
+		seen[a.Snapshot]++
+	}
+	is.True(seen[1] > 50)
+	is.True(seen[2] > 50)
+	is.True(seen[3] > 50)
+}
+
+// Guards against a request that crashes one target after another while its caller
+// sends it again, and against blame for the requests beside it.
+func TestPoisonRequestIsRefusedBeforeAShardIsLost(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3")
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(2)
+	for _, name := range g.searcherNames {
+		g.fault(name, map[string]any{"crash": "boom"})
+	}
+	stop := g.load(4, "beside")
+	refused := false
+	for i := range 30 {
+		status, body := do("POST", "http://"+local(g.ports[g.names[i%3]][0])+"/v1/services/desk/query", answer.Request{
+			Request: "poison", Query: json.RawMessage(`{"q":"boom"}`), Idempotent: true,
+		}, nil)
+		if status == http.StatusUnprocessableEntity && strings.Contains(string(body), "poison") {
+			refused = true
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(refused)
+	alive := map[string]int{}
+	for _, name := range g.searcherNames {
+		if _, ok := g.counts(name); ok {
+			alive[name[:1]]++
+		}
+	}
+	is.True(alive["0"] >= 1)
+	is.True(alive["1"] >= 1)
+	_, failures := stop()
+	for _, f := range failures {
+		if strings.Contains(f, "poison") {
+			t.Errorf("a request beside it was blamed: %s", f)
+		}
+	}
+}
--- a/searcher/serve.go
+++ b/searcher/serve.go
@@ -232,7 +232,7 @@
 	if f.Late.Duration > 0 {
 		s.Clock.Sleep(f.Late.Duration)
 	}
-	result, _ := json.Marshal(map[string]any{"target": s.Target.Name, "bytes": len(sub.query)}) // Can't fail.
+	result, _ := json.Marshal(map[string]any{"target": s.Target.Name, "bytes": len(sub.query), "snapshot": sub.snapshot}) // Can't fail.
 	reply := target.Reply{Request: sub.request, Shard: sub.shard, Snapshot: sub.snapshot, Result: result, End: true}
 	s.mu.Lock()
 	own := reply
