answer: send nothing after the deadline, log disputes once

Cause: a claim that took longer than the caller's deadline was followed by sub-requests whose answer nobody waited for. Disputed shard counts were logged with every new view. Outcomes were reported without the route, which the comparison of versions keeps apart.

Change: a query whose time is used up before its first sub-request ends with "none". A dispute is logged when it changes. The field Evidence gets each outcome with its route.

Before and after: TestClaimAfterDeadline fails without the check.

Conclusion: the claim of a request that was never sent is finished as "none".

--- a/answer/claim_test.go
+++ b/answer/claim_test.go
@@ -170,6 +170,26 @@
 	is.Equal(c.Stored(t.Context(), "unknown"), nil)
 }
 
+// Guards against work that begins after the caller's deadline, because the claim
+// took too long: nothing is sent, and the claim says so.
+func TestClaimAfterDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(node("a", 0, 1, 9))
+	record := c.Propose
+	c.Propose = func(ctx context.Context, cmd control.Command) (control.Result, error) {
+		if cmd.Claim != nil {
+			c.clock.Advance(time.Second)
+			<-ctx.Done()
+		}
+		return record(ctx, cmd)
+	}
+	a, err := c.Answer(t.Context(), c.once("k"))
+	is.Equal(refused(t, a, err).Executed, problem.None)
+	c.drained(t)
+	is.Equal(len(c.to()), 0)
+	is.Equal(c.finishes("k"), []control.Outcome{control.OutcomeNone})
+}
+
 // Guards against unbounded memory: answers above 16 KiB are not kept, and the
 // oldest of more than 1,024 is evicted.
 func TestStoreIsBounded(t *testing.T) {
--- a/answer/run.go
+++ b/answer/run.go
@@ -101,6 +101,10 @@
 // fanOut runs rounds until every shard has settled or ctx ends.
 func (r *run) fanOut(best *snapshot) {
 	defer close(r.done)
+	if ended(r.ctx) { // Admission or the claim took all the time.
+		r.number, r.round = best.number, newRound(best.total, r.q.Idempotent)
+		return
+	}
 	r.begin(best.number, best.total)
 	for !r.round.over() {
 		timer, stop := r.timer()
--- a/answer/seams.go
+++ b/answer/seams.go
@@ -107,6 +107,9 @@
 	Pick  func(now time.Time, c Choice) (*control.Target, bool)
 	Start func(now time.Time, t *control.Target)
 	Done  func(now time.Time, t *control.Target, service string, latency time.Duration, o Outcome)
+	// Evidence gets the outcome of each sub-request with the query's route, for the
+	// comparison of versions.
+	Evidence func(now time.Time, t *control.Target, route string, latency time.Duration, o Outcome)
 	// SuspectCold reports whether a target behaves as if it were cold.
 	SuspectCold func(now time.Time, t *control.Target) bool
 	// HedgeAfter returns the delay of hedges, or false while none may be sent.
--- a/answer/service.go
+++ b/answer/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,9 @@
 	store   store
 	work    sync.WaitGroup
 	indexes atomic.Pointer[indexes]
+	// disputes holds the last disputed snapshots of each service, so that a view
+	// that changes nothing about them logs nothing.
+	disputes sync.Map
 }
 
 // indexes caches the index of each service for one view.
@@ -70,6 +74,7 @@
 	set(&s.Pick, d.pick)
 	set(&s.Start, func(time.Time, *control.Target) {})
 	set(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
+	set(&s.Evidence, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
 	set(&s.SuspectCold, func(time.Time, *control.Target) bool { return false })
 	set(&s.HedgeAfter, func(time.Time, string, float64) (time.Duration, bool) { return 0, false })
 	set(&s.Sent, d.countSent)
@@ -105,7 +110,8 @@
 func (s *Service) observe(ix *index, service string) {
 	numbers := ix.disputed()
 	s.metrics.dispute(service, len(numbers))
-	if len(numbers) > 0 {
+	text := fmt.Sprint(numbers)
+	if last, _ := s.disputes.Swap(service, text); len(numbers) > 0 && last != text {
 		s.Log.Error().Str("service", service).Uints64("snapshots", numbers).
 			Msg("targets announce different shard counts of a snapshot; the snapshot is not used")
 	}
