--- a/control/grant.go
+++ b/control/grant.go
@@ -97,7 +97,7 @@
 }
 
 func (s *State) setGrants(name string, live map[string]grant) {
-	s.cache.grants = nil
+	s.cache.putGrants(name, live)
 	if len(live) == 0 {
 		s.grants.remove(name)
 		return
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -175,14 +175,17 @@
 	slices.SortFunc(s.departures, func(a, b departure) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.name, b.name))
 	})
-	for name, t := range m.Targets {
+	for _, name := range sortedKeys(m.Targets) {
+		t := m.Targets[name]
 		if t == nil || t.Name != name || badTarget(t) != "" {
 			return errors.Errorf("target %s is invalid", name)
 		}
 		if _, ok := m.Histories[name]; !ok {
 			return errors.Errorf("target %s has no history", name)
 		}
-		s.putTarget(t)
+		s.targets.set(name, t)
+		// Appended in the order of names, because putTarget copies the list.
+		s.cache.putService(t.Service, append(s.cache.services[t.Service], t))
 	}
 	return nil
 }
--- a/control/view.go
+++ b/control/view.go
@@ -12,6 +12,9 @@
 	// copy of the state; targets is the copy that views hold.
 	services map[string][]*Target
 	targets  map[string][]*Target
+	// amounts holds the live grants by name and holder, likewise with grants as
+	// the copy that views hold.
+	amounts  map[string]map[string]int
 	hosts    []Host
 	moves    map[string]MoveRecord
 	shares   map[string]map[string]float64
@@ -33,6 +36,22 @@
 	c.services[service] = list
 }
 
+func (c *sections) putGrants(name string, live map[string]grant) {
+	c.grants = nil
+	if c.amounts == nil {
+		c.amounts = map[string]map[string]int{}
+	}
+	if len(live) == 0 {
+		delete(c.amounts, name)
+		return
+	}
+	amounts := make(map[string]int, len(live))
+	for holder, g := range live {
+		amounts[holder] = g.Amount
+	}
+	c.amounts[name] = amounts
+}
+
 // View returns an immutable picture of the state. Parts that have not changed
 // are shared with the previous view, and so are the lists of services whose
 // targets have not changed.
@@ -49,7 +68,7 @@
 		c.shares = s.shares()
 	}
 	if c.grants == nil {
-		c.grants = s.amounts()
+		c.grants = cloned(c.amounts)
 	}
 	if c.poisoned == nil {
 		c.poisoned = s.poisoned()
@@ -94,17 +113,6 @@
 	return shares
 }
 
-func (s *State) amounts() map[string]map[string]int {
-	amounts := map[string]map[string]int{}
-	for name, live := range s.grants.items {
-		amounts[name] = map[string]int{}
-		for holder, g := range live {
-			amounts[name][holder] = g.Amount
-		}
-	}
-	return amounts
-}
-
 func (s *State) poisoned() map[string]time.Time {
 	poisoned := map[string]time.Time{}
 	for fingerprint, v := range s.suspects.items {
