--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -109,15 +110,23 @@
 	}
 }
 
+// installTimeouts is the number of election timeouts after which an unanswered
+// snapshot is sent again. A snapshot is several megabytes at the size to design
+// for, and the member syncs it before it answers. Chosen, not measured.
+const installTimeouts = 4
+
 // resend restarts replication to members that left a message unanswered for
-// too long: an interval of heartbeats for entries, an election timeout for a
-// snapshot, which takes longer to send and to persist.
+// too long: a heartbeat interval for entries, installTimeouts for a snapshot. A
+// member out of reach gets heartbeats only, until it answers one.
 func (n *Node) resend() {
 	for _, id := range n.members().others(n.ID) {
 		p := n.progress[id]
+		if !n.reachable(id) {
+			continue
+		}
 		wait := n.Heartbeat
 		if p.phase == Installing {
-			wait = n.Election
+			wait = installTimeouts * n.Election
 		}
 		waiting := p.phase == Installing || len(p.inflight) > 0
 		if waiting && n.now.Sub(p.moved) >= wait {
@@ -254,14 +263,27 @@
 // current one: an entry of an earlier term can still be replaced, even if a
 // majority holds it (Ongaro and Ousterhout 2014, section 5.4.2).
 func (n *Node) advance() bool {
-	for index := n.log.last().index; index > n.commit && index >= n.opened; index-- {
-		held := func(id string) bool { return id == n.ID || n.progress[id].match >= index }
-		if n.members().majority(held) {
-			n.commitTo(index)
-			return true
+	index := n.held()
+	if index <= n.commit || index < n.opened {
+		return false
+	}
+	n.commitTo(index)
+	return true
+}
+
+// held returns the largest index that a majority of the voters holds.
+func (n *Node) held() uint64 {
+	members := n.members()
+	matches := make([]uint64, 0, len(members.Voters))
+	for _, id := range members.Voters {
+		if id == n.ID {
+			matches = append(matches, n.log.last().index)
+		} else {
+			matches = append(matches, n.progress[id].match)
 		}
 	}
-	return false
+	slices.Sort(matches)
+	return matches[len(matches)-members.Quorum()]
 }
 
 // commitTo raises the commit index.
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -91,7 +91,13 @@
 	if n.role != Leader || p == nil {
 		return
 	}
+	returned := !n.reachable(m.From)
 	p.heard = n.now
+	if returned {
+		// What was sent during its absence is lost.
+		p.probe(p.match + 1)
+		n.feed(m.From, p)
+	}
 	if m.Kind == AckHeartbeat {
 		p.round = max(p.round, m.Round)
 		n.confirm()
--- a/journal/open.go
+++ b/journal/open.go
@@ -55,7 +55,7 @@
 
 func (f files) empty() bool { return len(f.snapshots)+len(f.segments) == 0 }
 
-// list finds the segments and snapshots, and removes temporary files.
+// list finds the segments and snapshots, and removes their temporary files.
 func list(dir string) (files, error) {
 	names, err := os.ReadDir(dir)
 	if err != nil {
@@ -64,21 +64,16 @@
 	var found files
 	for _, entry := range names {
 		name := entry.Name()
-		if strings.HasSuffix(name, temporary) {
+		if unfinished(name) {
 			if err := os.Remove(filepath.Join(dir, name)); err != nil {
 				return files{}, err
 			}
-			continue
 		}
-		if text, ok := strings.CutPrefix(name, snapshotPrefix); ok {
-			if index, err := strconv.ParseUint(text, 10, 64); err == nil && index > 0 {
-				found.snapshots = append(found.snapshots, index)
-			}
+		if index, ok := number(name, snapshotPrefix); ok {
+			found.snapshots = append(found.snapshots, index)
 		}
-		if text, ok := strings.CutPrefix(name, segmentPrefix); ok {
-			if index, err := strconv.ParseUint(text, 10, 64); err == nil && index > 0 {
-				found.segments = append(found.segments, index-1)
-			}
+		if index, ok := number(name, segmentPrefix); ok {
+			found.segments = append(found.segments, index-1)
 		}
 	}
 	slices.Sort(found.snapshots)
@@ -86,6 +81,21 @@
 	return found, nil
 }
 
+// unfinished reports whether place was interrupted while it wrote the file.
+func unfinished(name string) bool {
+	name, ok := strings.CutSuffix(name, temporary)
+	_, snapshot := number(name, snapshotPrefix)
+	_, segment := number(name, segmentPrefix)
+	return ok && (snapshot || segment || name == identityFile)
+}
+
+// number returns the positive number that follows the prefix in a file name.
+func number(name, prefix string) (uint64, bool) {
+	text, ok := strings.CutPrefix(name, prefix)
+	index, err := strconv.ParseUint(text, 10, 64)
+	return index, ok && err == nil && index > 0
+}
+
 // recover reads the newest snapshot and segment.
 func (j *Journal) recover() (consensus.Saved, error) {
 	identity, known, err := ReadIdentity(j.dir)
