Fail instead of hanging when a reply never comes

Cause: with a mechanism of the stand-in searcher switched off, some of its tests waited until the time limit of the test run. Change: replies are received with a limit of 10 s. Conclusion: the limit only bounds a failure; no verdict depends on it.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -129,7 +130,9 @@
 	silent := newHost(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	second := newHost(t, accept)
 	client := &Client{Addresses: []netip.AddrPort{silent.address, second.address}, Timeout: 20 * time.Millisecond}
-	is.NoErr(client.Do(t.Context(), func(s *sling.Sling) *sling.Sling { return s.Get("/x") }, nil))
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	is.NoErr(client.Do(ctx, func(s *sling.Sling) *sling.Sling { return s.Get("/x") }, nil))
 }
 
 // Guards against lists that are asked for with each query, used too long, or
--- a/searcher/fault_test.go
+++ b/searcher/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -86,7 +87,7 @@
 			b.clock.Advance(c.after - 1)
 			is.Equal(len(done), 0)
 			b.clock.Advance(1)
-			w := <-done
+			w := receive(t, done)
 			is.Equal(w.Code, c.status)
 			var reply target.Reply
 			if c.status == 200 {
@@ -101,10 +102,10 @@
 func TestCrossedTakesPreviousIdentity(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, nil)
-	<-b.send("r1", target.HeaderShard, "0")
+	receive(t, b.send("r1", target.HeaderShard, "0"))
 	b.fault(`{"crossed":1}`)
 	var reply target.Reply
-	is.NoErr(json.Unmarshal((<-b.send("r2")).Body.Bytes(), &reply))
+	is.NoErr(json.Unmarshal(receive(t, b.send("r2")).Body.Bytes(), &reply))
 	is.Equal(reply.Request, "r1")
 	is.Equal(reply.Shard, 0)
 }
@@ -120,8 +121,8 @@
 	b.sleepers(2)
 	is.Equal(b.Counts().Served, 2)
 	b.clock.Advance(5 * time.Second)
-	is.Equal((<-first).Code, 200)
-	is.Equal((<-second).Code, 200)
+	is.Equal(receive(t, first).Code, 200)
+	is.Equal(receive(t, second).Code, 200)
 }
 
 // Guards against a crash that ends the test process, or that is not counted as a run.
@@ -130,7 +131,7 @@
 	code := 0
 	b := newBench(t, func(s *Searcher) { s.Exit = func(c int) { code = c } })
 	b.fault(`{"crash":"boom"}`)
-	<-b.send("boom-1")
+	receive(t, b.send("boom-1"))
 	is.Equal(code, crashCode)
 	is.Equal(b.Counts().Most, 1)
 }
@@ -147,7 +148,7 @@
 	}
 	is.Equal(report(), Health{State: "warm"})
 	b.fault(`{"lag":"5s"}`)
-	<-b.send("r1")
+	receive(t, b.send("r1"))
 	is.Equal(report().Served, 0)
 	b.clock.Advance(5 * time.Second)
 	is.Equal(report().Served, 1)
@@ -212,10 +213,11 @@
 		return c
 	}
 	first := dial()
-	server := <-accepted
+	server := receive(t, accepted)
 	second := dial()
+	is.NoErr(second.SetReadDeadline(time.Now().Add(10 * time.Second)))
 	_, err = second.Read(make([]byte, 1)) // The searcher closes it.
-	is.True(err != nil)
+	is.True(errors.Is(err, io.EOF))
 	_, err = first.Write([]byte("xy"))
 	is.NoErr(err)
 	read := make(chan int, 2)
@@ -228,11 +230,11 @@
 	b.sleepers(1)
 	is.Equal(len(read), 0)
 	b.clock.Advance(6 * time.Millisecond)
-	is.Equal(<-read+<-read, 2) // The cost is paid once.
+	is.Equal(receive(t, read)+receive(t, read), 2) // The cost is paid once.
 	server.Close()
 	server.Close() // A second close does not free a second place.
 	third := dial()
-	(<-accepted).Close()
+	receive(t, accepted).Close()
 	third.Close()
 	is.Equal(l.(*listener).open, 0)
 	is.Equal(b.Counts().Connections, 2)
@@ -269,8 +271,8 @@
 	}
 	is := is.New(t)
 	b := newBench(t, nil)
-	<-b.send("r1/5f0c/1")
-	<-b.send("r1/5f0c/3")
+	receive(t, b.send("r1/5f0c/1"))
+	receive(t, b.send("r1/5f0c/3"))
 	is.Equal(b.Counts().Runs, map[string]map[int]int{"r1": {1: 2}})
 	is.Equal(b.Counts().Most, 2)
 }
--- a/searcher/searcher_test.go
+++ b/searcher/searcher_test.go
@@ -62,6 +62,19 @@
 	return done
 }
 
+// receive returns the next value. A value that never comes fails the test instead
+// of holding it up.
+func receive[T any](t *testing.T, values <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-values:
+		return v
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing came for 10 s")
+		panic("unreachable")
+	}
+}
+
 // sleepers waits until n goroutines wait for the clock.
 func (b *bench) sleepers(n int) {
 	ctx, stop := context.WithTimeout(b.t.Context(), 10*time.Second)
@@ -112,7 +125,7 @@
 			is := is.New(t)
 			b := newBench(t, nil)
 			b.fault(c.fault)
-			w := <-b.send("r1", c.headers...)
+			w := receive(t, b.send("r1", c.headers...))
 			is.Equal(w.Code, c.status)
 			is.Equal(w.Header().Get(target.HeaderReason), c.reason)
 			is.Equal(b.Counts().Most == 1, c.status == 200)
@@ -136,17 +149,17 @@
 			})
 			first, second := b.send("r1"), b.send("r2")
 			b.sleepers(2)
-			is.Equal((<-b.send("r3")).Header().Get(target.HeaderReason), target.ReasonCold)
+			is.Equal(receive(t, b.send("r3")).Header().Get(target.HeaderReason), target.ReasonCold)
 			b.clock.Advance(time.Second)
-			is.Equal((<-first).Code, 200)
-			is.Equal((<-second).Code, 200)
+			is.Equal(receive(t, first).Code, 200)
+			is.Equal(receive(t, second).Code, 200)
 			for i := range 3 { // More than it bore while it was cold.
 				b.send(fmt.Sprint("w", i))
 			}
 			b.sleepers(3)
 			is.Equal(b.Counts().Cold, 2)
 			b.fault(`{"cold":true}`)
-			is.Equal((<-b.send("r4")).Header().Get(target.HeaderReason), target.ReasonCold)
+			is.Equal(receive(t, b.send("r4")).Header().Get(target.HeaderReason), target.ReasonCold)
 			b.clock.Advance(time.Second)
 		})
 	}
@@ -165,19 +178,19 @@
 	b.waiting(1)
 	late := b.send("r3", target.HeaderTimeout, "500")
 	b.waiting(2)
-	is.Equal((<-b.send("r4")).Header().Get(target.HeaderReason), target.ReasonShed) // The queue is full.
+	is.Equal(receive(t, b.send("r4")).Header().Get(target.HeaderReason), target.ReasonShed) // The queue is full.
 	b.sleepers(2)
 	b.clock.Advance(500 * time.Millisecond)
-	is.Equal((<-late).Header().Get(target.HeaderReason), target.ReasonShed)
+	is.Equal(receive(t, late).Header().Get(target.HeaderReason), target.ReasonShed)
 	cancelled := b.send("r5")
 	b.waiting(2)
 	is.Equal(b.post("/cancel", `{"request":"r5","shard":1}`).Code, 204)
-	is.Equal((<-cancelled).Header().Get(target.HeaderReason), target.ReasonShed)
+	is.Equal(receive(t, cancelled).Header().Get(target.HeaderReason), target.ReasonShed)
 	b.clock.Advance(500 * time.Millisecond)
-	is.Equal((<-running).Code, 200)
+	is.Equal(receive(t, running).Code, 200)
 	b.sleepers(1)
 	is.Equal(b.post("/cancel", `{"request":"r2","shard":1}`).Code, 204)
-	w := <-queued
+	w := receive(t, queued)
 	is.Equal(w.Code, 409) // It had started, so the reply does not claim that it was not run.
 	is.Equal(w.Header().Get(target.HeaderReason), "")
 	got := b.Counts()
@@ -227,30 +240,29 @@
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- b.Run(ctx) }()
-	is.Equal(<-seen, "cold [{7 2}] [0 1]\n")
+	is.Equal(receive(t, seen), "cold [{7 2}] [0 1]\n")
 	b.sleepers(1)
 	b.clock.Advance(2 * time.Second)
-	is.Equal(<-seen, "cold [{7 2}] [0 1]\n")
+	is.Equal(receive(t, seen), "cold [{7 2}] [0 1]\n")
 	b.sleepers(1)
 	b.clock.Advance(time.Second) // Warm, which does not wait for the renewal.
-	is.Equal(<-seen, "warm [{7 2}] [0 1]\n")
+	is.Equal(receive(t, seen), "warm [{7 2}] [0 1]\n")
 	b.fault(`{"repartition":{"number":8,"shards":4,"hold":[3]}}`)
-	is.Equal(nextOf(seen, "warm [{7 2}] [0 1]\n"), "warm [{8 4}] [3]\n")
+	is.Equal(nextOf(t, seen, "warm [{7 2}] [0 1]\n"), "warm [{8 4}] [3]\n")
 	b.fault(`{"drain":true}`)
-	is.Equal(nextOf(seen, "warm [{8 4}] [3]\n"), "draining [{8 4}] [3]\n")
+	is.Equal(nextOf(t, seen, "warm [{8 4}] [3]\n"), "draining [{8 4}] [3]\n")
 	stop()
-	is.Equal(nextOf(seen, "draining [{8 4}] [3]\n"), "/v1/targets/od-1?incarnation=i1")
-	is.NoErr(<-done)
+	is.Equal(nextOf(t, seen, "draining [{8 4}] [3]\n"), "/v1/targets/od-1?incarnation=i1")
+	is.NoErr(receive(t, done))
 }
 
 // nextOf returns the next value that is not a repetition of the old one.
-func nextOf(seen chan string, old string) string {
-	for v := range seen {
-		if v != old {
+func nextOf(t *testing.T, seen chan string, old string) string {
+	for {
+		if v := receive(t, seen); v != old {
 			return v
 		}
 	}
-	return ""
 }
 
 func address(s *httptest.Server) netip.AddrPort {
