--- a/answer/flight.go
+++ b/answer/flight.go
@@ -37,12 +37,15 @@
 func (f *flight) fly() event {
 	defer f.stop()
 	defer f.release()
-	ctx, span := f.s.tracer.Start(f.ctx, "sub-request", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
-		attribute.String("wasabi.service", f.sub.Service), attribute.String("wasabi.target", f.target.Name),
-		attribute.Int("wasabi.shard", f.sub.Shard), attribute.Int64("wasabi.snapshot", int64(f.sub.Snapshot)),
-		attribute.String("wasabi.kind", string(f.sub.Kind)), attribute.String("wasabi.request", f.sub.Request),
-	))
+	ctx, span := f.s.tracer.Start(f.ctx, "sub-request", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("wasabi.service", f.sub.Service), attribute.String("wasabi.target", f.target.Name),
+			attribute.Int("wasabi.shard", f.sub.Shard), attribute.Int64("wasabi.snapshot", int64(f.sub.Snapshot)),
+			attribute.String("wasabi.kind", string(f.sub.Kind)), attribute.String("wasabi.request", f.sub.Request),
+		)
+	}
 	defer func() { f.s.Poison.End(f.number.Load()) }()
 	began := f.s.Clock.Now()
 	f.s.Start(began, f.target)
@@ -55,9 +58,10 @@
 			outcome = Cancelled
 		}
 	}
-	span.SetAttributes(attribute.String("wasabi.outcome", outcome.String()))
+	span.SetAttributes(attribute.String("wasabi.outcome", outcomes[outcome]))
 	now := f.s.Clock.Now()
 	f.s.Done(now, f.target, f.sub.Service, now.Sub(began), outcome)
+	f.s.Evidence(now, f.target, f.sub.Route, now.Sub(began), outcome)
 	if e.err != nil && e.err.broken() && f.s.Poison.Reset(now, f.number.Load()) {
 		f.s.checkHealth(f.target, f.hold)
 	}
@@ -92,6 +96,7 @@
 		}
 	}
 	if failure == nil {
+		f.s.Poison.Succeeded(f.fingerprint, f.sub.Shard)
 		return event{flight: f, result: reply.Result}
 	}
 	var bad *ReplyError
@@ -106,6 +111,7 @@
 	s.goBackground(func(ctx context.Context) {
 		alive := s.Health(ctx, t) == nil
 		s.report(s.Poison.Checked(s.Clock.Now(), t.Name, t.Incarnation, alive, hold))
+		s.reportDue()
 	})
 }
 
--- a/answer/service.go
+++ b/answer/service.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"wasabirelay/control"
 	"wasabirelay/inventory"
@@ -33,6 +34,9 @@
 	store   store
 	work    sync.WaitGroup
 	indexes atomic.Pointer[indexes]
+	// disputes holds the last disputed snapshots of each service, so that a view
+	// that changes nothing about them logs nothing.
+	disputes sync.Map
 }
 
 // indexes caches the index of each service for one view.
@@ -49,7 +53,7 @@
 			s.Clock = clockwork.NewRealClock()
 		}
 		if s.Tracer == nil {
-			s.Tracer = noop.NewTracerProvider()
+			s.Tracer = otel.GetTracerProvider()
 		}
 		if s.Poison == nil {
 			s.Poison = &poison.Tracker{}
@@ -70,6 +74,7 @@
 	set(&s.Pick, d.pick)
 	set(&s.Start, func(time.Time, *control.Target) {})
 	set(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
+	set(&s.Evidence, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
 	set(&s.SuspectCold, func(time.Time, *control.Target) bool { return false })
 	set(&s.HedgeAfter, func(time.Time, string, float64) (time.Duration, bool) { return 0, false })
 	set(&s.Sent, d.countSent)
@@ -105,7 +110,8 @@
 func (s *Service) observe(ix *index, service string) {
 	numbers := ix.disputed()
 	s.metrics.dispute(service, len(numbers))
-	if len(numbers) > 0 {
+	text := fmt.Sprint(numbers)
+	if last, _ := s.disputes.Swap(service, text); len(numbers) > 0 && last != text {
 		s.Log.Error().Str("service", service).Uints64("snapshots", numbers).
 			Msg("targets announce different shard counts of a snapshot; the snapshot is not used")
 	}
@@ -116,6 +122,7 @@
 		}
 		return t.Incarnation, true
 	}, rules(ix.view).Poison.Hold.Duration))
+	s.reportDue()
 }
 
 // report proposes suspects without making the caller wait.
@@ -131,6 +138,14 @@
 	}
 }
 
+// reportDue reports the suspects that are not cleared within the grace period.
+// Drain does not wait for it.
+func (s *Service) reportDue() {
+	if s.Poison.Pending() {
+		s.Clock.AfterFunc(poison.Grace, func() { s.report(s.Poison.Due(s.Clock.Now())) })
+	}
+}
+
 // goBackground runs f outside of any query. Drain waits for it.
 func (s *Service) goBackground(f func(ctx context.Context)) {
 	s.work.Go(func() {
@@ -169,6 +184,9 @@
 	if r.Hedge.Quantile <= 0 {
 		r.Hedge.Quantile = inventory.DefaultQuantile
 	}
+	if r.Poison.Deaths <= 0 {
+		r.Poison.Deaths = inventory.DefaultDeaths
+	}
 	if r.Poison.Hold.Duration <= 0 {
 		r.Poison.Hold.Duration = inventory.DefaultHold
 	}
