Keep the longest lease that hosts may hold

Cause: a new leader that waits for one lease of the current rules waits too short when the rule was shortened moments ago: hosts may hold the longer lease. Change: an accepted inventory carries the longest lease that could be granted; View.LongestLease returns it until it has run out. lease.Table.Elect takes it.

--- a/control/change.go
+++ b/control/change.go
@@ -82,8 +82,10 @@
 		return s.conflict(a, d)
 	}
 	previous := s.document
+	longest := d.Rules.Lease
+	longest.Duration = max(longest.Duration, s.View().LongestLease(s.clock))
 	s.accept(Accepted{
-		Version: a.Base + 1, Index: s.index, Change: a.Change, Operator: a.Operator, At: s.clock, Text: a.Text,
+		Version: a.Base + 1, Index: s.index, Change: a.Change, Operator: a.Operator, At: s.clock, Lease: longest, Text: a.Text,
 	}, d)
 	s.updateMoves()
 	s.updateSince(previous)
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -343,6 +343,23 @@
 	is.True(&after.Targets["order-desk"][0] == &r.View().Targets["order-desk"][0])
 }
 
+// Guards against a new leader that waits for the current lease only, while hosts
+// hold a longer one that was granted under earlier rules.
+func TestLongestLease(t *testing.T) {
+	is := is.New(t)
+	var r replica
+	lease := func(at time.Duration) time.Duration { return r.View().LongestLease(start.Add(at)) }
+	const second = time.Second
+	is.Equal(lease(0), time.Duration(0))
+	r.do(0, change(0, "c1", "ann", `"lease": "10s"`))
+	r.do(second, change(1, "c2", "ann", `"lease": "3s"`))
+	r.do(2*second, change(2, "c3", "ann", `"lease": "1s"`))
+	is.Equal(lease(2*second), 10*second)
+	is.Equal(lease(12*second+control.GrantMargin), second)
+	r.do(13*second, change(3, "c4", "ann", `"lease": "2s"`))
+	is.Equal(lease(13*second), 2*second)
+}
+
 // Guards against a command that is applied with a time before that of an earlier
 // one, or with a time that has no form in a snapshot.
 func TestTimeNeverGoesBack(t *testing.T) {
--- a/control/types.go
+++ b/control/types.go
@@ -61,6 +61,9 @@
 	Change   string    `json:"change"`
 	Operator string    `json:"operator"`
 	At       time.Time `json:"at,omitzero"`
+	// Lease is the longest lease that could be granted when the change was
+	// accepted: that of the change or, if it is longer, of an earlier version.
+	Lease document.Duration `json:"lease,omitzero"`
 	// Text is the document as the operator wrote it.
 	Text string `json:"text"`
 }
--- a/control/view.go
+++ b/control/view.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// LongestLease returns the longest lease that a host may hold. A new leader waits
+// for this long: the last one may have granted leases under an earlier version of
+// the rules. It is 0 without an inventory.
+func (v *View) LongestLease(now time.Time) time.Duration {
+	if v.Inventory == nil {
+		return 0
+	}
+	longest := v.Accepted.Lease.Duration
+	if now.Before(v.Accepted.At.Add(longest + GrantMargin)) {
+		return longest
+	}
+	return v.Inventory.Rules.Lease.Duration
+}
+
 // cloned returns a copy of the map that is not nil.
 func cloned[K comparable, V any](m map[K]V) map[K]V {
 	out := make(map[K]V, len(m))
--- a/lease/table.go
+++ b/lease/table.go
@@ -65,7 +65,7 @@
 
 // Elect starts a term of leadership. Every host of the inventory counts as
 // holding a lease for length, which is the longest lease that a previous leader
-// may have granted.
+// may have granted (control.View.LongestLease).
 func (t *Table) Elect(now time.Time, length time.Duration, hosts []string) {
 	t.settled = now.Add(length)
 	t.hosts = make(map[string]entry, len(hosts))
--- a/operator/service_test.go
+++ b/operator/service_test.go
@@ -131,6 +131,8 @@
 	d.Equal(d.call("POST", "/v1/inventory", apply, &again), 200)
 	d.Equal(again, first)
 	d.Equal(d.call("GET", "/v1/inventory", nil, &got), 200)
+	d.Equal(got.Lease.Duration, inventory.DefaultLease)
+	got.Lease.Duration = 0
 	d.Equal(got, control.Accepted{Version: 1, Index: 1, Change: "c1", Operator: "ann", At: start, Text: document})
 
 	lost := operator.Apply{Change: "c2", Operator: "ben", Text: strings.Replace(document, "5s", "6s", 1)}
