--- a/control/state_test.go
+++ b/control/state_test.go
@@ -142,6 +142,12 @@
 	other := target("t1", "c", control.Warm, shard, n)
 	other.Announce.Target.Service = "dye-log"
 	is.Equal(kind(r.do(time.Minute, other)), control.Taken)
+
+	const day = 24 * time.Hour
+	r.do(time.Minute, leave("c", control.Expired, ""))
+	is.Equal(kind(r.do(time.Minute+day-1, target("t1", "a", control.Warm, shard, n))), control.Stale)
+	is.Equal(kind(r.do(time.Minute+day, target("t1", "a", control.Warm, shard, n))), control.RefusalKind("")) // forgotten
+	is.Equal(state(), "a cold")
 }
 
 // Guards against a coverage whose denominator shrinks with the lost replicas.
@@ -171,6 +177,9 @@
 	is.Equal(wrong.Dropped, []control.Snapshot{{Number: 2, Shards: 9}})
 	is.Equal(known(), map[uint64]int{2: 3, 3: 4})
 	is.Equal(kind(r.do(0, target("t6", "a", control.Cold, []int{0}, control.Snapshot{Number: 2, Shards: 9}))), control.Conflict)
+	gone("t5")
+	r.do(0, target("t6", "a", control.Cold, []int{0}, control.Snapshot{Number: 3, Shards: 5}))
+	is.Equal(known(), map[uint64]int{2: 3, 3: 5}) // no live target has announced the other number
 }
 
 // Guards against a non-idempotent request that gets two owners.
