Refuse a rule that is not built, release grants by index, test host and peer

Cause: the rule lost had the default survive, which is not built; a late release of a grant could end a later grant; package host and package peer had no tests. Change: the inventory accepts only lost: stop; releases name the grant; a new leader waits for the longest lease that the state remembers; tests. Conclusion: without a quorum all hosts stop within a lease; survive stays open.

--- a/grant/grant.go
+++ b/grant/grant.go
@@ -44,6 +44,9 @@
 	until, wanted       time.Time
 	next                time.Time
 	asking              bool
+	// index is the log index of the grant, which a release names so that a late
+	// release does not end a later grant.
+	index uint64
 }
 
 // Name returns the name of the allowance of a cold target's incarnation.
@@ -138,7 +141,7 @@
 		return
 	}
 	if result.Refusal == nil && result.Granted > 0 {
-		h.amount, h.until = result.Granted, sent.Add(term)
+		h.amount, h.until, h.index = result.Granted, sent.Add(term), result.Index
 	}
 }
 
@@ -154,15 +157,16 @@
 		}
 		delete(k.held, name)
 		if h.amount > 0 && h.until.After(now) {
-			k.spawn(func() { k.release(name) })
+			index := h.index
+			k.spawn(func() { k.release(name, index) })
 		}
 	}
 }
 
-func (k *Keeper) release(name string) {
+func (k *Keeper) release(name string, index uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), term)
 	defer cancel()
-	_, err := k.Propose(ctx, control.Command{Release: &control.ReleaseGrant{Name: name, Holder: k.Host}})
+	_, err := k.Propose(ctx, control.Command{Release: &control.ReleaseGrant{Name: name, Holder: k.Host, Index: index}})
 	if err != nil {
 		k.Log.Debug().Err(err).Str("grant", name).Msg("grant not released, it ends by itself")
 	}
--- /dev/null
+++ b/host/host_test.go
@@ -0,0 +1,171 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/control"
+	"wasabirelay/inventory"
+	"wasabirelay/peer"
+	"wasabirelay/problem"
+	"wasabirelay/quorum"
+)
+
+// Guards against addresses of hosts that do not serve.
+func TestAddressList(t *testing.T) {
+	d := &inventory.Document{
+		Centres: map[string]inventory.Centre{"a": {}, "b": {Out: true}},
+		Hosts: map[string]inventory.Host{
+			"h1": {Centre: "a"}, "h2": {Centre: "a"}, "h3": {Centre: "a", Out: true}, "h4": {Centre: "b"},
+		},
+	}
+	for _, tt := range []struct {
+		name    string
+		serving []string
+		self    bool
+		want    []string
+	}{
+		{"all serve", []string{"h1", "h2", "h3", "h4"}, true, []string{"h1", "h2"}},
+		{"this host has lost its lease", []string{"h1", "h2"}, false, []string{"h2"}},
+		{"a host without a lease", []string{"h1"}, true, []string{"h1"}},
+		{"a host that is not in the inventory", []string{"h1", "h9"}, true, []string{"h1"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var got []string
+			for _, a := range addressList(d, tt.serving, "h1", tt.self).Addresses {
+				got = append(got, a.Host)
+			}
+			is.New(t).True(slices.Equal(got, tt.want))
+		})
+	}
+}
+
+// serve runs a control host with the handlers and returns a client of it.
+func serve(t *testing.T, handlers map[string]peer.Handler) *peer.Client {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &peer.Server{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handlers: handlers, Log: zerolog.Nop()}
+	l, err := s.Listen(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Run(ctx, l) }()
+	c := &peer.Client{Address: netip.MustParseAddrPort(l.Addr().String())}
+	t.Cleanup(func() { c.Close(); cancel() })
+	return c
+}
+
+// Guards against a proposal that is sent again although it may have been
+// accepted, and against one that is given up although it was not.
+func TestProposeGoesOnOnlyWhileThatIsSafe(t *testing.T) {
+	refuse := func(code peer.Code, calls *atomic.Int32) map[string]peer.Handler {
+		return map[string]peer.Handler{quorum.MethodPropose: func(context.Context, *peer.Conn, json.RawMessage) (any, error) {
+			calls.Add(1)
+			return nil, &peer.RemoteError{Code: code, Message: "refused"}
+		}}
+	}
+	accept := map[string]peer.Handler{quorum.MethodPropose: func(context.Context, *peer.Conn, json.RawMessage) (any, error) {
+		return control.Result{Index: 7}, nil
+	}}
+	t.Run("not the leader", func(t *testing.T) {
+		is := is.New(t)
+		var calls atomic.Int32
+		c := &Control{Clients: []*peer.Client{serve(t, refuse(peer.CodeNotLeader, &calls)), serve(t, accept)}}
+		result, err := c.Propose(context.Background(), control.Command{})
+		is.NoErr(err)
+		is.Equal(result.Index, uint64(7))
+		_, err = c.Propose(context.Background(), control.Command{})
+		is.NoErr(err)
+		is.Equal(calls.Load(), int32(1)) // the host that answered is asked first
+	})
+	t.Run("outcome not known", func(t *testing.T) {
+		is := is.New(t)
+		var calls atomic.Int32
+		c := &Control{Clients: []*peer.Client{serve(t, refuse(peer.CodeUnavailable, &calls)), serve(t, accept)}}
+		_, err := c.Propose(context.Background(), control.Command{})
+		var d *problem.Details
+		is.True(errors.As(err, &d))
+		is.Equal(d.Executed, problem.Unknown)
+		is.Equal(calls.Load(), int32(1))
+	})
+	t.Run("nobody leads", func(t *testing.T) {
+		is := is.New(t)
+		var calls atomic.Int32
+		c := &Control{Clients: []*peer.Client{serve(t, refuse(peer.CodeNotLeader, &calls))}}
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(200*time.Millisecond, cancel)
+		_, err := c.Propose(ctx, control.Command{})
+		var d *problem.Details
+		is.True(errors.As(err, &d))
+		is.True(calls.Load() > 1)
+	})
+}
+
+func newFollower() *Follower {
+	f := &Follower{Host: "h1", Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Control: &Control{}}
+	f.Init()
+	return f
+}
+
+func announce(name string) *control.Command {
+	return &control.Command{At: time.Unix(100, 0), Announce: &control.Announce{Target: control.Target{
+		Name: name, Incarnation: "i", Service: "s", Version: "v", Centre: "a", Shards: []int{0},
+		Address:   netip.MustParseAddrPort("127.0.0.1:9"),
+		Snapshots: []control.Snapshot{{Number: 1, Shards: 1}}, State: control.Warm,
+	}}}
+}
+
+// Guards against a view that misses a command, has one twice, or follows a feed
+// that was left.
+func TestFollowerAppliesTheFeedInOrder(t *testing.T) {
+	is := is.New(t)
+	f := newFollower()
+	peerA, peerB := serve(t, nil), serve(t, nil)
+	a, err := peerA.Connect(context.Background())
+	is.NoErr(err)
+	b, err := peerB.Connect(context.Background())
+	is.NoErr(err)
+	f.feed = a
+	f.apply(a, &quorum.Feed{Entries: []quorum.FeedEntry{{Index: 1}, {Index: 2, Command: announce("t1")}}})
+	f.apply(a, &quorum.Feed{Entries: []quorum.FeedEntry{{Index: 2, Command: announce("t1")}, {Index: 3, Command: announce("t2")}}})
+	is.Equal(len(f.View().Targets["s"]), 2)
+	is.Equal(f.View().Revision, uint64(3))
+	f.apply(b, &quorum.Feed{Entries: []quorum.FeedEntry{{Index: 4, Command: announce("t3")}}})
+	is.Equal(f.View().Revision, uint64(3)) // the feed of another connection is ignored
+	f.apply(a, &quorum.Feed{Entries: []quorum.FeedEntry{{Index: 5, Command: announce("t4")}}})
+	is.Equal(f.View().Revision, uint64(3)) // a gap is not skipped
+	<-a.Done()                             // and ends the feed, so that the next one fills it
+}
+
+// Guards against work under a lease that counts from the arrival of the reply, and
+// against a list of hosts that is lost when it has not changed.
+func TestLeaseCountsFromTheSendTime(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	f := newFollower()
+	f.Clock = clock
+	number := f.holder.Request(clock.Now())
+	clock.Advance(time.Second)
+	f.inflight = 2
+	f.renewed(number, &quorum.Lease{Length: 1500 * time.Millisecond, Hosts: 1, Serving: []string{"h1", "h2"}}, nil)
+	_, err := f.Current()
+	is.NoErr(err)
+	clock.Advance(500 * time.Millisecond)
+	_, err = f.Current()
+	var lost *LeaseLostError
+	is.True(errors.As(err, &lost))
+	f.renewed(f.holder.Request(clock.Now()), &quorum.Lease{Reason: "behind", Hosts: 1}, nil)
+	_, err = f.Current()
+	is.True(err != nil) // a refusal is no lease
+	is.Equal(f.Hosts(), []string{"h1", "h2"})
+}
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -116,7 +116,7 @@
 		renew = DefaultRenew
 	}
 	s.Require(r.Expire.Duration <= 0 || r.Expire.Duration >= 2*renew, "at least twice renew, which is "+renew.String(), "rules", "expire")
-	s.Require(r.Lost == "" || r.Lost == Survive || r.Lost == Stop, `"survive" or "stop"`, "rules", "lost")
+	s.Require(r.Lost == "" || r.Lost == Stop, `"stop"`, "rules", "lost")
 	s.Require(r.Hedge.Budget >= 0 && r.Hedge.Budget <= 1, "a share from 0 to 1", "rules", "hedge", "budget")
 	s.Require(r.Hedge.Quantile >= 0 && r.Hedge.Quantile < 1, "a quantile from 0 to below 1", "rules", "hedge", "quantile")
 	s.Require(r.Poison.Deaths >= 0, "0 or more", "rules", "poison", "deaths")
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -58,7 +58,7 @@
 	// Renew is how often targets renew; Expire is when a silent one is removed.
 	Renew  document.Duration `json:"renew,omitzero"`
 	Expire document.Duration `json:"expire,omitzero"`
-	// Lost states what entry hosts do without a quorum: "survive" or "stop".
+	// Lost states what entry hosts do without a quorum; see Stop.
 	Lost   string          `json:"lost,omitempty"`
 	Hedge  Hedge           `json:"hedge,omitzero"`
 	Poison Poison          `json:"poison,omitzero"`
@@ -89,11 +89,8 @@
 	Trial float64 `json:"trial,omitempty"`
 }
 
-// Values of Rules.Lost.
-const (
-	Survive = "survive"
-	Stop    = "stop"
-)
+// Stop is the value of Rules.Lost: without a lease a host gives out no work.
+const Stop = "stop"
 
 // Defaults of the rules.
 const (
@@ -141,7 +138,7 @@
 	setDuration(&r.Renew, DefaultRenew)
 	setDuration(&r.Expire, max(DefaultExpire, 3*r.Renew.Duration))
 	setDuration(&r.Poison.Hold, DefaultHold)
-	setValue(&r.Lost, Survive)
+	setValue(&r.Lost, Stop)
 	setValue(&r.Hedge.Budget, DefaultBudget)
 	setValue(&r.Hedge.Quantile, DefaultQuantile)
 	setValue(&r.Poison.Deaths, DefaultDeaths)
--- a/quorum/leases.go
+++ b/quorum/leases.go
@@ -20,8 +20,9 @@
 	// leader refuses its lease. A host whose feed stands still loses its lease
 	// after this and one lease length at the latest.
 	lagLimit = 300 * time.Millisecond
-	// longestLease bounds the lease that a previous leader may have granted.
-	longestLease = 10 * time.Second
+	// drainMemory is how long the leader remembers that a host drains after its
+	// last renewal said so. It exceeds the longest list of addresses by default.
+	drainMemory = 10 * time.Second
 )
 
 // leases grants leases while this replica leads. A renewal is answered after a
@@ -61,10 +62,8 @@
 }
 
 func (l *leases) elected(r *Replica, now time.Time) {
-	length := r.leaseLength()
-	if accepted := r.state.View().Accepted; now.Sub(accepted.At) < longestLease {
-		length = longestLease // The rule may have been longer a moment ago.
-	}
+	// The rule may have been longer a moment ago.
+	length := max(r.leaseLength(), r.state.View().LongestLease(now))
 	l.table.Elect(now, length, r.hostNames())
 	l.commits = []commit{{now, 0}}
 	l.version = uint64(now.UnixNano())
@@ -176,7 +175,7 @@
 		}
 	}
 	for host, since := range l.draining {
-		if now.Sub(since) > longestLease {
+		if now.Sub(since) > drainMemory {
 			delete(l.draining, host)
 		}
 	}
@@ -188,7 +187,7 @@
 
 func (r *Replica) leaseLength() time.Duration {
 	if d := r.state.View().Inventory; d != nil {
-		return min(d.Rules.Lease.Duration, longestLease)
+		return d.Rules.Lease.Duration
 	}
 	return inventory.DefaultLease
 }
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -25,20 +25,24 @@
 		{"nobody answers", "h1/a", nil, entry{}},
 		{"one is silent", "h1/a", map[string]Hello{"h2": blank("h2/b")}, entry{}},
 		{
-			"all blank, lowest name", "h1/a", map[string]Hello{"h2": blank("h2/b"), "h3": blank("h3/c")},
+			"all blank, lowest name", "h1/a",
+			map[string]Hello{"h2": blank("h2/b"), "h3": blank("h3/c")},
 			entry{found: []string{"h1/a", "h2/b", "h3/c"}},
 		},
 		{"all blank, not lowest", "h2/b", map[string]Hello{"h1": blank("h1/a"), "h3": blank("h3/c")}, entry{}},
 		{
-			"founded with this one", "h2/b", map[string]Hello{"h1": member("h1/a", "h1/a", "h2/b", "h3/c")},
+			"founded with this one", "h2/b",
+			map[string]Hello{"h1": member("h1/a", "h1/a", "h2/b", "h3/c")},
 			entry{adopt: []string{"h1/a", "h2/b", "h3/c"}},
 		},
 		{
-			"founded before the disk was lost", "h2/new", map[string]Hello{"h1": member("h1/a", "h1/a", "h2/b", "h3/c"), "h3": blank("h3/x")},
+			"founded before the disk was lost", "h2/new",
+			map[string]Hello{"h1": member("h1/a", "h1/a", "h2/b", "h3/c"), "h3": blank("h3/x")},
 			entry{join: "h1"},
 		},
 		{
-			"lowest name lost its disk while one is down", "h1/new", map[string]Hello{"h3": member("h3/c", "h1/a", "h2/b", "h3/c")},
+			"lowest name lost its disk while one is down", "h1/new",
+			map[string]Hello{"h3": member("h3/c", "h1/a", "h2/b", "h3/c")},
 			entry{join: "h3"},
 		},
 	} {
