Report a lost quorum as a failure

Cause: the status said that queries continue without a leader under the rule survive, which is not built; its test held that text. Change: the finding is of level failed; the test now expects it first in the list and on the screen, which is as strict as before.

--- a/operator/findings.go
+++ b/operator/findings.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"wasabirelay/control"
-	"wasabirelay/inventory"
 	"wasabirelay/lease"
 )
 
@@ -22,15 +21,11 @@
 func findControl(in *StatusInput) []Finding {
 	var found []Finding
 	if in.Leader.Host == "" {
-		f := Finding{
-			Level: Reduced, Subject: "control", What: "no leader is known: no change, target or claim is accepted",
-			Since: in.Leader.Since, Did: "queries continue while a majority of hosts is reachable",
+		found = append(found, Finding{
+			Level: Failed, Subject: "control", What: "no leader is known: no change, target or claim is accepted",
+			Since: in.Leader.Since, Did: "hosts refuse queries when their leases end",
 			Want: "restore a majority of the control hosts",
-		}
-		if in.View.Inventory != nil && in.View.Inventory.Rules.Lost == inventory.Stop {
-			f.Level, f.Did = Failed, "hosts refuse queries when their leases end, as the rule lost asks"
-		}
-		found = append(found, f)
+		})
 	}
 	for _, r := range in.Replicas {
 		if f := findReplica(&r); f != nil {
--- a/operator/status_test.go
+++ b/operator/status_test.go
@@ -55,10 +55,10 @@
 	d.renew("h1", 1)
 	d.Leader = func() operator.Leader { return operator.Leader{Since: start} }
 	want := []string{
+		"failed control: no leader is known: no change, target or claim is accepted",
 		"failed service order-desk: snapshot 1 lacks a replica of shard 1",
 		"reduced host h2: holds no lease: it is down or cut off",
 		"reduced request f00d: crashed several targets",
-		"reduced control: no leader is known: no change, target or claim is accepted",
 		"reduced control host h2: does not answer the leader",
 		"reduced move of order-desk: version v2 is at step new with a share of 0, due 2026-12-04T18:00:00Z",
 		"notice control host h3: is a learner, 9 entries behind",
@@ -76,7 +76,7 @@
 	lines := strings.Split(strings.TrimSpace(w.Body.String()), "\n")
 	d.True(len(lines) <= 24) // one screen
 	d.Equal(lines[0], "failed  inventory 1  leader none  targets 2  2026-12-04T19:00:01Z")
-	d.Equal(lines[1], "failed: service order-desk: snapshot 1 lacks a replica of shard 1, since 2026-12-04T07:00:00Z")
+	d.Equal(lines[1], "failed: control: no leader is known: no change, target or claim is accepted, since 2026-12-04T07:00:00Z")
 	d.Equal(lines[len(lines)-1], "3 more")
 }
 
