Prove leases against a cut-off leader and a frozen host

Cause: the test of a frozen host passed without the lease check; a control host that is cut off silently had no test. Change: sixty requests wait in the sockets of the frozen host; a test in which the leader is cut off from the other control hosts while the inventory changes; tables for granting leases and for the list of serving hosts.

--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"wasabirelay/answer"
+	"wasabirelay/operator"
 	"wasabirelay/problem"
 )
 
@@ -162,8 +163,10 @@
 }
 
 // Guards against an entry host that works on with an old inventory after a freeze
-// longer than its lease: the check is made when a request is sent.
+// longer than its lease: requests that waited in its sockets are taken at the thaw,
+// before it hears of the change, and must not reach the data centre that is out.
 func TestFrozenHostGivesOutNoWorkOnAnOldInventory(t *testing.T) {
+	const waiting = 60
 	is := is.New(t)
 	g := newGroup(t, 3, "h1", "h2", "h3", "h4")
 	g.startAll()
@@ -171,19 +174,20 @@
 	g.searchers(2)
 	g.daemons["h4"].signal(syscall.SIGSTOP)
 	g.mustApply("h1", 1, "two", g.inventory("two", "b"))
-	time.Sleep(2 * time.Second) // The lease of 1.5 s has run out.
-	done := make(chan *problem.Details, 1)
-	go func() {
-		_, refusal := g.query("h4", "thaw") // It waits in the socket until the thaw.
-		done <- refusal
-	}()
-	time.Sleep(200 * time.Millisecond)
-	g.daemons["h4"].signal(syscall.SIGCONT)
-	if refusal := <-done; refusal != nil {
-		is.Equal(refusal.Executed, problem.None)
-	} else {
-		is.Equal(g.version("h4"), uint64(2)) // it had renewed its lease before it took the request
+	time.Sleep(few)
+	before := received(g, "0-b") + received(g, "1-b")
+	var wg sync.WaitGroup
+	for i := range waiting {
+		wg.Go(func() {
+			if _, refusal := g.query("h4", fmt.Sprint("thaw-", i)); refusal != nil && refusal.Executed != problem.None {
+				t.Errorf("refused with executed %q: %s", refusal.Executed, refusal.Detail)
+			}
+		})
 	}
+	time.Sleep(300 * time.Millisecond)
+	g.daemons["h4"].signal(syscall.SIGCONT)
+	wg.Wait()
+	is.Equal(received(g, "0-b")+received(g, "1-b"), before)
 	g.until("h4 serves again", func() bool { return g.ready("h4") && g.version("h4") == 2 })
 }
 
@@ -213,6 +217,61 @@
 	g.until("h4 serves again", func() bool { a, _ := g.query("h4", "back"); return a != nil })
 }
 
+// Guards against a control host that is cut off silently from the others, for a
+// while in which the configuration changes, and that still reaches an entry host:
+// it must neither keep that host at work on the old inventory nor bring the old
+// inventory back when the cut heals. The leader is the one that is cut off.
+func TestLeaderCutOffSilently(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3", "h4")
+	cuts := map[string][]*link{}
+	for _, name := range g.names[:3] {
+		for _, other := range g.names[:3] {
+			if name != other {
+				l := g.link(name, other)
+				cuts[name], cuts[other] = append(cuts[name], l), append(cuts[other], l)
+			}
+		}
+	}
+	g.startAll()
+	g.mustApply("h1", 0, "one", g.inventory("one"))
+	g.searchers(2)
+	leader := g.leader()
+	others := slices.DeleteFunc([]string{"h1", "h2", "h3"}, func(name string) bool { return name == leader })
+	for _, l := range cuts[leader] {
+		l.cut.Store(true)
+	}
+	stop := g.load(6, "cut")
+	g.mustApply(others[0], 1, "two", g.inventory("two", "b"))
+	time.Sleep(few)
+	before := received(g, "0-b") + received(g, "1-b")
+	time.Sleep(time.Second)
+	is.Equal(received(g, "0-b")+received(g, "1-b"), before)
+	_, refusal := g.query(leader, "cut-off")
+	is.True(refusal != nil)
+	is.Equal(refusal.Executed, problem.None)
+	g.until("h4 serves under the new leader", func() bool { a, _ := g.query("h4", "new"); return a != nil })
+	stop()
+	for _, l := range cuts[leader] {
+		l.cut.Store(false)
+	}
+	g.until("the old leader has the new inventory", func() bool { return g.version(leader) == 2 && g.ready(leader) })
+	for _, name := range g.names {
+		is.Equal(g.version(name), uint64(2))
+	}
+}
+
+// leader returns the host that leads the control hosts.
+func (g *group) leader() string {
+	g.t.Helper()
+	var v operator.Version
+	g.until("a leader is known", func() bool {
+		_, body := do("GET", "http://"+local(g.ports["h1"][1])+"/v1/version", nil, nil)
+		return json.Unmarshal(body, &v) == nil && v.Leader.Host != ""
+	})
+	return v.Leader.Host
+}
+
 // Guards against requests that are cut by a planned stop, or sent to a host that
 // has stopped while callers still hold its address.
 func TestRollingRestartCutsNoRequest(t *testing.T) {
--- a/daemon/link_test.go
+++ b/daemon/link_test.go
@@ -23,24 +23,32 @@
 	to  string
 }
 
-// links puts a link between a host and each control host.
+// links puts a link between a host and each other control host.
 func (g *group) links(name string) []*link {
 	g.t.Helper()
 	var out []*link
 	for other := range g.control[name] {
-		l := &link{to: local(g.ports[other][2])}
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			g.t.Fatal(err)
+		if other != name {
+			out = append(out, g.link(name, other))
 		}
-		g.t.Cleanup(func() { listener.Close() })
-		g.control[name][other] = listener.Addr().String()
-		go l.run(listener)
-		out = append(out, l)
 	}
 	return out
 }
 
+// link puts a link between a host and a control host that it connects to.
+func (g *group) link(name, other string) *link {
+	g.t.Helper()
+	l := &link{to: local(g.ports[other][2])}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { listener.Close() })
+	g.control[name][other] = listener.Addr().String()
+	go l.run(listener)
+	return l
+}
+
 func (l *link) run(listener net.Listener) {
 	for {
 		a, err := listener.Accept()
--- /dev/null
+++ b/quorum/leases_test.go
@@ -0,0 +1,117 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/consensus"
+	"wasabirelay/control"
+)
+
+const leaseInventory = `{
+  "region": "r", "centres": {"a": {}},
+  "hosts": {
+    "h1": {"centre": "a", "caller": "127.0.0.1:1", "operator": "127.0.0.1:2", "peer": "127.0.0.1:3"},
+    "h2": {"centre": "a", "caller": "127.0.0.1:4", "operator": "127.0.0.1:5", "peer": "127.0.0.1:6"},
+  },
+  "services": {}, "rules": {},
+}`
+
+// leading returns a replica that leads at index 9, whose last commit older than
+// lagLimit has index 7.
+func leading(t *testing.T) (*Replica, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	r := &Replica{Host: "h1", Clock: clock, Log: zerolog.Nop(), role: consensus.Leader, applied: 9}
+	result := r.state.Apply(1, control.Command{At: clock.Now(), Inventory: &control.ApplyInventory{
+		Change: "c", Operator: "o", Text: leaseInventory,
+	}})
+	if result.Refusal != nil {
+		t.Fatal(result.Refusal)
+	}
+	r.state.Advance(9)
+	r.leases.init()
+	r.leases.elected(r, clock.Now())
+	r.leases.commits = []commit{{clock.Now(), 7}}
+	return r, clock
+}
+
+// Guards against leases for hosts that work on an old or a different state, or
+// that the operators have removed.
+func TestGrant(t *testing.T) {
+	r, _ := leading(t)
+	digest := r.state.Digest()
+	for _, tt := range []struct {
+		name    string
+		request Renew
+		granted bool
+		resync  bool
+	}{
+		{"up to date", Renew{Host: "h1", Applied: 9, Digest: digest}, true, false},
+		{"within the limit", Renew{Host: "h1", Applied: 7, Digest: 1}, true, false},
+		{"too far behind", Renew{Host: "h1", Applied: 6, Digest: digest}, false, false},
+		{"another state at the same index", Renew{Host: "h1", Applied: 9, Digest: digest + 1}, false, true},
+		{"ahead of the group", Renew{Host: "h1", Applied: 10, Digest: digest}, false, false},
+		{"not in the inventory", Renew{Host: "h9", Applied: 9, Digest: digest}, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got := r.leases.grant(r, &tt.request)
+			is.Equal(got.Length > 0, tt.granted)
+			is.Equal(got.Reason == "", tt.granted)
+			is.Equal(got.Resync, tt.resync)
+		})
+	}
+}
+
+// Guards against callers that are sent to a host that stops, or that is gone.
+func TestServingHosts(t *testing.T) {
+	is := is.New(t)
+	r, clock := leading(t)
+	renew := func(host string, draining bool) {
+		r.leases.grant(r, &Renew{Host: host, Applied: 9, Digest: r.state.Digest(), Draining: draining})
+	}
+	clock.Advance(2 * time.Second) // The leases that a previous leader may have granted have ended.
+	renew("h1", false)
+	renew("h2", false)
+	r.leases.updateServing(clock.Now())
+	is.Equal(r.leases.serving, []string{"h1", "h2"})
+	version := r.leases.version
+
+	renew("h2", true)
+	r.leases.updateServing(clock.Now())
+	is.Equal(r.leases.serving, []string{"h1"})
+	is.Equal(r.leases.version, version+1)
+	is.Equal(r.leases.grant(r, &Renew{Host: "h1", Applied: 9, Digest: r.state.Digest(), Hosts: version}).Serving, []string{"h1"})
+
+	clock.Advance(time.Second)
+	renew("h2", false) // It was started again.
+	clock.Advance(time.Second)
+	r.leases.updateServing(clock.Now())
+	is.Equal(r.leases.serving, []string{"h2"}) // h1 has not renewed for 2 s
+}
+
+// Guards against a lease that a leader grants before its leadership is confirmed,
+// and against a request that is left without an answer when leadership is lost.
+func TestRenewalWaitsForItsRound(t *testing.T) {
+	is := is.New(t)
+	r, _ := leading(t)
+	done := make(chan leaseReply, 1)
+	r.leases.rounds[5] = []renewal{{Renew{Host: "h1", Applied: 9, Digest: r.state.Digest()}, done}}
+	r.leases.confirmed(r, []consensus.Read{{ID: 4}}, nil)
+	is.Equal(len(done), 0)
+	r.leases.confirmed(r, []consensus.Read{{ID: 5}}, nil)
+	is.True((<-done).lease.Length > 0)
+
+	for _, lose := range []func(){
+		func() { r.leases.confirmed(r, nil, []uint64{6}) }, func() { r.leases.lost() },
+	} {
+		r.leases.rounds[6] = []renewal{{Renew{Host: "h1", Applied: 9}, done}}
+		lose()
+		is.True((<-done).err != nil)
+	}
+}
