Check a sub-request after its connection is open

Opening one takes up to 1 s, so a host whose lease ended meanwhile still sent new work.

Change: limit.Pool.Do takes a check that runs once the connection is open and directly before the first byte. If it refuses, the connection is kept and the error says that nothing was sent. The query path passes its check there and states the remaining time at that moment.

--- a/answer/connect.go
+++ b/answer/connect.go
@@ -34,8 +34,8 @@
 	clock clockwork.Clock
 }
 
-// send waits for room and sends a sub-request. Its Check runs after the wait; a
-// connection may still be opened after it, which the pool bounds.
+// send waits for room and a connection and sends a sub-request. Its Check runs
+// after both waits, and the remaining time is taken then.
 func (p *pooled) send(ctx context.Context, t *control.Target, sub *Subrequest) (*target.Reply, *SendError) {
 	waiting, stop := clockwork.WithDeadline(ctx, p.clock, sub.Deadline)
 	permit, err := p.pool.Acquire(waiting, t)
@@ -45,14 +45,14 @@
 	}
 	result := limit.Failed
 	defer func() { permit.Release(result) }()
-	if err := sub.Check(); err != nil {
-		return nil, &SendError{Outcome: Cancelled, Err: err}
-	}
 	req, err := NewHTTPRequest(ctx, p.clock.Now(), t, sub)
 	if err != nil {
 		return nil, &SendError{Outcome: Failed, Err: err}
 	}
-	res, err := p.pool.Do(ctx, permit, req)
+	res, err := p.pool.Do(ctx, permit, req, func() error {
+		setTimeout(req, p.clock.Now(), sub)
+		return sub.Check()
+	})
 	if err != nil {
 		return nil, poolError(err)
 	}
@@ -121,6 +121,6 @@
 	}
 	// The result says nothing about the target's load.
 	defer permit.Release(limit.Failed)
-	_, err = p.pool.Do(ctx, permit, req)
+	_, err = p.pool.Do(ctx, permit, req, nil)
 	return err
 }
--- a/answer/send.go
+++ b/answer/send.go
@@ -173,7 +173,7 @@
 	req.Header.Set(target.HeaderRequest, sub.Request)
 	req.Header.Set(target.HeaderShard, strconv.Itoa(sub.Shard))
 	req.Header.Set(target.HeaderSnapshot, strconv.FormatUint(sub.Snapshot, 10))
-	req.Header.Set(target.HeaderTimeout, strconv.FormatInt(max(1, sub.Deadline.Sub(now).Milliseconds()), 10))
+	setTimeout(req, now, sub)
 	if sub.Route != "" {
 		req.Header.Set(HeaderRoute, sub.Route)
 	}
@@ -181,6 +181,11 @@
 	return req, nil
 }
 
+// setTimeout states the time that the target has from now on.
+func setTimeout(req *http.Request, now time.Time, sub *Subrequest) {
+	req.Header.Set(target.HeaderTimeout, strconv.FormatInt(max(1, sub.Deadline.Sub(now).Milliseconds()), 10))
+}
+
 // sendError classifies an error of the client.
 func sendError(err error, sent bool) *SendError {
 	e := &SendError{Outcome: Failed, Sent: sent, Err: err}
--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -92,7 +92,7 @@
 				return err
 			}
 			defer permit.Release(Succeeded)
-			_, err = p.Do(ctx, permit, benchRequest(ctx, address))
+			_, err = p.Do(ctx, permit, benchRequest(ctx, address), nil)
 			return err
 		})
 	})
--- a/limit/do.go
+++ b/limit/do.go
@@ -25,7 +25,11 @@
 // *LostError. If ctx ends while the reply is awaited, the reply is awaited in the
 // background and the connection used again, because opening a new one may take
 // longer than a query; until then the permit's place stays taken.
-func (p *Pool) Do(ctx context.Context, permit *Permit, req *http.Request) (*Response, error) {
+//
+// check, unless it is nil, runs once the connection is open, directly before the
+// first byte is written. If it returns an error, nothing is sent, the connection
+// stays open, and the error is a *RefusedError in the *LostError.
+func (p *Pool) Do(ctx context.Context, permit *Permit, req *http.Request, check func() error) (*Response, error) {
 	if ended(ctx) {
 		return nil, &LostError{Err: ctx.Err()}
 	}
@@ -33,6 +37,12 @@
 	if err != nil {
 		return nil, &LostError{Err: err}
 	}
+	if check != nil {
+		if err := check(); err != nil {
+			permit.member.keep(c)
+			return nil, &LostError{Err: &RefusedError{Reason: Withheld, Err: err}}
+		}
+	}
 	before := c.raw.wrote
 	stop := c.watch(ctx)
 	if err := c.send(req); err != nil {
@@ -122,10 +132,15 @@
 		m.discard(c)
 		return r.response, nil
 	}
+	m.keep(c)
+	return r.response, nil
+}
+
+// keep makes a connection available after its use.
+func (m *member) keep(c *connection) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.put(c)
-	return r.response, nil
 }
 
 // discard closes a connection that can't be used again.
--- a/limit/errors.go
+++ b/limit/errors.go
@@ -16,6 +16,8 @@
 	TooLate Reason = "too-late"
 	// Ended means that the context ended during the wait.
 	Ended Reason = "ended"
+	// Withheld means that the check before the first byte returned an error.
+	Withheld Reason = "withheld"
 )
 
 // RefusedError reports that a request was refused before anything was sent.
@@ -25,7 +27,7 @@
 	Reason Reason
 	// Wait is the expected wait, if it was the reason.
 	Wait time.Duration
-	// Err is the error of the context, if it ended.
+	// Err is the error of the context, if it ended, or of the check.
 	Err error
 }
 
@@ -38,18 +40,21 @@
 	if e.Wait > 0 {
 		text += fmt.Sprintf(", expected wait %s", e.Wait)
 	}
+	if e.Reason == Withheld {
+		text += ": " + e.Err.Error()
+	}
 	return text
 }
 
-// Unwrap returns the error of the context.
+// Unwrap returns the error of the context or of the check.
 func (e *RefusedError) Unwrap() error { return e.Err }
 
 // LostError reports that a sub-request got no usable reply.
 type LostError struct {
 	// Sent is false only if no byte of the request left this host.
 	Sent bool
-	// Err is the cause: the error of the context, a *ConnectError, a *ReplyError, or a
-	// network error.
+	// Err is the cause: the error of the context, a *RefusedError of the check, a
+	// *ConnectError, a *ReplyError, or a network error.
 	Err error
 }
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -132,7 +132,7 @@
 	_, err := g.pool.Acquire(t.Context(), &old)
 	is.True(errors.As(err, &refused) && refused.Reason == NoShare)
 	req, _ := http.NewRequest(http.MethodGet, "http://t0/", http.NoBody)
-	_, err = g.pool.Do(t.Context(), permit, req)
+	_, err = g.pool.Do(t.Context(), permit, req, nil)
 	var lost *LostError
 	is.True(errors.As(err, &lost) && !lost.Sent)
 	permit.Release(Failed)
--- a/limit/pool_test.go
+++ b/limit/pool_test.go
@@ -94,7 +94,7 @@
 // query runs one sub-request.
 func (g *rig) query(ctx context.Context, permit *Permit, body string) (*Response, error) {
 	req, _ := http.NewRequest(http.MethodPost, "http://t0/query", strings.NewReader(body))
-	return g.pool.Do(ctx, permit, req)
+	return g.pool.Do(ctx, permit, req, nil)
 }
 
 // raw replies with the bytes and closes the connection, with a reset if it is asked for.
@@ -214,6 +214,36 @@
 	}
 }
 
+// TestCheckBeforeFirstByte guards against a sub-request that is sent although it
+// may no longer be, because opening the connection took long, and against the loss
+// of the connection.
+func TestCheckBeforeFirstByte(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int64
+	g := newRig(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		echo(w, r)
+	})
+	permit := g.acquire(t)
+	withheld := errors.New("the lease is lost")
+	for range 2 { // on a new connection and on an idle one
+		req, _ := http.NewRequest(http.MethodPost, "http://t0/query", strings.NewReader("q"))
+		_, err := g.pool.Do(t.Context(), permit, req, func() error {
+			is.Equal(g.open.Load(), int64(1)) // the check ran before the connection was open
+			return withheld
+		})
+		var lost *LostError
+		var refused *RefusedError
+		is.True(errors.As(err, &lost) && !lost.Sent)
+		is.True(errors.As(err, &refused) && refused.Reason == Withheld && errors.Is(err, withheld))
+	}
+	res, err := g.query(t.Context(), permit, "q")
+	is.NoErr(err)
+	is.Equal(string(res.Body), "q") // a byte of a withheld request was written
+	is.Equal(received.Load(), int64(1))
+	is.Equal(g.dials.Load(), int64(1))
+}
+
 // TestClosedWhileIdle guards against sub-requests that are lost because the target
 // closed an idle connection.
 func TestClosedWhileIdle(t *testing.T) {
