--- a/bench/control.go
+++ b/bench/control.go
@@ -190,7 +190,7 @@
 		per := float64(entries)
 		figures = append(figures,
 			Figure{Name: "node_cpu", Value: ownCPU.Seconds() / seconds / per, Unit: "cores"},
-			Figure{Name: "node_memory", Value: float64(heap()-min(before, heap())) / per, Unit: "bytes of heap"},
+			Figure{Name: "node_memory", Value: float64(heap()-min(before, heap())) / per, Unit: unitHeap},
 			Figure{
 				Name: "node_bytes", Value: float64(sent2-sent+received2-received) / seconds / per, Unit: "bytes/s",
 				Base: &poll, Note: "base: polls the inventory and the targets once a second",
@@ -226,11 +226,15 @@
 // changes measures how long changes take to be accepted and to be in force.
 func (c *Control) changes(f *Fleet, n int, document func(uint64) (string, error)) error {
 	accepted, force := newHistogram(), newHistogram()
+	began := time.Now()
+	_, received := peer.Traffic()
+	size := 0
 	for v := uint64(1); v <= changesPerSize; v++ {
 		text, err := document(v)
 		if err != nil {
 			return err
 		}
+		size = len(text)
 		start := time.Now()
 		applied, err := f.Apply(v, text, 0)
 		if err != nil {
@@ -242,6 +246,10 @@
 		}
 		record(force, time.Since(start))
 	}
+	_, received2 := peer.Traffic()
+	if err := c.changeBytes(n, size, received2-received, time.Since(began)); err != nil {
+		return err
+	}
 	base, err := syncTime(f.Dir)
 	if err != nil {
 		return err
@@ -262,6 +270,19 @@
 	), "print")
 }
 
+// changeBytes prints what a change costs each entry host in bytes received, lease
+// renewals in that time included.
+func (c *Control) changeBytes(n, size int, received int64, took time.Duration) error {
+	entries := n - 3
+	if entries <= 0 {
+		return nil
+	}
+	return Print(c.Out, Figure{
+		Name: "change_bytes", Value: float64(received) / changesPerSize / float64(entries), Unit: unitBytes, Hosts: n,
+		Note: fmt.Sprintf("document of %d bytes; %.0f ms per change", size, float64(took.Milliseconds())/changesPerSize),
+	})
+}
+
 func (c *Control) awaitForce(f *Fleet, applied *operator.Applied) error {
 	s := &host.Control{Clients: []*peer.Client{{Address: f.Hosts[f.Names[0]].Peer}}}
 	defer s.Clients[0].Close()
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -37,6 +37,12 @@
 	portAttempts        = 100
 )
 
+// Units that several figures have.
+const (
+	unitBytes = "bytes"
+	unitHeap  = "bytes of heap"
+)
+
 // Figure is one result. Base is the same work done by a baseline in the same run.
 type Figure struct {
 	Name  string   `json:"name"`
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -16,6 +16,7 @@
 	Bin     string  `help:"Folder of the programs." required:"" type:"existingdir"`
 	Control control `cmd:"" help:"Measure the control plane."`
 	Query   query   `cmd:"" help:"Measure query traffic."`
+	Slopes  slopes  `cmd:"" help:"Measure what one more target, host or connection costs."`
 }
 
 type control struct {
@@ -42,6 +43,13 @@
 	}).Run(context.Background())
 }
 
+type slopes struct{}
+
+// Run implements the command.
+func (*slopes) Run(*options) error {
+	return (&bench.Slopes{Out: os.Stdout}).Run(context.Background())
+}
+
 func main() {
 	var o options
 	k := kong.Parse(&o, kong.Description("Measures wasabirelay with real processes on this machine."))
