Tell groups of control hosts apart

Cause: after all disks were lost, the control hosts founded a new group. Hosts that knew the old one refused it while its log was shorter, and took over its empty inventory once it had grown longer. A learner that restarted before it had received an entry took the current members for the founders. Change: the founders are kept in the data folder; hosts name the group when they subscribe and renew; only a founder adopts a founding. Conclusion: a host that restarts with the control hosts has no memory of the old group; its operators have to restore a data folder.

--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -340,3 +340,32 @@
 	is.Equal(<-status, http.StatusOK)
 	<-g.daemons["h2"].end
 }
+
+// Guards against control hosts that start without their data and make the other
+// hosts fall back to an empty inventory: those refuse to serve instead.
+func TestControlHostsThatLostAllDisksRevertNobody(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, "h1", "h2", "h3", "h4")
+	g.startAll()
+	for i := range 5 {
+		g.mustApply("h1", uint64(i), fmt.Sprint("c", i), g.inventory(fmt.Sprint("r", i)))
+	}
+	g.searchers(1)
+	for _, name := range g.names[:3] {
+		g.daemons[name].kill()
+		is.NoErr(os.RemoveAll(g.folder(name)))
+	}
+	for _, name := range g.names[:3] {
+		g.start(name)
+	}
+	g.until("a new group is founded", func() bool { return g.ready("h1") && g.ready("h2") })
+	// The log of the new group grows beyond the one that h4 knows.
+	for i := range 60 {
+		g.mustApply("h1", uint64(i), fmt.Sprint("new", i), g.inventory(fmt.Sprint("n", i)))
+	}
+	time.Sleep(few)
+	a, refusal := g.query("h4", "after")
+	is.True(a == nil)
+	is.Equal(refusal.Executed, problem.None)
+	is.Equal(g.version("h4"), uint64(5)) // the accepted inventory is not replaced by an older one
+}
--- a/host/follower.go
+++ b/host/follower.go
@@ -69,6 +69,7 @@
 	holder   lease.Holder
 	inflight int
 	hosts    uint64
+	group    string
 	next     time.Time
 	commit   uint64
 	behind   time.Time
@@ -186,6 +187,7 @@
 	number := f.holder.Request(now)
 	q := quorum.Renew{
 		Host: f.Host, Applied: f.state.Index(), Digest: f.state.Digest(), Draining: f.draining.Load(), Hosts: f.hosts,
+		Group: f.group,
 	}
 	f.inflight++
 	go func() {
@@ -264,18 +266,21 @@
 	if err != nil {
 		return err
 	}
-	index := make(chan uint64, 1)
-	f.post(ctx, func() { f.feed = conn; index <- f.state.Index() })
-	var after uint64
+	request := make(chan quorum.Watch, 1)
+	f.post(ctx, func() {
+		f.feed = conn
+		request <- quorum.Watch{Host: f.Host, Index: f.state.Index(), Group: f.group}
+	})
+	var after quorum.Watch
 	select {
-	case after = <-index:
+	case after = <-request:
 	case <-ctx.Done():
 		return nil
 	}
 	call, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	var reply struct{}
-	if err := conn.Call(call, quorum.MethodWatch, quorum.Watch{Host: f.Host, Index: after}, &reply); err != nil {
+	if err := conn.Call(call, quorum.MethodWatch, after, &reply); err != nil {
 		return err
 	}
 	select {
@@ -302,6 +307,12 @@
 	if conn != f.feed {
 		return
 	}
+	if f.group != "" && m.Group != f.group {
+		f.Log.Error().Str("known", f.group).Str("got", m.Group).Msg("feed of another group of control hosts refused")
+		conn.Close()
+		return
+	}
+	f.group = m.Group
 	if m.Snapshot != nil && m.Index > f.state.Index() {
 		var s control.State
 		if err := s.Restore(m.Snapshot); err != nil {
--- a/quorum/feed.go
+++ b/quorum/feed.go
@@ -18,6 +18,7 @@
 
 // feed sends committed entries to the hosts that watch.
 type feed struct {
+	group    string
 	history  []FeedEntry
 	watchers map[*watcher]bool
 }
@@ -42,6 +43,7 @@
 }
 
 func (f *feed) enqueue(w *watcher, m Feed) {
+	m.Group = f.group
 	select {
 	case w.queue <- m:
 	default:
@@ -85,13 +87,21 @@
 		return nil, err
 	}
 	w := &watcher{conn: c, queue: make(chan Feed, watcherBacklog)}
+	ready := false
 	err := r.do(ctx, func() {
+		if ready = r.node != nil && (m.Group == "" || m.Group == r.group); !ready {
+			return
+		}
+		r.feed.group = r.group
 		r.feed.watchers[w] = true
 		r.feed.start(r, w, m.Index)
 	})
 	if err != nil {
 		return nil, remote(err)
 	}
+	if !ready {
+		return nil, &peer.RemoteError{Code: peer.CodeUnavailable, Message: "this control host is blank or belongs to another group"}
+	}
 	go r.pump(w) //nolint:gosec // the subscription outlives the call
 	return struct{}{}, nil
 }
--- a/quorum/founding.go
+++ b/quorum/founding.go
@@ -17,8 +17,8 @@
 
 // entry is what a blank replica does next.
 type entry struct {
-	// found holds the members of the group to found, adopt those of the group that
-	// another replica has founded with this one in it.
+	// found holds the members of the group to found, adopt the founders of the group
+	// that another replica has founded with this one in it.
 	found, adopt []string
 	// join names the host whose group this replica asks to join.
 	join string
@@ -31,11 +31,11 @@
 func decide(self Hello, hosts []string, others map[string]Hello) entry {
 	for _, host := range slices.Sorted(maps.Keys(others)) {
 		o := others[host]
-		if len(o.Members) == 0 {
+		if len(o.Members) == 0 && len(o.Founders) == 0 {
 			continue
 		}
-		if slices.Contains(o.Members, self.ID) {
-			return entry{adopt: o.Members}
+		if slices.Contains(o.Founders, self.ID) {
+			return entry{adopt: o.Founders}
 		}
 		return entry{join: host}
 	}
@@ -107,17 +107,17 @@
 func (r *Replica) act(ctx context.Context, e entry) bool {
 	switch {
 	case e.found != nil:
-		if !r.enterGroup(ctx, consensus.Found(e.found)) {
+		if !r.enterGroup(ctx, e.found) {
 			return false
 		}
 		for host, c := range r.Clients {
-			if err := c.Notify(ctx, MethodFound, Hello{ID: r.identity.String(), Members: e.found}); err != nil {
+			if err := c.Notify(ctx, MethodFound, Hello{ID: r.identity.String(), Members: e.found, Founders: e.found}); err != nil {
 				r.Log.Warn().Err(err).Str("to", host).Msg("founding not announced, the host will ask")
 			}
 		}
 		return true
 	case e.adopt != nil:
-		return r.enterGroup(ctx, consensus.Found(e.adopt))
+		return r.enterGroup(ctx, e.adopt)
 	case e.join != "":
 		return r.join(ctx, e.join)
 	}
@@ -126,21 +126,23 @@
 
 // enterGroup persists the founding state and starts the log. It reports whether
 // the replica is in a group; it may have been brought into one meanwhile.
-func (r *Replica) enterGroup(ctx context.Context, saved consensus.Saved) bool {
+func (r *Replica) enterGroup(ctx context.Context, founders []string) bool {
 	ok := false
+	saved := consensus.Found(founders)
 	err := r.do(ctx, func() {
 		if ok = r.node != nil; ok {
 			return
 		}
-		if err := r.journal.Save(&saved.Hard, saved.Entries); err != nil {
-			r.fatal = err
+		if r.fatal = writeFounders(r.Dir, founders); r.fatal != nil {
 			return
 		}
-		if err := r.start(saved); err != nil {
-			r.fatal = err
+		if r.fatal = r.journal.Save(&saved.Hard, saved.Entries); r.fatal != nil {
 			return
 		}
-		ok = true
+		r.setFounders(founders)
+		if r.fatal = r.start(saved); r.fatal == nil {
+			ok = true
+		}
 	})
 	return err == nil && ok
 }
@@ -150,8 +152,8 @@
 func (r *Replica) join(ctx context.Context, host string) bool {
 	call, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	var done struct{}
-	if err := r.Clients[host].Call(call, MethodJoin, Join{ID: r.identity.String()}, &done); err != nil {
+	var joined Joined
+	if err := r.Clients[host].Call(call, MethodJoin, Join{ID: r.identity.String()}, &joined); err != nil {
 		r.Log.Warn().Err(err).Str("host", host).Msg("group not joined yet")
 		return false
 	}
@@ -161,11 +163,13 @@
 		if ok = r.node != nil; ok {
 			return
 		}
-		if err := r.start(consensus.Saved{}); err != nil {
-			r.fatal = err
+		if r.fatal = writeFounders(r.Dir, joined.Founders); r.fatal != nil {
 			return
 		}
-		ok = true
+		r.setFounders(joined.Founders)
+		if r.fatal = r.start(consensus.Saved{}); r.fatal == nil {
+			ok = true
+		}
 	})
 	return err == nil && ok
 }
@@ -177,7 +181,7 @@
 			return
 		}
 		m := r.node.Status().Members
-		h.Members = slices.Concat(m.Voters, m.Joining, m.Learners)
+		h.Members, h.Founders = slices.Concat(m.Voters, m.Joining, m.Learners), r.founders
 	})
 	if err != nil {
 		return nil, remote(err)
@@ -190,8 +194,8 @@
 	if err := peer.Decode(params, &h); err != nil {
 		return nil, err
 	}
-	if slices.Contains(h.Members, r.identity.String()) {
-		go r.enterGroup(ctx, consensus.Found(h.Members))
+	if slices.Contains(h.Founders, r.identity.String()) {
+		go r.enterGroup(ctx, h.Founders)
 	}
 	return nil, nil
 }
@@ -206,15 +210,16 @@
 	}
 	leader := ""
 	var refused error
-	err := r.do(ctx, func() { leader, refused = r.addLearner(q.ID) })
+	var founders []string
+	err := r.do(ctx, func() { leader, refused = r.addLearner(q.ID); founders = r.founders })
 	switch {
 	case err != nil:
 		return nil, remote(err)
 	case refused == nil:
-		return struct{}{}, nil
+		return Joined{Founders: founders}, nil
 	case leader != "" && !q.Forwarded:
 		q.Forwarded = true
-		var out struct{}
+		var out Joined
 		return forward(ctx, r, leader, MethodJoin, q, &out)
 	}
 	return nil, remote(refused)
--- a/quorum/leases.go
+++ b/quorum/leases.go
@@ -144,10 +144,10 @@
 	switch {
 	case view.Inventory != nil && !listed:
 		reply.Reason = "host " + q.Host + " is not in the inventory"
-	case q.Applied > r.applied:
+	case q.Group != "" && q.Group != r.group, q.Applied > r.applied:
 		// The group has lost changes that it had accepted. Serving on would revert
 		// them on the other hosts, so an operator has to decide.
-		reply.Reason = "the host's control state is ahead of the control hosts'"
+		reply.Reason = "the host follows another group of control hosts, or is ahead of this one"
 		r.Log.Error().Str("from", q.Host).Uint64("host", q.Applied).Uint64("group", r.applied).Msg("control hosts have lost accepted changes")
 	case q.Applied < l.commits[0].index:
 		reply.Reason = "the host's control state is behind"
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -28,6 +28,13 @@
 	ID string `json:"id"`
 	// Members is the group that the replica belongs to; empty if it is blank.
 	Members []string `json:"members,omitempty"`
+	// Founders are the members that founded it.
+	Founders []string `json:"founders,omitempty"`
+}
+
+// Joined is the reply to Join.
+type Joined struct {
+	Founders []string `json:"founders"`
 }
 
 // Join asks the group to add an identity as a learner.
@@ -46,10 +53,13 @@
 type Watch struct {
 	Host  string `json:"host"`
 	Index uint64 `json:"index"`
+	// Group is the group that the host follows; empty if none yet.
+	Group string `json:"group,omitempty"`
 }
 
 // Feed carries committed commands, or a snapshot for a host that is too far behind.
 type Feed struct {
+	Group string `json:"group"`
 	// Snapshot is the shared part of the control state at Index.
 	Snapshot []byte      `json:"snapshot,omitempty"`
 	Index    uint64      `json:"index,omitempty"`
@@ -70,6 +80,8 @@
 	// that of its state there.
 	Applied uint64 `json:"applied"`
 	Digest  uint64 `json:"digest"`
+	// Group is the group that the host follows; empty if none yet.
+	Group string `json:"group,omitempty"`
 	// Draining states that the host stops soon and must not be handed to callers.
 	Draining  bool `json:"draining,omitempty"`
 	Forwarded bool `json:"forwarded,omitempty"`
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -15,7 +15,9 @@
 func TestDecide(t *testing.T) {
 	hosts := []string{"h1", "h2", "h3"}
 	blank := func(id string) Hello { return Hello{ID: id} }
-	member := func(id string, members ...string) Hello { return Hello{ID: id, Members: members} }
+	member := func(id string, founders ...string) Hello {
+		return Hello{ID: id, Members: append([]string{"h2/learner"}, founders...), Founders: founders}
+	}
 	for _, tt := range []struct {
 		name   string
 		self   string
@@ -40,6 +42,11 @@
 			map[string]Hello{"h1": member("h1/a", "h1/a", "h2/b", "h3/c"), "h3": blank("h3/x")},
 			entry{join: "h1"},
 		},
+		{
+			"joined as a learner and restarted before the log came", "h2/learner",
+			map[string]Hello{"h1": member("h1/a", "h1/a", "h2/b", "h3/c")},
+			entry{join: "h1"},
+		},
 		{
 			"lowest name lost its disk while one is down", "h1/new",
 			map[string]Hello{"h3": member("h3/c", "h1/a", "h2/b", "h3/c")},
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -56,6 +56,8 @@
 
 	journal  *journal.Journal
 	identity journal.Identity
+	founders []string
+	group    string          // the hash of founders
 	node     *consensus.Node // nil while the replica is blank
 	state    control.State
 	at       time.Time
@@ -106,9 +108,21 @@
 	if blank(saved) {
 		return nil
 	}
+	founders, err := readFounders(r.Dir)
+	if err != nil {
+		return err
+	}
+	r.setFounders(founders)
+	if len(founders) == 0 {
+		return errors.Errorf("data folder %s has a log and no file %s: it is damaged", r.Dir, groupFile)
+	}
 	return r.start(saved)
 }
 
+func (r *Replica) setFounders(founders []string) {
+	r.founders, r.group = founders, groupOf(founders)
+}
+
 func blank(s consensus.Saved) bool {
 	return s.Snapshot == nil && len(s.Entries) == 0 && s.Hard.Term == 0
 }
