Tell followers of a commit at once

Cause: a follower learned that an entry is committed from the next append or heartbeat. The last command of a burst therefore reached hosts that follow a follower up to a heartbeat interval (100 ms) late. In a failing run of TestPoisonRequestIsRefusedBeforeAShardIsLost, one host had committed the deaths of two replicas at 04.498 s, and another still acted on a view without the second one at 04.593 s and sent the request to the third replica.

Change: after a commit, the leader sends a heartbeat to the members that hold the entry and were not told by an append. An idle leader sends no more heartbeats than before.

Before: TestFollowersLearnOfCommits failed. After: it passes; go test -race -count=3 passes for consensus, with the random schedules.

Conclusion: a commit reaches the followers one message after it is made.

--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -74,6 +74,26 @@
 	is.True(!g.done[stale])
 }
 
+// Guards against followers that learn of a commit only with the next heartbeat:
+// hosts that follow them would act on an old state for that long.
+func TestFollowersLearnOfCommits(t *testing.T) {
+	is := is.New(t)
+	g, leader, _, _ := trio(t)
+	for range 20 {
+		g.propose(leader, 1)
+		g.run(4 * step) // to the follower, back, and the commit index
+		for _, id := range g.ids() {
+			is.Equal(g.members[id].applied, g.members[leader].applied)
+		}
+		is.Equal(g.members[leader].applied, g.status(leader).Last)
+		g.run(heartbeat + step)
+	}
+	g.run(election)
+	beats := g.count(func(m Message) bool { return m.Kind == Heartbeat })
+	g.run(10 * heartbeat)
+	is.True(*beats <= 2*11) // none but the regular ones while nothing is committed
+}
+
 // Guards against a member that votes, or counts as a voter, before it has the
 // log, and against a promotion that makes the group depend on failed members.
 func TestPromote(t *testing.T) {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -22,7 +22,9 @@
 // progress is what a leader knows about another member.
 type progress struct {
 	match, next uint64
-	phase       Phase
+	// told is the commit index that the member can act on after the last message.
+	told  uint64
+	phase Phase
 	// inflight holds the last index of each unacknowledged Append.
 	inflight []uint64
 	// moved is when the member last acknowledged something, or when the first
@@ -92,6 +94,7 @@
 	p.inflight = append(p.inflight, end)
 	if p.phase == Streaming {
 		p.next = end + 1
+		p.told = max(p.told, min(n.commit, end))
 	}
 	n.send(m)
 }
@@ -105,8 +108,25 @@
 // apply, and the round of the current leadership confirmation.
 func (n *Node) heartbeat() {
 	for _, id := range n.members().others(n.ID) {
-		commit := min(n.commit, n.progress[id].match)
-		n.send(Message{Kind: Heartbeat, To: id, Commit: commit, Round: n.round})
+		n.beatTo(id, n.progress[id])
+	}
+}
+
+func (n *Node) beatTo(id string, p *progress) {
+	commit := min(n.commit, p.match)
+	p.told = max(p.told, commit)
+	n.send(Message{Kind: Heartbeat, To: id, Commit: commit, Round: n.round})
+}
+
+// announce tells members of entries that they hold and that have been committed
+// since the last message to them. Without that, a follower learns of the last
+// commit up to a heartbeat interval later, and the hosts that follow it as well. A
+// message that is lost is made up for by the next heartbeat.
+func (n *Node) announce() {
+	for _, id := range n.members().others(n.ID) {
+		if p := n.progress[id]; min(n.commit, p.match) > p.told && n.reachable(id) {
+			n.beatTo(id, p)
+		}
 	}
 }
 
@@ -232,6 +252,7 @@
 	} else {
 		n.feed(m.From, p)
 	}
+	n.announce()
 	n.admit()
 	n.handOver()
 }
