Share deaths of targets between hosts when they are seen

Cause: a host reported a death with a request in flight only when it was confirmed, up to 1 s later. A caller that sent a request to one host after another lost one or two replicas through each of them, until a shard had none. Besides, a request that is sent all the time was confirmed as the cause of two deaths if both came before its next answer.

Change: a death is reported early, confirmed later, and withdrawn when a target answers the request for the shard. The state machine counts the early and confirmed deaths of one shard and drops early ones after 5 s. Views show the early suspicions. Every host refuses a query that is suspected and would go to the last usable replica of a shard, and hedges and retries spare that replica too. A request that was answered in the last 5 s is not reported early, and its deaths count only if nobody answers it for 1 s. An answer that comes before the health check has ended clears as well. Reports share commands, one on its way at a time, so that a withdrawal follows its report.

Conclusion: the second host knows of the first death after one commit.

--- a/answer/claim.go
+++ b/answer/claim.go
@@ -72,9 +72,10 @@
 		return nil, verdict.refusal
 	case !verdict.run:
 		return s.first(ctx, q, verdict)
-	case s.poisoned(v, q):
+	}
+	if refusal := r.refuseHeld(best); refusal != nil { // Nothing has been sent under this claim.
 		s.proposeFinish(q, control.OutcomeNone)
-		return nil, refusePoison(v, q)
+		return nil, refusal
 	}
 	return s.runClaimed(r, best)
 }
--- a/answer/flight.go
+++ b/answer/flight.go
@@ -74,16 +74,21 @@
 	if err := f.s.checkSend(f.sub.Service, f.target, f.sub.Snapshot); err != nil {
 		return err
 	}
-	f.number.Store(f.s.Poison.Begin(poison.Flight{
-		Fingerprint: f.fingerprint, Service: f.sub.Service, Target: f.target.Name,
-		Incarnation: f.target.Incarnation, Shard: f.sub.Shard,
-	}))
+	f.number.Store(f.s.Poison.Begin(f.tracked()))
 	if f.cancelled.Load() {
 		return errors.New("the sub-request is not needed any more")
 	}
 	return nil
 }
 
+// tracked describes the sub-request to package poison.
+func (f *flight) tracked() poison.Flight {
+	return poison.Flight{
+		Fingerprint: f.fingerprint, Service: f.sub.Service, Target: f.target.Name,
+		Incarnation: f.target.Incarnation, Shard: f.sub.Shard,
+	}
+}
+
 // send sends the sub-request and counts a reply that is not accepted.
 func (f *flight) send(ctx context.Context) event {
 	reply, failure := f.s.Send(ctx, f.target, f.sub)
@@ -96,7 +101,7 @@
 		}
 	}
 	if failure == nil {
-		f.s.Poison.Succeeded(f.fingerprint, f.sub.Shard)
+		f.succeeded()
 		return event{flight: f, result: reply.Result}
 	}
 	var bad *ReplyError
@@ -106,15 +111,6 @@
 	return event{flight: f, err: failure}
 }
 
-// checkHealth finds out whether a target that reset a connection has died.
-func (s *Service) checkHealth(t *control.Target, hold time.Duration) {
-	s.goBackground(func(ctx context.Context) {
-		alive := s.Health(ctx, t) == nil
-		s.report(s.Poison.Checked(s.Clock.Now(), t.Name, t.Incarnation, alive, hold))
-		s.reportDue()
-	})
-}
-
 // checkSend returns an error if the target may not get new work any more.
 func (s *Service) checkSend(service string, t *control.Target, number uint64) error {
 	view, err := s.View()
--- a/answer/refusal.go
+++ b/answer/refusal.go
@@ -44,6 +44,33 @@
 	}
 }
 
+// refuseSuspect returns the refusal of a query that is under early suspicion and
+// would be sent to the last replica of a shard.
+func refuseSuspect(q *Query) *problem.Details {
+	return &problem.Details{
+		Type: "urn:wasabirelay:poison", Title: "Request is suspected of crashing targets",
+		Status: http.StatusUnprocessableEntity, Executed: problem.None, Rule: "poison", Retry: 1,
+		Detail: fmt.Sprintf("fingerprint %s was in flight at the death of a target and is not sent to the last replica of a shard",
+			q.Fingerprint),
+	}
+}
+
+// refuseHeld returns the refusal of a query that is poisoned, or suspected and a
+// danger to the last replica of a shard, by the current view. It is called before
+// anything is sent.
+func (r *run) refuseHeld(best *snapshot) *problem.Details {
+	v, err := r.s.View()
+	switch {
+	case err != nil:
+		return refuseLease(err)
+	case r.s.poisoned(v, r.q):
+		return refusePoison(v, r.q)
+	case r.withheld(v, best):
+		return refuseSuspect(r.q)
+	}
+	return nil
+}
+
 // refuseLease returns the refusal of a host that may not give out work.
 func refuseLease(err error) *problem.Details {
 	return problem.Unavailable("lease", "this host may not give out work now: "+err.Error())
--- a/answer/run.go
+++ b/answer/run.go
@@ -234,7 +234,7 @@
 	if snap == nil || a.shard >= len(snap.shards) {
 		return noReplica
 	}
-	if r.s.poisoned(view, r.q) || (a.kind != First && r.lastForSuspect(snap.shards[a.shard], a.shard)) {
+	if r.s.poisoned(view, r.q) || r.lastForSuspect(view, snap.shards[a.shard], a.shard, a.kind) {
 		return noSuspect
 	}
 	if a.kind == Hedge && r.hedgeDelay() == 0 {
@@ -255,22 +255,6 @@
 	return notDenied
 }
 
-// lastForSuspect reports whether the request has been seen at a death and the
-// shard has at most one replica that has neither failed nor runs the request now.
-// That replica is not put at risk by a hedge or a retry.
-func (r *run) lastForSuspect(replicas []*control.Target, shard int) bool {
-	if !r.s.Poison.Suspected(r.s.Clock.Now(), r.q.Fingerprint) {
-		return false
-	}
-	safe := 0
-	for _, t := range replicas {
-		if !r.failed[t.Name] && !r.round.runs(shard, t.Name) {
-			safe++
-		}
-	}
-	return safe <= 1
-}
-
 // pick selects a replica. A hedge or retry of a query that drew a limited version
 // may go to the versions without a limit, so that the failures of a bad version
 // do not reduce coverage.
--- a/answer/serve.go
+++ b/answer/serve.go
@@ -105,6 +105,9 @@
 		return nil, refusal
 	}
 	defer release()
+	if refusal := r.refuseHeld(best); refusal != nil {
+		return nil, refusal
+	}
 	r.fanOut(best)
 	return r.finish()
 }
--- a/answer/service.go
+++ b/answer/service.go
@@ -32,6 +32,7 @@
 	metrics *metrics
 	tracer  trace.Tracer
 	store   store
+	reports reports
 	work    sync.WaitGroup
 	indexes atomic.Pointer[indexes]
 	// disputes holds the last disputed snapshots of each service, so that a view
@@ -125,27 +126,6 @@
 	s.reportDue()
 }
 
-// report proposes suspects without making the caller wait.
-func (s *Service) report(suspects []control.SuspectRequest) {
-	for _, suspect := range suspects {
-		s.Log.Warn().Str("fingerprint", suspect.Fingerprint).Str("target", suspect.Target).
-			Int("shard", suspect.Shard).Msg("target died with this request in flight")
-		s.goBackground(func(ctx context.Context) {
-			if _, err := s.Propose(ctx, control.Command{Suspect: &suspect}); err != nil {
-				s.Log.Warn().Err(err).Str("fingerprint", suspect.Fingerprint).Msg("suspect not reported")
-			}
-		})
-	}
-}
-
-// reportDue reports the suspects that are not cleared within the grace period.
-// Drain does not wait for it.
-func (s *Service) reportDue() {
-	if s.Poison.Pending() {
-		s.Clock.AfterFunc(poison.Grace, func() { s.report(s.Poison.Due(s.Clock.Now())) })
-	}
-}
-
 // goBackground runs f outside of any query. Drain waits for it.
 func (s *Service) goBackground(f func(ctx context.Context)) {
 	s.work.Go(func() {
--- a/control/command.go
+++ b/control/command.go
@@ -21,7 +21,10 @@
 	Grant     *AcquireGrant   `json:"grant,omitempty"`
 	Release   *ReleaseGrant   `json:"release,omitempty"`
 	Suspect   *SuspectRequest `json:"suspect,omitempty"`
-	Move      *StepMove       `json:"move,omitempty"`
+	// Suspects is a batch of at most 64 suspects, so that a death with many requests
+	// in flight is one command.
+	Suspects []SuspectRequest `json:"suspects,omitempty"`
+	Move     *StepMove        `json:"move,omitempty"`
 }
 
 // ApplyInventory replaces the inventory if its version is still Base.
@@ -107,13 +110,20 @@
 	Index uint64 `json:"index,omitempty"`
 }
 
-// SuspectRequest reports that a target died with a request in flight.
+// SuspectRequest reports that a target died with a request in flight, or that such
+// a report is withdrawn.
 type SuspectRequest struct {
 	Fingerprint string `json:"fingerprint"`
 	Service     string `json:"service"`
 	Target      string `json:"target"`
 	Incarnation string `json:"incarnation"`
 	Shard       int    `json:"shard"`
+	// Early states that the death has been seen and is not confirmed yet. It counts
+	// until it is cleared or for 5 s; a later report without Early confirms it.
+	Early bool `json:"early,omitempty"`
+	// Cleared states that a target has answered the same request for the shard. The
+	// early deaths of that shard are withdrawn; Target and Incarnation are ignored.
+	Cleared bool `json:"cleared,omitempty"`
 }
 
 // StepMove changes the state of a version move.
--- a/control/state.go
+++ b/control/state.go
@@ -93,7 +93,9 @@
 	case c.Release != nil:
 		r.Refusal = s.release(c.Release)
 	case c.Suspect != nil:
-		r.Refusal = s.suspect(c.Suspect)
+		r.Refusal = s.suspectAll([]SuspectRequest{*c.Suspect})
+	case len(c.Suspects) > 0:
+		r.Refusal = s.suspectAll(c.Suspects)
 	case c.Move != nil:
 		*r = s.stepMove(c.Move)
 	}
@@ -120,7 +122,7 @@
 	n := 0
 	for _, set := range []bool{
 		c.Inventory != nil, c.Announce != nil, c.Leave != nil, c.Claim != nil, c.Finish != nil,
-		c.Grant != nil, c.Release != nil, c.Suspect != nil, c.Move != nil,
+		c.Grant != nil, c.Release != nil, c.Suspect != nil, len(c.Suspects) > 0, c.Move != nil,
 	} {
 		if set {
 			n++
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -278,6 +278,68 @@
 	is.Equal(len(r.View().Poisoned), 0)
 }
 
+// Guards against a request that kills replica after replica through several hosts,
+// because each host sees one death, and against early deaths that outlive their
+// clearing or their term.
+func TestEarlySuspects(t *testing.T) {
+	const poisoned, suspected, free = "poisoned", "suspected", ""
+	early := func(target string, shard int) control.SuspectRequest {
+		return control.SuspectRequest{Fingerprint: "f", Target: target, Incarnation: "a", Shard: shard, Early: true}
+	}
+	sure := func(target string, shard int) control.SuspectRequest {
+		r := early(target, shard)
+		r.Early = false
+		return r
+	}
+	cleared := control.SuspectRequest{Fingerprint: "f", Cleared: true}
+	for _, tc := range []struct {
+		name    string
+		reports []control.SuspectRequest
+		after   time.Duration
+		want    string
+	}{
+		{"one death", []control.SuspectRequest{early("t1", 0)}, 0, suspected},
+		{"two deaths seen by two hosts", []control.SuspectRequest{early("t1", 0), early("t2", 0)}, 0, poisoned},
+		{"one death seen by two hosts", []control.SuspectRequest{early("t1", 0), early("t1", 0)}, 0, suspected},
+		{"early and confirmed", []control.SuspectRequest{sure("t1", 0), early("t2", 0)}, 0, poisoned},
+		{"confirmed and seen early later", []control.SuspectRequest{sure("t1", 0), early("t1", 0)}, 0, free},
+		{"two shards", []control.SuspectRequest{early("t1", 0), early("t2", 1)}, 0, suspected},
+		{"two confirmed shards", []control.SuspectRequest{sure("t1", 0), sure("t2", 1)}, 0, free},
+		{"cleared", []control.SuspectRequest{early("t1", 0), cleared}, 0, free},
+		{"other shard cleared", []control.SuspectRequest{early("t1", 1), cleared}, 0, suspected},
+		{"cleared between two deaths", []control.SuspectRequest{early("t1", 0), cleared, early("t2", 0)}, 0, suspected},
+		{"cleared after two deaths", []control.SuspectRequest{early("t1", 0), early("t2", 0), cleared}, 0, free},
+		{"confirmed deaths are not cleared", []control.SuspectRequest{sure("t1", 0), sure("t2", 0), cleared}, 0, poisoned},
+		{"until the term ends", []control.SuspectRequest{early("t1", 0)}, 5*time.Second - 1, suspected},
+		{"dropped after the term", []control.SuspectRequest{early("t1", 0)}, 5 * time.Second, free},
+		{"held after the term", []control.SuspectRequest{early("t1", 0), early("t2", 0)}, 10*time.Minute - 1, poisoned},
+		{"held to the end", []control.SuspectRequest{early("t1", 0), early("t2", 0)}, 10 * time.Minute, free},
+		{"confirmed within the term", []control.SuspectRequest{early("t1", 0), sure("t1", 0)}, time.Minute, free},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var r replica
+			is.Equal(r.do(0, control.Command{Suspects: tc.reports}).Refusal, nil)
+			r.do(tc.after, control.Command{})
+			v := r.View()
+			got := free
+			if _, ok := v.Poisoned["f"]; ok {
+				got = poisoned
+			} else if len(v.Suspected["f"]) > 0 {
+				got = suspected
+			}
+			is.Equal(got, tc.want)
+		})
+	}
+	is := is.New(t)
+	var r replica
+	r.do(0, control.Command{Suspects: []control.SuspectRequest{sure("t1", 0), early("t2", 1)}})
+	is.Equal(r.View().Suspected, map[string]map[int][]control.Death{"f": {1: {{Target: "t2", Incarnation: "a"}}}})
+	is.Equal(kind(r.do(0, control.Command{Suspects: make([]control.SuspectRequest, 65)})), control.Invalid)
+	is.Equal(kind(r.do(0, control.Command{Suspects: []control.SuspectRequest{early("t1", 0), {}}})), control.Invalid)
+	is.Equal(kind(r.do(0, control.Command{Suspect: &cleared, Suspects: []control.SuspectRequest{cleared}})), control.Invalid)
+}
+
 // Guards against moves that outlive their rule, that go on after a revert, or
 // that an outdated decision changes.
 func TestMoves(t *testing.T) {
--- a/control/types.go
+++ b/control/types.go
@@ -100,6 +100,12 @@
 	Unavailable bool `json:"unavailable,omitempty"`
 }
 
+// Death names an incarnation of a target that has died.
+type Death struct {
+	Target      string `json:"target"`
+	Incarnation string `json:"incarnation"`
+}
+
 // View is an immutable picture of the control state for query traffic.
 type View struct {
 	// Revision is the index of the last applied command.
@@ -128,6 +134,9 @@
 	Grants map[string]map[string]int
 	// Poisoned holds the fingerprints that are refused, with the time until which.
 	Poisoned map[string]time.Time
+	// Suspected holds the fingerprints under early suspicion that are not poisoned,
+	// and per shard the deaths at which they were in flight.
+	Suspected map[string]map[int][]Death
 	// Known holds, per service, the shard count of each snapshot that is still
 	// remembered, including snapshots that have lost all replicas of a shard.
 	Known map[string]map[uint64]int
--- a/control/view.go
+++ b/control/view.go
@@ -20,8 +20,10 @@
 	shares   map[string]map[string]float64
 	grants   map[string]map[string]int
 	poisoned map[string]time.Time
-	known    map[string]map[uint64]int
-	since    map[string]time.Time
+	// suspected is built together with poisoned.
+	suspected map[string]map[int][]Death
+	known     map[string]map[uint64]int
+	since     map[string]time.Time
 }
 
 func (c *sections) putService(service string, list []*Target) {
@@ -71,7 +73,7 @@
 		c.grants = cloned(c.amounts)
 	}
 	if c.poisoned == nil {
-		c.poisoned = s.poisoned()
+		c.poisoned, c.suspected = s.poisoned()
 	}
 	if c.known == nil {
 		c.known = cloned(s.known.items)
@@ -82,7 +84,7 @@
 	return &View{
 		Revision: s.index, Time: s.clock, Version: s.accepted.Version, Accepted: s.accepted, Inventory: s.document,
 		Targets: c.targets, Hosts: c.hosts, Moves: c.moves, Shares: c.shares, Grants: c.grants,
-		Poisoned: c.poisoned, Known: c.known, Since: c.since,
+		Poisoned: c.poisoned, Suspected: c.suspected, Known: c.known, Since: c.since,
 	}
 }
 
@@ -113,12 +115,30 @@
 	return shares
 }
 
-func (s *State) poisoned() map[string]time.Time {
-	poisoned := map[string]time.Time{}
+func (s *State) poisoned() (map[string]time.Time, map[string]map[int][]Death) {
+	poisoned, suspected := map[string]time.Time{}, map[string]map[int][]Death{}
 	for fingerprint, v := range s.suspects.items {
 		if v.Poisoned {
 			poisoned[fingerprint] = v.Until
+		} else if shards := v.early(); len(shards) > 0 {
+			suspected[fingerprint] = shards
 		}
 	}
-	return poisoned
+	return poisoned, suspected
+}
+
+// early returns the deaths of the shards that have an early one.
+func (v *suspect) early() map[int][]Death {
+	shards := map[int][]Death{}
+	for _, d := range v.Deaths {
+		if !d.Early.IsZero() {
+			shards[d.Shard] = nil
+		}
+	}
+	for _, d := range v.Deaths {
+		if _, ok := shards[d.Shard]; ok {
+			shards[d.Shard] = append(shards[d.Shard], Death{d.Target, d.Incarnation})
+		}
+	}
+	return shards
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -3,8 +3,10 @@
 // deaths into suspects. It holds no sockets and no clock.
 //
 // A death may have another cause, and a request that is sent often is in flight at
-// most deaths. A suspect is therefore reported only if a second target of the same
-// shard dies of it, or if no target answers it for that shard within Grace.
+// most deaths. A death is therefore confirmed only if a second target of the same
+// shard dies of the request, or if no target answers it for that shard within Grace.
+// Its caller may have sent it through other hosts by then, so the death is reported
+// early as well, unless a target has answered the request for that shard lately.
 package poison
 
 import (
@@ -29,6 +31,15 @@
 	// its death. It exceeds the default time until a silent target is removed
 	// (6 s) by one renewal period (2 s) with a margin.
 	window = 10 * time.Second
+	// term is how long an early report counts in the replicated state.
+	term = 5 * time.Second
+	// again is the least time between two withdrawals of a part by this host. It
+	// exceeds the way of a command to the view many times.
+	again = 500 * time.Millisecond
+	// maxEarly bounds the early reports of one death, because each is a part of a
+	// command in the log. A death with more new requests in flight is not explained
+	// by one of them until it is confirmed.
+	maxEarly = 64
 	// maxSuspects bounds the fingerprints that are remembered on this host.
 	maxSuspects = 4096
 )
@@ -59,13 +70,21 @@
 // Tracker follows sub-requests in flight and deaths of targets. The zero value
 // is ready for use. It is safe for concurrent use.
 type Tracker struct {
-	mu       sync.Mutex
-	next     uint64
-	flights  map[uint64]Flight
-	lives    map[life]map[uint64]struct{}
-	resets   map[life]*reset
-	pending  map[part]*pending
-	suspects map[string]*suspect
+	mu      sync.Mutex
+	next    uint64
+	flights map[uint64]Flight
+	lives   map[life]map[uint64]struct{}
+	resets  map[life]*reset
+	// undecided is the number of resets without a death.
+	undecided int
+	pending   map[part]*pending
+	suspects  map[string]*suspect
+	answers   answers
+	// shared holds the parts that this host has reported early, until the report is
+	// withdrawn or no longer counts.
+	shared map[part]time.Time
+	// withdrawn holds until when a part is not withdrawn again.
+	withdrawn map[part]time.Time
 }
 
 // part is one request for one shard.
@@ -91,6 +110,8 @@
 	dead     bool
 	// flights holds one flight per part that was in flight.
 	flights map[part]Flight
+	// answered holds the parts that were answered while the health check ran.
+	answered map[part]bool
 }
 
 // suspect holds the reported deaths of one fingerprint with their shards.
@@ -109,6 +130,7 @@
 		t.resets = map[life]*reset{}
 		t.pending = map[part]*pending{}
 		t.suspects = map[string]*suspect{}
+		t.shared = map[part]time.Time{}
 	}
 	t.next++
 	l := life{f.Target, f.Incarnation}
@@ -150,7 +172,10 @@
 	l := life{f.Target, f.Incarnation}
 	r := t.resets[l]
 	if r == nil || (!r.dead && !r.checking && now.Sub(r.at) > window) {
-		r = &reset{flights: map[part]Flight{}}
+		if r == nil {
+			t.undecided++
+		}
+		r = &reset{flights: map[part]Flight{}, answered: map[part]bool{}}
 		t.resets[l] = r
 	}
 	if r.dead {
@@ -161,13 +186,16 @@
 		r.flights[part{other.Fingerprint, other.Shard}] = other
 	}
 	first := !r.checking
+	if first {
+		clear(r.answered)
+	}
 	r.at, r.checking = now, true
 	return first
 }
 
 // Checked passes on whether the target answered its health check after a reset.
-// If it did not, it returns the suspects to report now, and others may be due
-// after Grace. hold is how long a suspect is remembered on this host.
+// If it did not, it returns the suspects to report now, early or confirmed, and
+// others may be due after Grace. hold is how long a suspect is remembered on this host.
 func (t *Tracker) Checked(now time.Time, target, incarnation string, alive bool, hold time.Duration) []control.SuspectRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,22 +208,64 @@
 	if alive {
 		return nil
 	}
+	maps.DeleteFunc(r.flights, func(p part, _ Flight) bool { return r.answered[p] })
 	return t.died(now, l, r, hold)
 }
 
-// Succeeded clears a fingerprint for a shard that has answered it.
-func (t *Tracker) Succeeded(fingerprint string, shard int) {
+// Succeeded clears a fingerprint for a shard that has answered it. seen states
+// that the view shows an early suspicion of it. It returns the withdrawal of the
+// early reports, if one is due.
+func (t *Tracker) Succeeded(now time.Time, f Flight, seen bool) []control.SuspectRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.pending, part{fingerprint, shard})
-	s := t.suspects[fingerprint]
-	if s == nil {
-		return
+	p := part{f.Fingerprint, f.Shard}
+	t.answers.add(now, p)
+	delete(t.pending, p)
+	if t.undecided > 0 {
+		for _, r := range t.resets {
+			if _, ok := r.flights[p]; ok && r.checking {
+				r.answered[p] = true
+			}
+		}
+	}
+	if s := t.suspects[f.Fingerprint]; s != nil {
+		maps.DeleteFunc(s.deaths, func(_ life, of int) bool { return of == f.Shard })
+		if len(s.deaths) == 0 {
+			delete(t.suspects, f.Fingerprint)
+		}
 	}
-	maps.DeleteFunc(s.deaths, func(_ life, of int) bool { return of == shard })
-	if len(s.deaths) == 0 {
-		delete(t.suspects, fingerprint)
+	_, shared := t.shared[p]
+	if !shared && (!seen || now.Before(t.withdrawn[p])) {
+		return nil
 	}
+	delete(t.shared, p)
+	t.noteWithdrawn(now, p)
+	return []control.SuspectRequest{{Fingerprint: f.Fingerprint, Service: f.Service, Shard: f.Shard, Cleared: true}}
+}
+
+// noteWithdrawn remembers a withdrawal, so that the answers that come before the
+// view shows it withdraw nothing.
+func (t *Tracker) noteWithdrawn(now time.Time, p part) {
+	if t.withdrawn == nil || len(t.withdrawn) >= maxSuspects {
+		t.withdrawn = map[part]time.Time{}
+	}
+	t.withdrawn[p] = now.Add(again)
+}
+
+// Answered reports whether a target has answered the request for the shard lately.
+func (t *Tracker) Answered(now time.Time, fingerprint string, shard int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answers.has(now, part{fingerprint, shard})
+}
+
+// Died reports whether this host has seen the incarnation die, or checks now
+// whether it has.
+func (t *Tracker) Died(target, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.resets[life{target, incarnation}]
+	return r != nil && (r.dead || r.checking)
 }
 
 // Pending reports whether suspects wait for Grace to end.
@@ -232,13 +302,16 @@
 			out = append(out, t.died(now, l, r, hold)...)
 		case !r.checking && now.Sub(r.at) > window:
 			delete(t.resets, l)
+			if !r.dead {
+				t.undecided--
+			}
 		}
 	}
 	return out
 }
 
-// Deaths returns the number of distinct deaths of the fingerprint that this host
-// has reported and that are not cleared.
+// Deaths returns the largest number of distinct deaths of one shard with the
+// fingerprint in flight that this host has confirmed and that are not cleared.
 func (t *Tracker) Deaths(now time.Time, fingerprint string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -246,10 +319,16 @@
 }
 
 func (t *Tracker) deaths(now time.Time, fingerprint string) int {
-	if s := t.suspects[fingerprint]; s != nil && now.Before(s.until) {
-		return len(s.deaths)
+	s := t.suspects[fingerprint]
+	if s == nil || !now.Before(s.until) {
+		return 0
+	}
+	most, shards := 0, map[int]int{}
+	for _, shard := range s.deaths {
+		shards[shard]++
+		most = max(most, shards[shard])
 	}
-	return 0
+	return most
 }
 
 // Suspected reports whether the fingerprint was seen at a death that is not
@@ -276,11 +355,39 @@
 	return false
 }
 
-// died makes the flights of a reset wait for Grace, and returns those of parts
-// that have died of two targets.
+// SuspectedEarly reports whether the fingerprint was seen at a death that is
+// neither confirmed nor cleared, or at a reset whose health check still runs, for a
+// shard that has not answered it lately.
+func (t *Tracker) SuspectedEarly(now time.Time, fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p := range t.pending {
+		if p.fingerprint == fingerprint && !t.answers.has(now, p) {
+			return true
+		}
+	}
+	for _, r := range t.resets {
+		if !r.checking {
+			continue
+		}
+		for p := range r.flights {
+			if p.fingerprint == fingerprint && !t.answers.has(now, p) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// died makes the flights of a reset wait for Grace. It returns the early reports,
+// and those of the parts that have died of two targets as confirmed. A part that
+// was answered lately is in flight at most deaths, so it waits for Grace.
 func (t *Tracker) died(now time.Time, l life, r *reset, hold time.Duration) []control.SuspectRequest {
 	r.dead, r.checking, r.at = true, false, now
+	t.undecided--
+	t.makeRoomShared(now)
 	var out []control.SuspectRequest
+	early := 0
 	for p, f := range r.flights {
 		w := t.pending[p]
 		if w == nil {
@@ -290,17 +397,31 @@
 			w = &pending{due: now.Add(Grace), hold: hold}
 			t.pending[p] = w
 		}
-		w.deaths = append(w.deaths, control.SuspectRequest{
+		d := control.SuspectRequest{
 			Fingerprint: f.Fingerprint, Service: f.Service, Target: l.target, Incarnation: l.incarnation, Shard: f.Shard,
-		})
+		}
+		w.deaths = append(w.deaths, d)
+		if t.answers.has(now, p) {
+			continue
+		}
 		if s := t.suspects[p.fingerprint]; len(w.deaths) > 1 || (s != nil && now.Before(s.until)) {
 			out = append(out, t.release(now, p, w)...)
+		} else if early < maxEarly && len(t.shared) < maxSuspects {
+			early++
+			t.shared[p] = now.Add(term)
+			d.Early = true
+			out = append(out, d)
 		}
 	}
-	r.flights = nil
+	r.flights, r.answered = nil, nil
 	return out
 }
 
+// makeRoomShared forgets the early reports that no longer count.
+func (t *Tracker) makeRoomShared(now time.Time) {
+	maps.DeleteFunc(t.shared, func(_ part, until time.Time) bool { return !now.Before(until) })
+}
+
 // release moves the deaths of a part to the reported ones and returns them.
 func (t *Tracker) release(now time.Time, p part, w *pending) []control.SuspectRequest {
 	delete(t.pending, p)
