--- a/route/route_test.go
+++ b/route/route_test.go
@@ -199,6 +199,49 @@
 	}
 }
 
+// TestLostProbe guards against a slow target that is probed without a pause, because
+// its probes lose against their hedges.
+func TestLostProbe(t *testing.T) {
+	is := is.New(t)
+	tb, list := table(), replicas("izmir-a", "izmir-a")
+	for range windowSamples {
+		end(tb, at(0), list[1], 10*time.Millisecond, Success)
+	}
+	delay, ok := tb.HedgeAfter(at(0), list[0].Service, 0.95)
+	is.True(ok)
+	end(tb, at(0), list[0], time.Millisecond, ConnectFailed) // ejects it
+	c := Choice{Service: list[0].Service, Replicas: list}
+	due := at(2 * firstInterval)
+	r, _ := tb.Pick(due, c)
+	is.Equal(r.Name, "t0") // the probe
+	due = due.Add(2 * delay)
+	end(tb, due, list[0], 2*delay, Cancelled)
+	is.Equal(share(tb, due, c, 100)["t0"], 0)
+	is.Equal(share(tb, due.Add(3*firstInterval), c, 1)["t0"], 1)
+}
+
+// TestEarlyHedges guards against ordinary hedges that use the whole budget, so that
+// the sub-requests held by a straggler get none.
+func TestEarlyHedges(t *testing.T) {
+	is := is.New(t)
+	const share = 0.05
+	b := table().Budget("stok-bulucu")
+	early := 0
+	for range 2000 {
+		b.Sent()
+		if b.Early(share) {
+			early++
+		}
+	}
+	is.True(float64(early) <= earlyShare*share*2000+earlyBurst)
+	is.True(float64(early) >= earlyShare*share*2000-1)
+	for range burst {
+		is.True(b.Extra(share)) // the rest is left for those that take longer
+	}
+	is.True(!b.Extra(share))
+	is.True(!b.Early(share))
+}
+
 // TestHedgeAfter guards against hedges without a measured quantile, hedges while
 // everything is slow, and a quantile that sinks because its losers are left out.
 func TestHedgeAfter(t *testing.T) {
