--- a/answer/connect.go
+++ b/answer/connect.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
@@ -17,13 +16,8 @@
 // Connect makes the seams use this host's replica selection, connections and
 // admission. It is called before Register or Answer, after Clock is set.
 func (s *Service) Connect(table *route.Table, pool *limit.Pool, admission *limit.Admission) {
-	s.Pick = func(now time.Time, c Choice) (*control.Target, bool) { return table.Pick(now, route.Choice(c)) }
-	s.Start = table.Start
-	s.Done = func(now time.Time, t *control.Target, service string, latency time.Duration, o Outcome) {
-		table.Done(now, t, service, latency, route.Outcome(o))
-	}
-	s.SuspectCold = table.SuspectCold
-	s.HedgeAfter = table.HedgeAfter
+	s.Pick, s.Start, s.Done = table.Pick, table.Start, table.Done
+	s.SuspectCold, s.HedgeAfter = table.SuspectCold, table.HedgeAfter
 	s.Sent = func(service string) { table.Budget(service).Sent() }
 	s.Extra = func(service string, share float64) bool { return table.Budget(service).Extra(share) }
 	s.Early = func(service string, share float64) bool { return table.Budget(service).Early(share) }
@@ -41,8 +35,8 @@
 	clock clockwork.Clock
 }
 
-// send waits for room and sends a sub-request. Its Check runs after the wait; a
-// connection may still be opened after it, which the pool bounds.
+// send waits for room and a connection and sends a sub-request. Its Check runs
+// after both waits, and the remaining time is taken then.
 func (p *pooled) send(ctx context.Context, t *control.Target, sub *Subrequest) (*target.Reply, *SendError) {
 	waiting, stop := clockwork.WithDeadline(ctx, p.clock, sub.Deadline)
 	permit, err := p.pool.Acquire(waiting, t)
@@ -52,14 +46,14 @@
 	}
 	result := limit.Failed
 	defer func() { permit.Release(result) }()
-	if err := sub.Check(); err != nil {
-		return nil, &SendError{Outcome: Cancelled, Err: err}
-	}
 	req, err := NewHTTPRequest(ctx, p.clock.Now(), t, sub)
 	if err != nil {
 		return nil, &SendError{Outcome: Failed, Err: err}
 	}
-	res, err := p.pool.Do(ctx, permit, req)
+	res, err := p.pool.Do(ctx, permit, req, func() error {
+		setTimeout(req, p.clock.Now(), sub)
+		return sub.Check()
+	})
 	if err != nil {
 		return nil, poolError(err)
 	}
@@ -128,6 +122,6 @@
 	}
 	// The result says nothing about the target's load.
 	defer permit.Release(limit.Failed)
-	_, err = p.pool.Do(ctx, permit, req)
+	_, err = p.pool.Do(ctx, permit, req, nil)
 	return err
 }
--- a/answer/flight.go
+++ b/answer/flight.go
@@ -37,12 +37,15 @@
 func (f *flight) fly() event {
 	defer f.stop()
 	defer f.release()
-	ctx, span := f.s.tracer.Start(f.ctx, "sub-request", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
-		attribute.String("wasabi.service", f.sub.Service), attribute.String("wasabi.target", f.target.Name),
-		attribute.Int("wasabi.shard", f.sub.Shard), attribute.Int64("wasabi.snapshot", int64(f.sub.Snapshot)),
-		attribute.String("wasabi.kind", string(f.sub.Kind)), attribute.String("wasabi.request", f.sub.Request),
-	))
+	ctx, span := f.s.tracer.Start(f.ctx, "sub-request", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("wasabi.service", f.sub.Service), attribute.String("wasabi.target", f.target.Name),
+			attribute.Int("wasabi.shard", f.sub.Shard), attribute.Int64("wasabi.snapshot", int64(f.sub.Snapshot)),
+			attribute.String("wasabi.kind", string(f.sub.Kind)), attribute.String("wasabi.request", f.sub.Request),
+		)
+	}
 	defer func() { f.s.Poison.End(f.number.Load()) }()
 	began := f.s.Clock.Now()
 	f.s.Start(began, f.target)
@@ -55,9 +58,10 @@
 			outcome = Cancelled
 		}
 	}
-	span.SetAttributes(attribute.String("wasabi.outcome", outcome.String()))
+	span.SetAttributes(attribute.String("wasabi.outcome", outcomes[outcome]))
 	now := f.s.Clock.Now()
 	f.s.Done(now, f.target, f.sub.Service, now.Sub(began), outcome)
+	f.s.Evidence(now, f.target, f.sub.Route, now.Sub(began), outcome)
 	if e.err != nil && e.err.broken() && f.s.Poison.Reset(now, f.number.Load()) {
 		f.s.checkHealth(f.target, f.hold)
 	}
@@ -70,16 +74,21 @@
 	if err := f.s.checkSend(f.sub.Service, f.target, f.sub.Snapshot); err != nil {
 		return err
 	}
-	f.number.Store(f.s.Poison.Begin(poison.Flight{
-		Fingerprint: f.fingerprint, Service: f.sub.Service, Target: f.target.Name,
-		Incarnation: f.target.Incarnation, Shard: f.sub.Shard,
-	}))
+	f.number.Store(f.s.Poison.Begin(f.tracked()))
 	if f.cancelled.Load() {
 		return errors.New("the sub-request is not needed any more")
 	}
 	return nil
 }
 
+// tracked describes the sub-request to package poison.
+func (f *flight) tracked() poison.Flight {
+	return poison.Flight{
+		Fingerprint: f.fingerprint, Service: f.sub.Service, Target: f.target.Name,
+		Incarnation: f.target.Incarnation, Shard: f.sub.Shard,
+	}
+}
+
 // send sends the sub-request and counts a reply that is not accepted.
 func (f *flight) send(ctx context.Context) event {
 	reply, failure := f.s.Send(ctx, f.target, f.sub)
@@ -92,6 +101,7 @@
 		}
 	}
 	if failure == nil {
+		f.succeeded()
 		return event{flight: f, result: reply.Result}
 	}
 	var bad *ReplyError
@@ -101,14 +111,6 @@
 	return event{flight: f, err: failure}
 }
 
-// checkHealth finds out whether a target that reset a connection has died.
-func (s *Service) checkHealth(t *control.Target, hold time.Duration) {
-	s.goBackground(func(ctx context.Context) {
-		alive := s.Health(ctx, t) == nil
-		s.report(s.Poison.Checked(s.Clock.Now(), t.Name, t.Incarnation, alive, hold))
-	})
-}
-
 // checkSend returns an error if the target may not get new work any more.
 func (s *Service) checkSend(service string, t *control.Target, number uint64) error {
 	view, err := s.View()
--- a/answer/service.go
+++ b/answer/service.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"wasabirelay/control"
 	"wasabirelay/inventory"
@@ -31,8 +32,12 @@
 	metrics *metrics
 	tracer  trace.Tracer
 	store   store
+	reports reports
 	work    sync.WaitGroup
 	indexes atomic.Pointer[indexes]
+	// disputes holds the last disputed snapshots of each service, so that a view
+	// that changes nothing about them logs nothing.
+	disputes sync.Map
 }
 
 // indexes caches the index of each service for one view.
@@ -49,7 +54,7 @@
 			s.Clock = clockwork.NewRealClock()
 		}
 		if s.Tracer == nil {
-			s.Tracer = noop.NewTracerProvider()
+			s.Tracer = otel.GetTracerProvider()
 		}
 		if s.Poison == nil {
 			s.Poison = &poison.Tracker{}
@@ -70,6 +75,7 @@
 	set(&s.Pick, d.pick)
 	set(&s.Start, func(time.Time, *control.Target) {})
 	set(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
+	set(&s.Evidence, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
 	set(&s.SuspectCold, func(time.Time, *control.Target) bool { return false })
 	set(&s.HedgeAfter, func(time.Time, string, float64) (time.Duration, bool) { return 0, false })
 	set(&s.Sent, d.countSent)
@@ -106,7 +112,8 @@
 func (s *Service) observe(ix *index, service string) {
 	numbers := ix.disputed()
 	s.metrics.dispute(service, len(numbers))
-	if len(numbers) > 0 {
+	text := fmt.Sprint(numbers)
+	if last, _ := s.disputes.Swap(service, text); len(numbers) > 0 && last != text {
 		s.Log.Error().Str("service", service).Uints64("snapshots", numbers).
 			Msg("targets announce different shard counts of a snapshot; the snapshot is not used")
 	}
@@ -117,19 +124,7 @@
 		}
 		return t.Incarnation, true
 	}, rules(ix.view).Poison.Hold.Duration))
-}
-
-// report proposes suspects without making the caller wait.
-func (s *Service) report(suspects []control.SuspectRequest) {
-	for _, suspect := range suspects {
-		s.Log.Warn().Str("fingerprint", suspect.Fingerprint).Str("target", suspect.Target).
-			Int("shard", suspect.Shard).Msg("target died with this request in flight")
-		s.goBackground(func(ctx context.Context) {
-			if _, err := s.Propose(ctx, control.Command{Suspect: &suspect}); err != nil {
-				s.Log.Warn().Err(err).Str("fingerprint", suspect.Fingerprint).Msg("suspect not reported")
-			}
-		})
-	}
+	s.reportDue()
 }
 
 // goBackground runs f outside of any query. Drain waits for it.
@@ -170,6 +165,9 @@
 	if r.Hedge.Quantile <= 0 {
 		r.Hedge.Quantile = inventory.DefaultQuantile
 	}
+	if r.Poison.Deaths <= 0 {
+		r.Poison.Deaths = inventory.DefaultDeaths
+	}
 	if r.Poison.Hold.Duration <= 0 {
 		r.Poison.Hold.Duration = inventory.DefaultHold
 	}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -21,7 +22,9 @@
 // progress is what a leader knows about another member.
 type progress struct {
 	match, next uint64
-	phase       Phase
+	// told is the commit index that the member can act on after the last message.
+	told  uint64
+	phase Phase
 	// inflight holds the last index of each unacknowledged Append.
 	inflight []uint64
 	// moved is when the member last acknowledged something, or when the first
@@ -91,6 +94,7 @@
 	p.inflight = append(p.inflight, end)
 	if p.phase == Streaming {
 		p.next = end + 1
+		p.told = max(p.told, min(n.commit, end))
 	}
 	n.send(m)
 }
@@ -104,20 +108,45 @@
 // apply, and the round of the current leadership confirmation.
 func (n *Node) heartbeat() {
 	for _, id := range n.members().others(n.ID) {
-		commit := min(n.commit, n.progress[id].match)
-		n.send(Message{Kind: Heartbeat, To: id, Commit: commit, Round: n.round})
+		n.beatTo(id, n.progress[id])
 	}
 }
 
+func (n *Node) beatTo(id string, p *progress) {
+	commit := min(n.commit, p.match)
+	p.told = max(p.told, commit)
+	n.send(Message{Kind: Heartbeat, To: id, Commit: commit, Round: n.round})
+}
+
+// announce tells members of entries that they hold and that have been committed
+// since the last message to them. Without that, a follower learns of the last
+// commit up to a heartbeat interval later, and the hosts that follow it as well. A
+// message that is lost is made up for by the next heartbeat.
+func (n *Node) announce() {
+	for _, id := range n.members().others(n.ID) {
+		if p := n.progress[id]; min(n.commit, p.match) > p.told && n.reachable(id) {
+			n.beatTo(id, p)
+		}
+	}
+}
+
+// installTimeouts is the number of election timeouts after which an unanswered
+// snapshot is sent again. A snapshot is several megabytes at the size to design
+// for, and the member syncs it before it answers. Chosen, not measured.
+const installTimeouts = 4
+
 // resend restarts replication to members that left a message unanswered for
-// too long: an interval of heartbeats for entries, an election timeout for a
-// snapshot, which takes longer to send and to persist.
+// too long: a heartbeat interval for entries, installTimeouts for a snapshot. A
+// member out of reach gets heartbeats only, until it answers one.
 func (n *Node) resend() {
 	for _, id := range n.members().others(n.ID) {
 		p := n.progress[id]
+		if !n.reachable(id) {
+			continue
+		}
 		wait := n.Heartbeat
 		if p.phase == Installing {
-			wait = n.Election
+			wait = installTimeouts * n.Election
 		}
 		waiting := p.phase == Installing || len(p.inflight) > 0
 		if waiting && n.now.Sub(p.moved) >= wait {
@@ -223,6 +252,7 @@
 	} else {
 		n.feed(m.From, p)
 	}
+	n.announce()
 	n.admit()
 	n.handOver()
 }
@@ -254,14 +284,27 @@
 // current one: an entry of an earlier term can still be replaced, even if a
 // majority holds it (Ongaro and Ousterhout 2014, section 5.4.2).
 func (n *Node) advance() bool {
-	for index := n.log.last().index; index > n.commit && index >= n.opened; index-- {
-		held := func(id string) bool { return id == n.ID || n.progress[id].match >= index }
-		if n.members().majority(held) {
-			n.commitTo(index)
-			return true
+	index := n.held()
+	if index <= n.commit || index < n.opened {
+		return false
+	}
+	n.commitTo(index)
+	return true
+}
+
+// held returns the largest index that a majority of the voters holds.
+func (n *Node) held() uint64 {
+	members := n.members()
+	matches := make([]uint64, 0, len(members.Voters))
+	for _, id := range members.Voters {
+		if id == n.ID {
+			matches = append(matches, n.log.last().index)
+		} else {
+			matches = append(matches, n.progress[id].match)
 		}
 	}
-	return false
+	slices.Sort(matches)
+	return matches[len(matches)-members.Quorum()]
 }
 
 // commitTo raises the commit index.
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -142,6 +142,12 @@
 	other := target("t1", "c", control.Warm, shard, n)
 	other.Announce.Target.Service = "dye-log"
 	is.Equal(kind(r.do(time.Minute, other)), control.Taken)
+
+	const day = 24 * time.Hour
+	r.do(time.Minute, leave("c", control.Expired, ""))
+	is.Equal(kind(r.do(time.Minute+day-1, target("t1", "a", control.Warm, shard, n))), control.Stale)
+	is.Equal(kind(r.do(time.Minute+day, target("t1", "a", control.Warm, shard, n))), control.RefusalKind("")) // forgotten
+	is.Equal(state(), "a cold")
 }
 
 // Guards against a coverage whose denominator shrinks with the lost replicas.
@@ -171,6 +177,9 @@
 	is.Equal(wrong.Dropped, []control.Snapshot{{Number: 2, Shards: 9}})
 	is.Equal(known(), map[uint64]int{2: 3, 3: 4})
 	is.Equal(kind(r.do(0, target("t6", "a", control.Cold, []int{0}, control.Snapshot{Number: 2, Shards: 9}))), control.Conflict)
+	gone("t5")
+	r.do(0, target("t6", "a", control.Cold, []int{0}, control.Snapshot{Number: 3, Shards: 5}))
+	is.Equal(known(), map[uint64]int{2: 3, 3: 5}) // no live target has announced the other number
 }
 
 // Guards against a non-idempotent request that gets two owners.
@@ -276,6 +285,76 @@
 	is.Equal(len(death(21*time.Minute-1, "t2", "b")), 1) // still held
 	r.do(21*time.Minute, control.Command{})
 	is.Equal(len(r.View().Poisoned), 0)
+
+	death(30*time.Minute, "t1", "a")
+	death(30*time.Minute, "t1", "b") // held for 10 minutes
+	r.do(31*time.Minute, change(1, "c2", "ann", `"poison": {"deaths": 1, "hold": "1m"}`))
+	r.do(31*time.Minute, control.Command{Suspect: &control.SuspectRequest{Fingerprint: "g", Target: "t3", Incarnation: "a"}})
+	is.Equal(len(r.View().Poisoned), 2)
+	r.do(32*time.Minute, control.Command{})
+	is.Equal(r.View().Poisoned, map[string]time.Time{"f": start.Add(40 * time.Minute)}) // the shorter hold ends first
+}
+
+// Guards against a request that kills replica after replica through several hosts,
+// because each host sees one death, and against early deaths that outlive their
+// clearing or their term.
+func TestEarlySuspects(t *testing.T) {
+	const poisoned, suspected, free = "poisoned", "suspected", ""
+	early := func(target string, shard int) control.SuspectRequest {
+		return control.SuspectRequest{Fingerprint: "f", Target: target, Incarnation: "a", Shard: shard, Early: true}
+	}
+	sure := func(target string, shard int) control.SuspectRequest {
+		r := early(target, shard)
+		r.Early = false
+		return r
+	}
+	cleared := control.SuspectRequest{Fingerprint: "f", Cleared: true}
+	for _, tc := range []struct {
+		name    string
+		reports []control.SuspectRequest
+		after   time.Duration
+		want    string
+	}{
+		{"one death", []control.SuspectRequest{early("t1", 0)}, 0, suspected},
+		{"two deaths seen by two hosts", []control.SuspectRequest{early("t1", 0), early("t2", 0)}, 0, poisoned},
+		{"one death seen by two hosts", []control.SuspectRequest{early("t1", 0), early("t1", 0)}, 0, suspected},
+		{"early and confirmed", []control.SuspectRequest{sure("t1", 0), early("t2", 0)}, 0, poisoned},
+		{"confirmed and seen early later", []control.SuspectRequest{sure("t1", 0), early("t1", 0)}, 0, free},
+		{"two shards", []control.SuspectRequest{early("t1", 0), early("t2", 1)}, 0, suspected},
+		{"two confirmed shards", []control.SuspectRequest{sure("t1", 0), sure("t2", 1)}, 0, free},
+		{"cleared", []control.SuspectRequest{early("t1", 0), cleared}, 0, free},
+		{"other shard cleared", []control.SuspectRequest{early("t1", 1), cleared}, 0, suspected},
+		{"cleared between two deaths", []control.SuspectRequest{early("t1", 0), cleared, early("t2", 0)}, 0, suspected},
+		{"cleared after two deaths", []control.SuspectRequest{early("t1", 0), early("t2", 0), cleared}, 0, free},
+		{"confirmed deaths are not cleared", []control.SuspectRequest{sure("t1", 0), sure("t2", 0), cleared}, 0, poisoned},
+		{"until the term ends", []control.SuspectRequest{early("t1", 0)}, 5*time.Second - 1, suspected},
+		{"dropped after the term", []control.SuspectRequest{early("t1", 0)}, 5 * time.Second, free},
+		{"held after the term", []control.SuspectRequest{early("t1", 0), early("t2", 0)}, 10*time.Minute - 1, poisoned},
+		{"held to the end", []control.SuspectRequest{early("t1", 0), early("t2", 0)}, 10 * time.Minute, free},
+		{"confirmed within the term", []control.SuspectRequest{early("t1", 0), sure("t1", 0)}, time.Minute, free},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var r replica
+			is.Equal(r.do(0, control.Command{Suspects: tc.reports}).Refusal, nil)
+			r.do(tc.after, control.Command{})
+			v := r.View()
+			got := free
+			if _, ok := v.Poisoned["f"]; ok {
+				got = poisoned
+			} else if len(v.Suspected["f"]) > 0 {
+				got = suspected
+			}
+			is.Equal(got, tc.want)
+		})
+	}
+	is := is.New(t)
+	var r replica
+	r.do(0, control.Command{Suspects: []control.SuspectRequest{sure("t1", 0), early("t2", 1)}})
+	is.Equal(r.View().Suspected, map[string]map[int][]control.Death{"f": {1: {{Target: "t2", Incarnation: "a"}}}})
+	is.Equal(kind(r.do(0, control.Command{Suspects: make([]control.SuspectRequest, 65)})), control.Invalid)
+	is.Equal(kind(r.do(0, control.Command{Suspects: []control.SuspectRequest{early("t1", 0), {}}})), control.Invalid)
+	is.Equal(kind(r.do(0, control.Command{Suspect: &cleared, Suspects: []control.SuspectRequest{cleared}})), control.Invalid)
 }
 
 // Guards against moves that outlive their rule, that go on after a revert, or
@@ -343,6 +422,23 @@
 	is.True(&after.Targets["order-desk"][0] == &r.View().Targets["order-desk"][0])
 }
 
+// Guards against a new leader that waits for the current lease only, while hosts
+// hold a longer one that was granted under earlier rules.
+func TestLongestLease(t *testing.T) {
+	is := is.New(t)
+	var r replica
+	lease := func(at time.Duration) time.Duration { return r.View().LongestLease(start.Add(at)) }
+	const second = time.Second
+	is.Equal(lease(0), time.Duration(0))
+	r.do(0, change(0, "c1", "ann", `"lease": "10s"`))
+	r.do(second, change(1, "c2", "ann", `"lease": "3s"`))
+	r.do(2*second, change(2, "c3", "ann", `"lease": "1s"`))
+	is.Equal(lease(2*second), 10*second)
+	is.Equal(lease(12*second+control.GrantMargin), second)
+	r.do(13*second, change(3, "c4", "ann", `"lease": "2s"`))
+	is.Equal(lease(13*second), 2*second)
+}
+
 // Guards against a command that is applied with a time before that of an earlier
 // one, or with a time that has no form in a snapshot.
 func TestTimeNeverGoesBack(t *testing.T) {
--- a/control/view.go
+++ b/control/view.go
@@ -12,13 +12,18 @@
 	// copy of the state; targets is the copy that views hold.
 	services map[string][]*Target
 	targets  map[string][]*Target
+	// amounts holds the live grants by name and holder, likewise with grants as
+	// the copy that views hold.
+	amounts  map[string]map[string]int
 	hosts    []Host
 	moves    map[string]MoveRecord
 	shares   map[string]map[string]float64
 	grants   map[string]map[string]int
 	poisoned map[string]time.Time
-	known    map[string]map[uint64]int
-	since    map[string]time.Time
+	// suspected is built together with poisoned.
+	suspected map[string]map[int][]Death
+	known     map[string]map[uint64]int
+	since     map[string]time.Time
 }
 
 func (c *sections) putService(service string, list []*Target) {
@@ -33,6 +38,22 @@
 	c.services[service] = list
 }
 
+func (c *sections) putGrants(name string, live map[string]grant) {
+	c.grants = nil
+	if c.amounts == nil {
+		c.amounts = map[string]map[string]int{}
+	}
+	if len(live) == 0 {
+		delete(c.amounts, name)
+		return
+	}
+	amounts := make(map[string]int, len(live))
+	for holder, g := range live {
+		amounts[holder] = g.Amount
+	}
+	c.amounts[name] = amounts
+}
+
 // View returns an immutable picture of the state. Parts that have not changed
 // are shared with the previous view, and so are the lists of services whose
 // targets have not changed.
@@ -49,10 +70,10 @@
 		c.shares = s.shares()
 	}
 	if c.grants == nil {
-		c.grants = s.amounts()
+		c.grants = cloned(c.amounts)
 	}
 	if c.poisoned == nil {
-		c.poisoned = s.poisoned()
+		c.poisoned, c.suspected = s.poisoned()
 	}
 	if c.known == nil {
 		c.known = cloned(s.known.items)
@@ -63,8 +84,22 @@
 	return &View{
 		Revision: s.index, Time: s.clock, Version: s.accepted.Version, Accepted: s.accepted, Inventory: s.document,
 		Targets: c.targets, Hosts: c.hosts, Moves: c.moves, Shares: c.shares, Grants: c.grants,
-		Poisoned: c.poisoned, Known: c.known, Since: c.since,
+		Poisoned: c.poisoned, Suspected: c.suspected, Known: c.known, Since: c.since,
+	}
+}
+
+// LongestLease returns the longest lease that a host may hold. A new leader waits
+// for this long: the last one may have granted leases under an earlier version of
+// the rules. It is 0 without an inventory.
+func (v *View) LongestLease(now time.Time) time.Duration {
+	if v.Inventory == nil {
+		return 0
 	}
+	longest := v.Accepted.Lease.Duration
+	if now.Before(v.Accepted.At.Add(longest + GrantMargin)) {
+		return longest
+	}
+	return v.Inventory.Rules.Lease.Duration
 }
 
 // cloned returns a copy of the map that is not nil.
@@ -94,23 +129,30 @@
 	return shares
 }
 
-func (s *State) amounts() map[string]map[string]int {
-	amounts := map[string]map[string]int{}
-	for name, live := range s.grants.items {
-		amounts[name] = map[string]int{}
-		for holder, g := range live {
-			amounts[name][holder] = g.Amount
+func (s *State) poisoned() (map[string]time.Time, map[string]map[int][]Death) {
+	poisoned, suspected := map[string]time.Time{}, map[string]map[int][]Death{}
+	for fingerprint, v := range s.suspects.items {
+		if v.Poisoned {
+			poisoned[fingerprint] = v.Until
+		} else if shards := v.early(); len(shards) > 0 {
+			suspected[fingerprint] = shards
 		}
 	}
-	return amounts
+	return poisoned, suspected
 }
 
-func (s *State) poisoned() map[string]time.Time {
-	poisoned := map[string]time.Time{}
-	for fingerprint, v := range s.suspects.items {
-		if v.Poisoned {
-			poisoned[fingerprint] = v.Until
+// early returns the deaths of the shards that have an early one.
+func (v *suspect) early() map[int][]Death {
+	shards := map[int][]Death{}
+	for _, d := range v.Deaths {
+		if !d.Early.IsZero() {
+			shards[d.Shard] = nil
+		}
+	}
+	for _, d := range v.Deaths {
+		if _, ok := shards[d.Shard]; ok {
+			shards[d.Shard] = append(shards[d.Shard], Death{d.Target, d.Incarnation})
 		}
 	}
-	return poisoned
+	return shards
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,11 +1,18 @@
 // Package poison recognizes requests that crash the targets that run them. It
 // keeps the sub-requests in flight per target incarnation and turns observed
 // deaths into suspects. It holds no sockets and no clock.
+//
+// A death may have another cause, and a request that is sent often is in flight at
+// most deaths. A death is therefore confirmed only if a second target of the same
+// shard dies of the request, or if no target answers it for that shard within Grace.
+// Its caller may have sent it through other hosts by then, so the death is reported
+// early as well, unless a target has answered the request for that shard lately.
 package poison
 
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,11 +21,25 @@
 	"wasabirelay/control"
 )
 
+// Grace is how long a reply for the same shard clears a suspect after a death. It
+// is the default deadline of a query, in which a retry or the next copy of a
+// harmless request is answered.
+const Grace = time.Second
+
 const (
 	// window is how long after a reset a new incarnation of the target confirms
 	// its death. It exceeds the default time until a silent target is removed
 	// (6 s) by one renewal period (2 s) with a margin.
 	window = 10 * time.Second
+	// term is how long an early report counts in the replicated state.
+	term = 5 * time.Second
+	// again is the least time between two withdrawals of a part by this host. It
+	// exceeds the way of a command to the view many times.
+	again = 500 * time.Millisecond
+	// maxEarly bounds the early reports of one death, because each is a part of a
+	// command in the log. A death with more new requests in flight is not explained
+	// by one of them until it is confirmed.
+	maxEarly = 64
 	// maxSuspects bounds the fingerprints that are remembered on this host.
 	maxSuspects = 4096
 )
@@ -49,12 +70,34 @@
 // Tracker follows sub-requests in flight and deaths of targets. The zero value
 // is ready for use. It is safe for concurrent use.
 type Tracker struct {
-	mu       sync.Mutex
-	next     uint64
-	flights  map[uint64]Flight
-	lives    map[life]map[uint64]struct{}
-	resets   map[life]*reset
-	suspects map[string]*suspect
+	mu      sync.Mutex
+	next    uint64
+	flights map[uint64]Flight
+	lives   map[life]map[uint64]struct{}
+	resets  map[life]*reset
+	// undecided is the number of resets without a death.
+	undecided int
+	pending   map[part]*pending
+	suspects  map[string]*suspect
+	answers   answers
+	// shared holds the parts that this host has reported early, until the report is
+	// withdrawn or no longer counts.
+	shared map[part]time.Time
+	// withdrawn holds until when a part is not withdrawn again.
+	withdrawn map[part]time.Time
+}
+
+// part is one request for one shard.
+type part struct {
+	fingerprint string
+	shard       int
+}
+
+// pending holds the deaths of a part that are not yet reported.
+type pending struct {
+	due    time.Time
+	hold   time.Duration
+	deaths []control.SuspectRequest
 }
 
 // life is one incarnation of one target.
@@ -65,14 +108,16 @@
 	at       time.Time
 	checking bool
 	dead     bool
-	// flights holds one flight per fingerprint that was in flight.
-	flights map[string]Flight
+	// flights holds one flight per part that was in flight.
+	flights map[part]Flight
+	// answered holds the parts that were answered while the health check ran.
+	answered map[part]bool
 }
 
-// suspect holds the deaths that one fingerprint was seen at.
+// suspect holds the reported deaths of one fingerprint with their shards.
 type suspect struct {
 	until  time.Time
-	deaths map[life]struct{}
+	deaths map[life]int
 }
 
 // Begin records a sub-request that is about to be sent and returns its number.
@@ -83,7 +128,9 @@
 		t.flights = map[uint64]Flight{}
 		t.lives = map[life]map[uint64]struct{}{}
 		t.resets = map[life]*reset{}
+		t.pending = map[part]*pending{}
 		t.suspects = map[string]*suspect{}
+		t.shared = map[part]time.Time{}
 	}
 	t.next++
 	l := life{f.Target, f.Incarnation}
@@ -125,7 +172,10 @@
 	l := life{f.Target, f.Incarnation}
 	r := t.resets[l]
 	if r == nil || (!r.dead && !r.checking && now.Sub(r.at) > window) {
-		r = &reset{flights: map[string]Flight{}}
+		if r == nil {
+			t.undecided++
+		}
+		r = &reset{flights: map[part]Flight{}, answered: map[part]bool{}}
 		t.resets[l] = r
 	}
 	if r.dead {
@@ -133,16 +183,19 @@
 	}
 	for n := range t.lives[l] {
 		other := t.flights[n]
-		r.flights[other.Fingerprint] = other
+		r.flights[part{other.Fingerprint, other.Shard}] = other
 	}
 	first := !r.checking
+	if first {
+		clear(r.answered)
+	}
 	r.at, r.checking = now, true
 	return first
 }
 
-// Checked passes on whether the target answered its health check after a reset,
-// and returns the suspects to report if it did not. hold is how long a suspect
-// is remembered on this host.
+// Checked passes on whether the target answered its health check after a reset.
+// If it did not, it returns the suspects to report now, early or confirmed, and
+// others may be due after Grace. hold is how long a suspect is remembered on this host.
 func (t *Tracker) Checked(now time.Time, target, incarnation string, alive bool, hold time.Duration) []control.SuspectRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -155,12 +208,89 @@
 	if alive {
 		return nil
 	}
+	maps.DeleteFunc(r.flights, func(p part, _ Flight) bool { return r.answered[p] })
 	return t.died(now, l, r, hold)
 }
 
+// Succeeded clears a fingerprint for a shard that has answered it. seen states
+// that the view shows an early suspicion of it. It returns the withdrawal of the
+// early reports, if one is due.
+func (t *Tracker) Succeeded(now time.Time, f Flight, seen bool) []control.SuspectRequest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := part{f.Fingerprint, f.Shard}
+	t.answers.add(now, p)
+	delete(t.pending, p)
+	if t.undecided > 0 {
+		for _, r := range t.resets {
+			if _, ok := r.flights[p]; ok && r.checking {
+				r.answered[p] = true
+			}
+		}
+	}
+	if s := t.suspects[f.Fingerprint]; s != nil {
+		maps.DeleteFunc(s.deaths, func(_ life, of int) bool { return of == f.Shard })
+		if len(s.deaths) == 0 {
+			delete(t.suspects, f.Fingerprint)
+		}
+	}
+	_, shared := t.shared[p]
+	if !shared && (!seen || now.Before(t.withdrawn[p])) {
+		return nil
+	}
+	delete(t.shared, p)
+	t.noteWithdrawn(now, p)
+	return []control.SuspectRequest{{Fingerprint: f.Fingerprint, Service: f.Service, Shard: f.Shard, Cleared: true}}
+}
+
+// noteWithdrawn remembers a withdrawal, so that the answers that come before the
+// view shows it withdraw nothing.
+func (t *Tracker) noteWithdrawn(now time.Time, p part) {
+	if t.withdrawn == nil || len(t.withdrawn) >= maxSuspects {
+		t.withdrawn = map[part]time.Time{}
+	}
+	t.withdrawn[p] = now.Add(again)
+}
+
+// Answered reports whether a target has answered the request for the shard lately.
+func (t *Tracker) Answered(now time.Time, fingerprint string, shard int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answers.has(now, part{fingerprint, shard})
+}
+
+// Died reports whether this host has seen the incarnation die, or checks now
+// whether it has.
+func (t *Tracker) Died(target, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.resets[life{target, incarnation}]
+	return r != nil && (r.dead || r.checking)
+}
+
+// Pending reports whether suspects wait for Grace to end.
+func (t *Tracker) Pending() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pending) > 0
+}
+
+// Due returns the suspects that were not cleared within Grace.
+func (t *Tracker) Due(now time.Time) []control.SuspectRequest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []control.SuspectRequest
+	for p, w := range t.pending {
+		if !now.Before(w.due) {
+			out = append(out, t.release(now, p, w)...)
+		}
+	}
+	return out
+}
+
 // Observe compares the incarnations that live now with the targets that reset a
-// connection, and returns the suspects of those that came back as a new
-// incarnation. A target that is absent from the view has not come back.
+// connection, and returns the suspects to report now of those that came back as a
+// new incarnation. A target that is absent from the view has not come back.
 func (t *Tracker) Observe(now time.Time, current func(target string) (incarnation string, ok bool), hold time.Duration) []control.SuspectRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -172,51 +302,140 @@
 			out = append(out, t.died(now, l, r, hold)...)
 		case !r.checking && now.Sub(r.at) > window:
 			delete(t.resets, l)
+			if !r.dead {
+				t.undecided--
+			}
 		}
 	}
 	return out
 }
 
-// Deaths returns the number of distinct deaths that the fingerprint was seen at
-// on this host. A reset whose health check is still running counts, because a
-// retry would otherwise be sent before the check ends.
+// Deaths returns the largest number of distinct deaths of one shard with the
+// fingerprint in flight that this host has confirmed and that are not cleared.
 func (t *Tracker) Deaths(now time.Time, fingerprint string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	if s := t.suspects[fingerprint]; s != nil && now.Before(s.until) {
-		n = len(s.deaths)
+	return t.deaths(now, fingerprint)
+}
+
+func (t *Tracker) deaths(now time.Time, fingerprint string) int {
+	s := t.suspects[fingerprint]
+	if s == nil || !now.Before(s.until) {
+		return 0
+	}
+	most, shards := 0, map[int]int{}
+	for _, shard := range s.deaths {
+		shards[shard]++
+		most = max(most, shards[shard])
+	}
+	return most
+}
+
+// Suspected reports whether the fingerprint was seen at a death that is not
+// cleared. A reset whose health check still runs counts, because a retry would
+// otherwise be sent before the check ends.
+func (t *Tracker) Suspected(now time.Time, fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.deaths(now, fingerprint) > 0 {
+		return true
+	}
+	for p := range t.pending {
+		if p.fingerprint == fingerprint {
+			return true
+		}
+	}
+	for _, r := range t.resets {
+		for p := range r.flights {
+			if r.checking && p.fingerprint == fingerprint {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// SuspectedEarly reports whether the fingerprint was seen at a death that is
+// neither confirmed nor cleared, or at a reset whose health check still runs, for a
+// shard that has not answered it lately.
+func (t *Tracker) SuspectedEarly(now time.Time, fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p := range t.pending {
+		if p.fingerprint == fingerprint && !t.answers.has(now, p) {
+			return true
+		}
 	}
 	for _, r := range t.resets {
-		if _, in := r.flights[fingerprint]; in && r.checking && !r.dead {
-			n++
+		if !r.checking {
+			continue
+		}
+		for p := range r.flights {
+			if p.fingerprint == fingerprint && !t.answers.has(now, p) {
+				return true
+			}
 		}
 	}
-	return n
+	return false
 }
 
+// died makes the flights of a reset wait for Grace. It returns the early reports,
+// and those of the parts that have died of two targets as confirmed. A part that
+// was answered lately is in flight at most deaths, so it waits for Grace.
 func (t *Tracker) died(now time.Time, l life, r *reset, hold time.Duration) []control.SuspectRequest {
 	r.dead, r.checking, r.at = true, false, now
-	out := make([]control.SuspectRequest, 0, len(r.flights))
-	for fingerprint, f := range r.flights {
-		t.suspect(now, fingerprint, l, hold)
-		out = append(out, control.SuspectRequest{
-			Fingerprint: fingerprint, Service: f.Service, Target: f.Target, Incarnation: f.Incarnation, Shard: f.Shard,
-		})
-	}
-	r.flights = nil
+	t.undecided--
+	t.makeRoomShared(now)
+	var out []control.SuspectRequest
+	early := 0
+	for p, f := range r.flights {
+		w := t.pending[p]
+		if w == nil {
+			if len(t.pending) >= maxSuspects {
+				continue // Many targets died at once, which no request explains.
+			}
+			w = &pending{due: now.Add(Grace), hold: hold}
+			t.pending[p] = w
+		}
+		d := control.SuspectRequest{
+			Fingerprint: f.Fingerprint, Service: f.Service, Target: l.target, Incarnation: l.incarnation, Shard: f.Shard,
+		}
+		w.deaths = append(w.deaths, d)
+		if t.answers.has(now, p) {
+			continue
+		}
+		if s := t.suspects[p.fingerprint]; len(w.deaths) > 1 || (s != nil && now.Before(s.until)) {
+			out = append(out, t.release(now, p, w)...)
+		} else if early < maxEarly && len(t.shared) < maxSuspects {
+			early++
+			t.shared[p] = now.Add(term)
+			d.Early = true
+			out = append(out, d)
+		}
+	}
+	r.flights, r.answered = nil, nil
 	return out
 }
 
-func (t *Tracker) suspect(now time.Time, fingerprint string, l life, hold time.Duration) {
-	s := t.suspects[fingerprint]
+// makeRoomShared forgets the early reports that no longer count.
+func (t *Tracker) makeRoomShared(now time.Time) {
+	maps.DeleteFunc(t.shared, func(_ part, until time.Time) bool { return !now.Before(until) })
+}
+
+// release moves the deaths of a part to the reported ones and returns them.
+func (t *Tracker) release(now time.Time, p part, w *pending) []control.SuspectRequest {
+	delete(t.pending, p)
+	s := t.suspects[p.fingerprint]
 	if s == nil || !now.Before(s.until) {
 		t.makeRoom(now)
-		s = &suspect{deaths: map[life]struct{}{}}
-		t.suspects[fingerprint] = s
+		s = &suspect{deaths: map[life]int{}}
+		t.suspects[p.fingerprint] = s
+	}
+	s.until = now.Add(w.hold)
+	for _, d := range w.deaths {
+		s.deaths[life{d.Target, d.Incarnation}] = p.shard
 	}
-	s.until = now.Add(hold)
-	s.deaths[l] = struct{}{}
+	return w.deaths
 }
 
 // makeRoom removes expired suspects, and the one that expires first if none has.
