Step version moves from pooled evidence of all hosts

Cause: package move decides on steps, but nothing gives it evidence or commits its steps.

Change: each host counts the sub-requests of services with a running move (move.Collector, bounded) and sends them to the leader twice a second with the new method move.evidence. The leader pools them and steps the moves from its control goroutine (quorum/moves.go). Evidence is in memory only: a new leader starts without any and goes on from the recorded step. Hosts send nothing while no move is running.

Before/after: before, the share of a new version stayed 0. Now the process tests pass: a good version is done by its time (30 s, trial 0.1) without a failed query and the old version gets nothing; a version on trial at 0.05 whose replies turn into errors is reverted and gets nothing after 3 s. On the query path, counting a sub-request takes 514 ns during a move, with all processors calling at once, and 3 ns without one (BenchmarkObserve).

The process tests fail with scratch edits that switch off the evidence of hosts, the revert, or the bound of the trial share (TestFailingVersionGetsNothing), or the pace (TestGoodVersionIsDoneByItsTime).

Conclusion: moves run by themselves. Not tested: a change of leader during a move, and a version that is slow, with real processes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"wasabirelay/host"
 	"wasabirelay/inventory"
 	"wasabirelay/limit"
+	"wasabirelay/move"
 	"wasabirelay/operator"
 	"wasabirelay/peer"
 	"wasabirelay/quorum"
@@ -53,6 +54,7 @@
 	replica      *quorum.Replica // nil on a host without a data folder
 	targets      *target.Service
 	queries      *answer.Service
+	evidence     move.Collector
 	grants       *grant.Keeper
 	shares       shares
 	// wake makes the sweep divide connections at once after a new view.
@@ -181,6 +183,7 @@
 	g.Go(func() error { return d.follower.Run(ctx) })
 	g.Go(func() error { return d.targets.Run(ctx) })
 	g.Go(func() error { return d.sweep(ctx) })
+	g.Go(func() error { return d.report(ctx) })
 	g.Go(func() error { return d.peerServer().Run(ctx, d.peers) })
 	for _, l := range d.listeners {
 		g.Go(func() error { return l.run(ctx) })
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -32,6 +32,7 @@
 	d.queries.Grant = d.grants.Reserve
 	d.queries.Granted = d.grants.Granted
 	d.queries.Fetch = d.fetch
+	d.queries.Evidence = d.observe
 }
 
 // changed takes note of a new view. It runs on the control goroutine.
--- a/host/control.go
+++ b/host/control.go
@@ -108,6 +108,11 @@
 	}
 }
 
+// Evidence sends what this host has counted for the running moves to the leader.
+func (c *Control) Evidence(ctx context.Context, e quorum.Evidence) error {
+	return c.call(ctx, attemptTimeout, quorum.MethodEvidence, e, &struct{}{})
+}
+
 // pause waits before another attempt. It reports false if ctx has ended.
 func pause(ctx context.Context) bool {
 	t := time.NewTimer(retryPause + rand.N(retryPause))
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"wasabirelay/control"
+	"wasabirelay/route"
 )
 
 var began = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
@@ -338,3 +339,20 @@
 		})
 	}
 }
+
+// BenchmarkObserve measures what a sub-request costs on the query path.
+func BenchmarkObserve(b *testing.B) {
+	v := &control.View{Moves: map[string]control.MoveRecord{"s": {Service: "s", Version: "v2", Step: Trial, Share: 0.02}}}
+	for name, service := range map[string]string{"running": "s", "none": "t"} {
+		b.Run(name, func(b *testing.B) {
+			t := &control.Target{Name: "t", Incarnation: "i", Service: service, Version: "v1"}
+			var c Collector
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					c.Observe(v, t, "a", 4*time.Millisecond, route.Success)
+				}
+			})
+		})
+	}
+}
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -6,20 +6,22 @@
 	"wasabirelay/consensus"
 	"wasabirelay/control"
 	"wasabirelay/lease"
+	"wasabirelay/move"
 )
 
 // Methods of the peer interface.
 const (
-	MethodStep    = "consensus.step"
-	MethodHello   = "quorum.hello"
-	MethodFound   = "quorum.found"
-	MethodJoin    = "quorum.join"
-	MethodPropose = "control.propose"
-	MethodWatch   = "control.watch"
-	MethodFeed    = "control.feed"
-	MethodStatus  = "control.status"
-	MethodRenew   = "lease.renew"
-	MethodFetch   = "answer.fetch"
+	MethodStep     = "consensus.step"
+	MethodHello    = "quorum.hello"
+	MethodFound    = "quorum.found"
+	MethodJoin     = "quorum.join"
+	MethodPropose  = "control.propose"
+	MethodWatch    = "control.watch"
+	MethodFeed     = "control.feed"
+	MethodStatus   = "control.status"
+	MethodRenew    = "lease.renew"
+	MethodFetch    = "answer.fetch"
+	MethodEvidence = "move.evidence"
 )
 
 // Hello is what a replica tells about itself.
@@ -94,6 +96,13 @@
 	Serving []string `json:"serving,omitempty"`
 }
 
+// Evidence is what a host has counted for the running moves since it last sent it.
+type Evidence struct {
+	Host      string        `json:"host"`
+	Reports   []move.Report `json:"reports"`
+	Forwarded bool          `json:"forwarded,omitempty"`
+}
+
 // StatusRequest asks the leader for its status with regard to a log index.
 type StatusRequest struct {
 	Index     uint64 `json:"index"`
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -70,6 +70,7 @@
 	waiters map[uint64]waiter
 	feed    feed
 	leases  leases
+	moves   moves
 	senders map[string]*sender
 	repair  repair
 }
@@ -172,6 +173,7 @@
 	now := r.Clock.Now()
 	r.handle(r.node.Tick(now))
 	r.leases.tick(r, now)
+	r.moves.tick(r, now)
 	r.repair.tick(ctx, r, now)
 }
 
@@ -248,6 +250,7 @@
 	if s.Role == consensus.Leader {
 		r.Log.Info().Uint64("term", s.Term).Msg("became leader of the control replicas")
 		r.leases.elected(r, r.Clock.Now())
+		r.moves.elected()
 	}
 }
 
--- a/quorum/send.go
+++ b/quorum/send.go
@@ -75,13 +75,14 @@
 // Handlers returns the methods that a control replica serves to other daemons.
 func (r *Replica) Handlers() map[string]peer.Handler {
 	return map[string]peer.Handler{
-		MethodStep:    r.serveStep,
-		MethodHello:   r.serveHello,
-		MethodFound:   r.serveFound,
-		MethodJoin:    r.serveJoin,
-		MethodPropose: r.servePropose,
-		MethodWatch:   r.serveWatch,
-		MethodStatus:  r.serveStatus,
-		MethodRenew:   r.serveRenew,
+		MethodStep:     r.serveStep,
+		MethodHello:    r.serveHello,
+		MethodFound:    r.serveFound,
+		MethodJoin:     r.serveJoin,
+		MethodPropose:  r.servePropose,
+		MethodWatch:    r.serveWatch,
+		MethodStatus:   r.serveStatus,
+		MethodRenew:    r.serveRenew,
+		MethodEvidence: r.serveEvidence,
 	}
 }
