Remove an unused method and parameters of package quorum

Change: Replica.View and two unused parameters are gone. Before/after: tests of quorum pass as before. Conclusion: none.

--- a/quorum/leases.go
+++ b/quorum/leases.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"wasabirelay/consensus"
-	"wasabirelay/control"
 	"wasabirelay/inventory"
 	"wasabirelay/lease"
 	"wasabirelay/peer"
@@ -294,10 +293,3 @@
 	}
 	return out
 }
-
-// View returns a picture of the control state of this replica.
-func (r *Replica) View(ctx context.Context) (*control.View, error) {
-	var v *control.View
-	err := r.do(ctx, func() { v = r.state.View() })
-	return v, err
-}
--- a/quorum/repair.go
+++ b/quorum/repair.go
@@ -17,7 +17,7 @@
 	next time.Time
 }
 
-func (p *repair) tick(_ context.Context, r *Replica, now time.Time) {
+func (p *repair) tick(r *Replica, now time.Time) {
 	if r.role != consensus.Leader || now.Before(p.next) {
 		return
 	}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -172,7 +172,7 @@
 		case f := <-r.events:
 			f()
 		case <-ticker.Chan():
-			r.tick(ctx)
+			r.tick()
 		}
 		if r.fatal != nil {
 			return r.fatal
@@ -180,7 +180,7 @@
 	}
 }
 
-func (r *Replica) tick(ctx context.Context) {
+func (r *Replica) tick() {
 	if r.node == nil {
 		return
 	}
@@ -188,7 +188,7 @@
 	r.handle(r.node.Tick(now))
 	r.leases.tick(r, now)
 	r.moves.tick(r, now)
-	r.repair.tick(ctx, r, now)
+	r.repair.tick(r, now)
 }
 
 // post runs f on the control goroutine. It reports false if ctx ended first.
