Use the target interface's own names, enter groups in one place

Cause: package answer repeated the refusal reasons and the cancel body of package target, and kept a header of the same interface; founding and joining a group each had the steps that persist the founders and start the log. Change: answer uses target.Reason*, target.Cancel and target.HeaderRoute; joining calls enterGroup with an empty state. The two tests that named the constants name the new ones; their assertions are the same. Conclusion: no change of behaviour.

--- a/answer/reply.go
+++ b/answer/reply.go
@@ -76,7 +76,7 @@
 	case reply.Shard != sub.Shard:
 		return &ReplyError{Reason: "shard"}
 	case reply.Snapshot != sub.Snapshot:
-		return &ReplyError{Reason: reasonSnapshot}
+		return &ReplyError{Reason: target.ReasonSnapshot}
 	default:
 		return nil
 	}
--- a/answer/seams.go
+++ b/answer/seams.go
@@ -55,8 +55,8 @@
 
 // outcomes holds the names of outcomes in traces and errors.
 var outcomes = map[Outcome]string{
-	Success: "success", Shed: reasonShed, DrainingReply: reasonDraining, ColdReply: reasonCold,
-	SnapshotGone: reasonSnapshot, ConnectFailed: "connect", Reset: "reset", BadReply: "reply",
+	Success: "success", Shed: target.ReasonShed, DrainingReply: target.ReasonDraining, ColdReply: target.ReasonCold,
+	SnapshotGone: target.ReasonSnapshot, ConnectFailed: "connect", Reset: "reset", BadReply: "reply",
 	TimedOut: "timeout", Cancelled: "cancelled", Failed: "failed",
 }
 
--- a/answer/send.go
+++ b/answer/send.go
@@ -22,27 +22,10 @@
 	"wasabirelay/target"
 )
 
-// HeaderRoute carries the route of a query to the target.
-const HeaderRoute = "Wasabi-Route"
-
-// Values of the header Wasabi-Reason.
-const (
-	reasonShed     = "shed"
-	reasonDraining = "draining"
-	reasonCold     = "cold"
-	reasonSnapshot = "snapshot"
-)
-
 // idlePerTarget is the number of connections that the largest deployments keep to
 // one searcher (100); the standard client keeps 2.
 const idlePerTarget = 100
 
-// Cancellation is the body of POST /cancel.
-type Cancellation struct {
-	Request string `json:"request"`
-	Shard   int    `json:"shard"`
-}
-
 // sender sends sub-requests over the standard HTTP client.
 type sender struct {
 	client *http.Client
@@ -175,7 +158,7 @@
 	req.Header.Set(target.HeaderSnapshot, strconv.FormatUint(sub.Snapshot, 10))
 	setTimeout(req, now, sub)
 	if sub.Route != "" {
-		req.Header.Set(HeaderRoute, sub.Route)
+		req.Header.Set(target.HeaderRoute, sub.Route)
 	}
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	return req, nil
@@ -212,13 +195,13 @@
 		return Failed
 	}
 	switch reason {
-	case reasonShed:
+	case target.ReasonShed:
 		return Shed
-	case reasonDraining:
+	case target.ReasonDraining:
 		return DrainingReply
-	case reasonCold:
+	case target.ReasonCold:
 		return ColdReply
-	case reasonSnapshot:
+	case target.ReasonSnapshot:
 		return SnapshotGone
 	default:
 		return Failed
@@ -227,7 +210,7 @@
 
 // newCancellation returns the request that cancels a sub-request.
 func newCancellation(ctx context.Context, t *control.Target, sub *Subrequest) (*http.Request, error) {
-	body, err := json.Marshal(Cancellation{Request: sub.Request, Shard: sub.Shard})
+	body, err := json.Marshal(target.Cancel{Request: sub.Request, Shard: sub.Shard})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode cancellation")
 	}
--- a/answer/serve_test.go
+++ b/answer/serve_test.go
@@ -187,7 +187,7 @@
 	is.True(strings.Contains(w.Body.String(), `"result":{"q":1}`))
 	is.True(strings.HasPrefix(got.Get(target.HeaderRequest), "r1/"))
 	is.Equal(got.Get(target.HeaderShard)+got.Get(target.HeaderSnapshot), "09")
-	is.Equal(got.Get(HeaderRoute), "fast")
+	is.Equal(got.Get(target.HeaderRoute), "fast")
 	is.True(strings.Contains(got.Get("traceparent"), "4bf92f3577b34da6a3ce929d0e0e4736"))
 	is.True(len(got.Get(target.HeaderTimeout)) == 4) // below 5,000 and above 999 ms
 }
@@ -217,7 +217,7 @@
 		{"redirected", "", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/other", http.StatusFound) }},
 		{"reset", "", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
 		{"draining", "", func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(target.HeaderReason, reasonDraining)
+			w.Header().Set(target.HeaderReason, target.ReasonDraining)
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}},
 	} {
--- a/quorum/founding.go
+++ b/quorum/founding.go
@@ -107,7 +107,7 @@
 func (r *Replica) act(ctx context.Context, e entry) bool {
 	switch {
 	case e.found != nil:
-		if !r.enterGroup(ctx, e.found) {
+		if !r.enterGroup(ctx, e.found, consensus.Found(e.found)) {
 			return false
 		}
 		for host, c := range r.Clients {
@@ -117,18 +117,18 @@
 		}
 		return true
 	case e.adopt != nil:
-		return r.enterGroup(ctx, e.adopt)
+		return r.enterGroup(ctx, e.adopt, consensus.Found(e.adopt))
 	case e.join != "":
 		return r.join(ctx, e.join)
 	}
 	return false
 }
 
-// enterGroup persists the founding state and starts the log. It reports whether
-// the replica is in a group; it may have been brought into one meanwhile.
-func (r *Replica) enterGroup(ctx context.Context, founders []string) bool {
+// enterGroup persists the founders and the saved state, if there is any, and starts
+// the log. It reports whether the replica is in a group; it may have been brought
+// into one meanwhile.
+func (r *Replica) enterGroup(ctx context.Context, founders []string, saved consensus.Saved) bool {
 	ok := false
-	saved := consensus.Found(founders)
 	err := r.do(ctx, func() {
 		if ok = r.node != nil; ok {
 			return
@@ -136,13 +136,14 @@
 		if r.fatal = writeFounders(r.Dir, founders); r.fatal != nil {
 			return
 		}
-		if r.fatal = r.journal.Save(&saved.Hard, saved.Entries); r.fatal != nil {
-			return
+		if !blank(saved) {
+			if r.fatal = r.journal.Save(&saved.Hard, saved.Entries); r.fatal != nil {
+				return
+			}
 		}
 		r.setFounders(founders)
-		if r.fatal = r.start(saved); r.fatal == nil {
-			ok = true
-		}
+		r.fatal = r.start(saved)
+		ok = r.fatal == nil
 	})
 	return err == nil && ok
 }
@@ -158,20 +159,7 @@
 		return false
 	}
 	r.Log.Info().Str("host", host).Str("member", r.identity.String()).Msg("joining the group as a learner")
-	ok := false
-	err := r.do(ctx, func() {
-		if ok = r.node != nil; ok {
-			return
-		}
-		if r.fatal = writeFounders(r.Dir, joined.Founders); r.fatal != nil {
-			return
-		}
-		r.setFounders(joined.Founders)
-		if r.fatal = r.start(consensus.Saved{}); r.fatal == nil {
-			ok = true
-		}
-	})
-	return err == nil && ok
+	return r.enterGroup(ctx, joined.Founders, consensus.Saved{})
 }
 
 func (r *Replica) serveHello(ctx context.Context, _ *peer.Conn, _ json.RawMessage) (any, error) {
@@ -195,7 +183,7 @@
 		return nil, err
 	}
 	if slices.Contains(h.Founders, r.identity.String()) {
-		go r.enterGroup(ctx, h.Founders)
+		go r.enterGroup(ctx, h.Founders, consensus.Found(h.Founders))
 	}
 	return nil, nil
 }
--- a/target/target.go
+++ b/target/target.go
@@ -15,6 +15,8 @@
 	HeaderSnapshot = "Wasabi-Snapshot"
 	// HeaderTimeout is the time that is left, in milliseconds.
 	HeaderTimeout = "Wasabi-Timeout"
+	// HeaderRoute is the route of the query, if it has one.
+	HeaderRoute = "Wasabi-Route"
 	// HeaderReason is why a target refused a sub-request with status 503. Such a
 	// sub-request was not run.
 	HeaderReason = "Wasabi-Reason"
