--- a/client/client.go
+++ b/client/client.go
@@ -51,6 +51,9 @@
 	Repeatable bool
 	// Service selects the address list of a service, if one is kept.
 	Service string
+
+	// passing leaves the address that later calls begin with as it is.
+	passing bool
 }
 
 // Announce announces or renews a target and learns the addresses in the reply.
@@ -101,7 +104,7 @@
 	for _, a := range addresses {
 		last = c.try(ctx, a, call)
 		if last == nil {
-			c.prefer(call.Service, a)
+			c.prefer(call, a)
 			return nil
 		}
 		if !elsewhere(last, call.Repeatable) {
@@ -141,13 +144,17 @@
 	return slices.Concat(list[first:], list[:first])
 }
 
-func (c *Client) prefer(service string, a netip.AddrPort) {
+// prefer makes later calls begin with the address.
+func (c *Client) prefer(call Call, a netip.AddrPort) {
+	if call.passing {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == nil {
 		c.current = map[string]netip.AddrPort{}
 	}
-	c.current[service] = a
+	c.current[call.Service] = a
 }
 
 // merge appends the addresses of more that list does not contain.
--- a/client/query.go
+++ b/client/query.go
@@ -93,7 +93,7 @@
 	var out Addresses
 	path := "/v1/addresses?service=" + url.QueryEscape(service)
 	build := func(s *sling.Sling) *sling.Sling { return s.Get(path) }
-	if err := c.Send(ctx, Call{Build: build, Out: &out, Repeatable: true, Service: service}); err != nil {
+	if err := c.Send(ctx, Call{Build: build, Out: &out, Repeatable: true, Service: service, passing: true}); err != nil {
 		return nil, err
 	}
 	return &out, nil
--- a/command/query/query.go
+++ b/command/query/query.go
@@ -110,7 +110,7 @@
 			seen[s.Shard] = true
 		}
 	}
-	wrong := ""
+	var wrong string
 	switch {
 	case a.Request != q.Request.Request || a.Service != q.Service:
 		wrong = "the answer belongs to another request"
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -82,7 +82,7 @@
 		}
 	}()
 	c := New(f)
-	parser, err := kong.New(c, kong.Name("wasabirelay"), kong.Writers(f.Out, f.Err), kong.UsageOnError(),
+	parser, err := kong.New(c, kong.Name("wasabirelay"), kong.Writers(f.Out, f.Err),
 		kong.Description("Command line for operators and callers of wasabirelay.\n\n"+factory.Codes),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Exit(func(code int) { panic(exit(code)) }), kong.BindTo(ctx, (*context.Context)(nil)))
--- a/searcher/searcher.go
+++ b/searcher/searcher.go
@@ -59,7 +59,7 @@
 	waiting  int
 	faults   Faults
 	counts   counts
-	live     map[identity]context.CancelFunc
+	live     map[identity]*subRequest
 	previous target.Reply // whose identity a crossed reply takes
 	report   Health
 	reported time.Time
@@ -77,7 +77,7 @@
 		s.now = s.Target
 		s.cold, s.started = s.Target.State == control.Cold, s.Clock.Now()
 		s.changed = make(chan struct{}, 1)
-		s.live = map[identity]context.CancelFunc{}
+		s.live = map[identity]*subRequest{}
 		s.counts.runs = map[identity]int{}
 		if s.Target.Slots > 0 {
 			s.slots = make(chan struct{}, s.Target.Slots)
--- a/searcher/serve.go
+++ b/searcher/serve.go
@@ -11,8 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"wasabirelay/control"
 	"wasabirelay/problem"
 	"wasabirelay/target"
@@ -31,6 +29,7 @@
 	snapshot uint64
 	deadline time.Time // zero without a deadline
 	query    []byte
+	cancel   context.CancelFunc
 }
 
 // Health is the reply to GET /health.
@@ -51,19 +50,17 @@
 		s.refuse(w, reason, "not run: "+reason)
 		return
 	}
-	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
-	defer cancel(nil)
-	s.track(sub.identity, func() { cancel(errCancelled) })
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	defer cancel()
+	s.track(sub, cancel)
 	if reason := s.wait(ctx, r.Context().Done(), sub); reason != "" {
-		s.release(sub.identity, false)
+		s.release(sub, false)
 		s.refuse(w, reason, "not run: "+reason)
 		return
 	}
 	s.run(ctx, w, sub)
 }
 
-var errCancelled = errors.New("cancelled")
-
 func (s *Searcher) decode(w http.ResponseWriter, r *http.Request) (*subRequest, *problem.Details) {
 	sub := &subRequest{identity: identity{request: r.Header.Get(target.HeaderRequest)}}
 	if sub.request == "" {
@@ -124,9 +121,12 @@
 	return !sub.deadline.IsZero() && !s.Clock.Now().Before(sub.deadline)
 }
 
-func (s *Searcher) track(id identity, cancel context.CancelFunc) {
+// track makes the sub-request known to POST /cancel. Of several with one
+// identity, the last can be cancelled.
+func (s *Searcher) track(sub *subRequest, cancel context.CancelFunc) {
 	s.mu.Lock()
-	s.live[id] = cancel
+	sub.cancel = cancel
+	s.live[sub.identity] = sub
 	s.mu.Unlock()
 }
 
@@ -165,11 +165,13 @@
 }
 
 // release ends the admission of a sub-request.
-func (s *Searcher) release(id identity, served bool) {
+func (s *Searcher) release(sub *subRequest, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.admitted--
-	delete(s.live, id)
+	if s.live[sub.identity] == sub {
+		delete(s.live, sub.identity)
+	}
 	if served {
 		s.counts.Served++
 		s.warm++
@@ -201,7 +203,7 @@
 	if s.slots != nil {
 		<-s.slots
 	}
-	s.release(sub.identity, finished && !fail)
+	s.release(sub, finished && !fail)
 	switch {
 	case !finished:
 		http.Error(w, "cancelled while it ran", http.StatusConflict)
@@ -287,11 +289,10 @@
 		return
 	}
 	s.mu.Lock()
-	stop := s.live[identity{c.Request, c.Shard}]
-	s.mu.Unlock()
-	if stop != nil {
-		stop()
+	if sub := s.live[identity{c.Request, c.Shard}]; sub != nil {
+		sub.cancel()
 	}
+	s.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
 
