--- a/client/client.go
+++ b/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"wasabirelay/control"
+	"wasabirelay/operator"
 	"wasabirelay/problem"
 	"wasabirelay/target"
 )
@@ -92,7 +93,8 @@
 
 // Send sends a request to one address after the other while that is safe: after
 // a refusal with status 503 and executed "none", and for a repeatable request
-// also after a failed attempt. The error is a *problem.Details if a host refused.
+// also after a failed attempt. The error is an *operator.Refusal if a host refused;
+// it contains a *problem.Details.
 // It is that of an attempt that may have run, if there was one and no later
 // attempt had a definite outcome.
 func (c *Client) Send(ctx context.Context, call Call) error {
@@ -206,7 +208,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode >= http.StatusBadRequest {
-		d := &problem.Details{Title: http.StatusText(res.StatusCode), Executed: problem.Unknown}
+		d := &operator.Refusal{Details: problem.Details{Title: http.StatusText(res.StatusCode), Executed: problem.Unknown}}
 		_ = json.NewDecoder(res.Body).Decode(d) // Without a problem document the status has to do.
 		d.Status = res.StatusCode
 		return d
--- a/command/factory/error.go
+++ b/command/factory/error.go
@@ -9,6 +9,7 @@
 
 	"wasabirelay/client"
 	"wasabirelay/document"
+	"wasabirelay/operator"
 	"wasabirelay/problem"
 )
 
@@ -19,19 +20,21 @@
 	Failed = 1
 	// Usage means that the arguments are wrong.
 	Usage = 2
-	// Conflict means that somebody else changed the inventory first.
+	// Conflict means that another change won.
 	Conflict = 3
 	// Invalid means that a document or a field is wrong.
 	Invalid = 4
-	// Incomplete means that the answer is not what was asked for.
+	// Incomplete means that the outcome is not what was asked for: an answer
+	// without some shards, a change that is not in force yet, a reverted move, or
+	// a status with a failure.
 	Incomplete = 5
 	// Unknown means that the request may have been carried out.
 	Unknown = 6
 )
 
 // Codes explains the exit codes in the help.
-const Codes = `Exit codes: 0 done; 1 failed, nothing was changed or run; 2 wrong usage; 3 somebody else changed the inventory
-first; 4 a document or field is wrong; 5 the answer is not what was asked for; 6 the request may have been carried out.`
+const Codes = `Exit codes: 0 done; 1 failed, nothing was changed or run; 2 wrong usage; 3 another change won; 4 a document or
+field is wrong; 5 the outcome is not what was asked for; 6 the request may have been carried out.`
 
 // Error is a failure with the exit code and what to do next.
 type Error struct {
@@ -54,7 +57,7 @@
 	case errors.As(err, &faults):
 		return &Error{Code: Invalid, Text: err.Error(), Next: "correct the lines above and try again"}
 	case d != nil:
-		return explainRefusal(d, resend)
+		return explainRefusal(err, d, resend)
 	default:
 		return explainFailure(err, resend)
 	}
@@ -67,11 +70,17 @@
 	return &Error{Code: Failed, Text: err.Error(), Next: "check that the hosts run and that the addresses are theirs"}
 }
 
-func explainRefusal(d *problem.Details, resend string) error {
+func explainRefusal(err error, d *problem.Details, resend string) error {
 	e := &Error{Code: Failed, Text: text(d)}
+	var refusal *operator.Refusal
+	if errors.As(err, &refusal) {
+		e.Text += winner(refusal)
+	}
 	switch {
-	case strings.HasSuffix(d.Type, ":conflict"):
-		e.Code, e.Next = Conflict, "read the inventory again with 'wasabirelay inventory show', make the change on it, and apply it"
+	case d.Status == http.StatusConflict:
+		e.Code, e.Next = Conflict, "read what is in force now, make the change on it, and send it again"
+	case d.Status == http.StatusNotFound:
+		e.Next = "check the name"
 	case strings.HasSuffix(d.Type, ":coverage"):
 		e.Code, e.Next = Incomplete, "repeat the query, or accept less with --coverage"
 	case d.Status == http.StatusBadRequest || d.Status == http.StatusUnprocessableEntity:
@@ -86,6 +95,25 @@
 	return e
 }
 
+// winner describes the change that won a conflict.
+func winner(f *operator.Refusal) string {
+	if f.Operator == "" && f.Change == "" {
+		return ""
+	}
+	s := fmt.Sprintf("\nwinner: change %s by %s, version %d", f.Change, f.Operator, f.Version)
+	for _, d := range f.Differences {
+		s += fmt.Sprintf("\n  %s: %s there, %s here", d.Field, orNothing(d.From), orNothing(d.To))
+	}
+	return s
+}
+
+func orNothing(s string) string {
+	if s == "" {
+		return "nothing"
+	}
+	return s
+}
+
 func text(d *problem.Details) string {
 	s := d.Error()
 	for _, part := range []struct{ name, value string }{{"field", d.Field}, {"rule", d.Rule}, {"coverage", string(d.Coverage)}} {
--- a/command/host/list/list.go
+++ b/command/host/list/list.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"wasabirelay/command/factory"
+	"wasabirelay/operator"
 )
 
 // Options are the arguments of the command and what it depends on.
@@ -31,16 +32,32 @@
 	if err != nil {
 		return err
 	}
-	hosts, err := c.Hosts(ctx)
+	got, err := c.Hosts(ctx)
 	if err != nil {
 		return factory.Explain(err, "")
 	}
 	if o.JSON {
-		return o.Streams.JSON(hosts)
+		return o.Streams.JSON(got)
 	}
 	var rows [][]string
-	for _, h := range hosts {
-		rows = append(rows, []string{h.Host, h.Centre, h.Caller, strconv.FormatBool(h.Serves), strconv.FormatUint(h.Applied, 10)})
+	for i := range got.Hosts {
+		rows = append(rows, row(&got.Hosts[i]))
+	}
+	return o.Table([]string{"HOST", "CENTRE", "CALLER", "OPERATOR", "CONTROL", "LEASE", "APPLIED"}, rows)
+}
+
+func row(h *operator.Host) []string {
+	state, applied := "unknown", "unknown"
+	if h.Lease != nil {
+		state, applied = "none", strconv.FormatUint(h.Lease.Applied, 10)
+		if h.Lease.Live {
+			state = "held"
+		}
+	}
+	if h.Unavailable {
+		state = "out of service"
+	}
+	return []string{
+		h.Name, h.Centre, h.Caller.String(), h.Operator.String(), strconv.FormatBool(h.Control), state, applied,
 	}
-	return o.Table([]string{"HOST", "CENTRE", "CALLER", "SERVES", "APPLIED"}, rows)
 }
--- a/command/inventory/apply/apply.go
+++ b/command/inventory/apply/apply.go
@@ -3,23 +3,22 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/pkg/errors"
 
 	"wasabirelay/client"
 	"wasabirelay/command/factory"
 	"wasabirelay/inventory"
+	"wasabirelay/operator"
 )
 
 // Options are the arguments of the command and what it depends on.
 type Options struct {
 	*factory.Factory `kong:"-"`
 
-	File   string  `arg:"" help:"File with the document; - for the input stream." predictor:"file"`
-	Base   *uint64 `help:"Version that the file is based on, from 'inventory show'; 0 for the first document." placeholder:"VERSION"`
-	Change string  `help:"Identity of the change, to send the same change again." placeholder:"ID"`
-	JSON   bool    `help:"Print JSON."`
+	File string  `arg:"" help:"File with the document; - for the input stream." predictor:"file"`
+	Base *uint64 `help:"Version that the file is based on, from 'inventory show'; 0 for the first document." placeholder:"VERSION"`
+	Commit
 }
 
 // New returns the command.
@@ -47,33 +46,7 @@
 	if _, err := inventory.Parse(o.File, text); err != nil {
 		return factory.Explain(err, "")
 	}
-	return Send(ctx, o.Factory, client.Change{Base: *o.Base, Change: o.Change, Text: string(text)}, o.JSON)
-}
-
-// Outcome is what the command prints with --json.
-type Outcome struct {
-	client.Applied
-	Change string `json:"change"`
-}
-
-// Send applies a change and prints its outcome. An empty identity is replaced
-// with a new one.
-func Send(ctx context.Context, f *factory.Factory, change client.Change, json bool) error {
-	c, err := f.Operator()
-	if err != nil {
-		return err
-	}
-	if change.Change == "" {
-		change.Change = f.Identity()
-	}
-	change.Operator = f.User()
-	applied, err := c.Apply(ctx, change)
-	if err != nil {
-		return factory.Explain(err, fmt.Sprintf("send the same change again with --base %d --change %s", change.Base, change.Change))
-	}
-	if json {
-		return f.JSON(Outcome{*applied, change.Change})
-	}
-	fmt.Fprintf(f.Out, "inventory version %d accepted\n", applied.Version)
-	return nil
+	return o.Send(o.Factory, func(c *client.Client, change string) (*operator.Applied, error) {
+		return c.Apply(ctx, operator.Apply{Base: *o.Base, Change: change, Operator: o.User(), Text: string(text)}, o.Wait)
+	})
 }
--- a/command/move/list/list.go
+++ b/command/move/list/list.go
@@ -3,11 +3,15 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
-	"wasabirelay/client"
 	"wasabirelay/command/factory"
+	"wasabirelay/operator"
 )
 
 // Options are the arguments of the command and what it depends on.
@@ -33,25 +37,33 @@
 	if err != nil {
 		return err
 	}
-	moves, err := c.Moves(ctx)
+	got, err := c.Moves(ctx)
 	if err != nil {
 		return factory.Explain(err, "")
 	}
 	if o.JSON {
-		return o.Streams.JSON(moves)
+		return o.Streams.JSON(got)
 	}
 	var rows [][]string
-	for i := range moves {
-		rows = append(rows, Row(&moves[i]))
+	for i := range got.Moves {
+		rows = append(rows, Row(&got.Moves[i]))
 	}
 	return o.Table(Heading, rows)
 }
 
 // Heading is the heading of the rows of moves.
-var Heading = []string{"SERVICE", "VERSION", "STEP", "SHARE", "BY", "REASON"}
+var Heading = []string{"SERVICE", "VERSION", "STEP", "SHARE", "BY", "SINCE", "TARGETS", "REASON"}
 
 // Row returns a move as a row of a table.
-func Row(m *client.Move) []string {
+func Row(m *operator.Move) []string {
 	share := strconv.FormatFloat(m.Share*100, 'f', -1, 64) + "%"
-	return []string{m.Service, m.Version, m.Step, share, m.By.UTC().Format(time.RFC3339), m.Reason}
+	var targets []string
+	for _, version := range slices.Sorted(maps.Keys(m.Targets)) {
+		targets = append(targets, fmt.Sprintf("%s:%d", version, m.Targets[version]))
+	}
+	return []string{
+		m.Service, m.Version, m.Step, share, stamp(m.By), stamp(m.Since), strings.Join(targets, ","), m.Reason,
+	}
 }
+
+func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339) }
--- a/command/move/show/show.go
+++ b/command/move/show/show.go
@@ -13,7 +13,7 @@
 	*factory.Factory `kong:"-"`
 
 	Service string `arg:"" help:"Service whose move is shown."`
-	JSON    bool   `help:"Print JSON, with the evidence."`
+	JSON    bool   `help:"Print JSON."`
 }
 
 // New returns the command.
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -19,9 +19,13 @@
 	"wasabirelay/command/inventory/check"
 	inventoryshow "wasabirelay/command/inventory/show"
 	movelist "wasabirelay/command/move/list"
+	"wasabirelay/command/move/revert"
 	moveshow "wasabirelay/command/move/show"
+	"wasabirelay/command/move/watch"
 	"wasabirelay/command/query"
 	rulelist "wasabirelay/command/rule/list"
+	"wasabirelay/command/rule/set"
+	"wasabirelay/command/rule/unset"
 	"wasabirelay/command/status"
 	targetlist "wasabirelay/command/target/list"
 	"wasabirelay/command/version"
@@ -38,11 +42,15 @@
 		Check check.Options         `cmd:"" help:"Check a document without applying it."`
 	} `cmd:"" help:"Work with the inventory: data centres, hosts, services and rules."`
 	Rule struct {
-		List rulelist.Options `cmd:"" help:"List the rules in force."`
+		List  rulelist.Options `cmd:"" help:"List the rules in force."`
+		Set   set.Options      `cmd:"" help:"Change one rule."`
+		Unset unset.Options    `cmd:"" help:"Remove one rule, so that its default applies."`
 	} `cmd:"" help:"Work with single rules of the inventory."`
 	Move struct {
-		List movelist.Options `cmd:"" help:"List the version moves."`
-		Show moveshow.Options `cmd:"" help:"Show the move of a service."`
+		List   movelist.Options `cmd:"" help:"List the version moves."`
+		Show   moveshow.Options `cmd:"" help:"Show the move of a service."`
+		Watch  watch.Options    `cmd:"" help:"Follow the move of a service until it ends."`
+		Revert revert.Options   `cmd:"" help:"Revert the move of a service."`
 	} `cmd:"" help:"Work with version moves."`
 	Host struct {
 		List hostlist.Options `cmd:"" help:"List the entry hosts."`
@@ -60,8 +68,9 @@
 func New(f *factory.Factory) *Command {
 	c := &Command{}
 	c.Inventory.Apply, c.Inventory.Show, c.Inventory.Check = apply.New(f), inventoryshow.New(f), check.New(f)
-	c.Rule.List = rulelist.New(f)
+	c.Rule.List, c.Rule.Set, c.Rule.Unset = rulelist.New(f), set.New(f), unset.New(f)
 	c.Move.List, c.Move.Show = movelist.New(f), moveshow.New(f)
+	c.Move.Watch, c.Move.Revert = watch.New(f), revert.New(f)
 	c.Host.List, c.Target.List = hostlist.New(f), targetlist.New(f)
 	c.Query, c.Status, c.Version, c.Completion = query.New(f), status.New(f), version.New(f), completion.New(f)
 	return c
--- a/command/root/root_test.go
+++ b/command/root/root_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -70,6 +71,8 @@
 	complete := `{"request":"id-1","service":"order-desk","version":"v1","snapshot":7,` +
 		`"coverage":{"answered":2,"total":2,"missing":null},"shards":[{"shard":0,"result":{}},{"shard":1,"result":3}]}`
 	partial := strings.NewReplacer(`"answered":2`, `"answered":1`, `null`, `[1]`, `,{"shard":1,"result":3}`, ``).Replace(complete)
+	inForce := `{"version":2,"index":9,"accepted":true,"force":true}`
+	move := `{"service":"order-desk","version":"v2","step":"trial","share":0.02,"targets":{"v2":1,"v1":3}}`
 	for _, c := range []struct {
 		name     string
 		args     string
@@ -101,6 +104,30 @@
 		{name: "query with a key only", args: `query order-desk {} --key k`, code: 2, err: "next: add --once"},
 		{name: "query once", args: `query order-desk {} --once`, reply: "POST /v1/services/order-desk/query " + complete, out: complete, sent: `id-1{"request":"id-1","query":{},"accept":{"coverage":1},"idempotent":false}`},
 		{name: "query once without an outcome", args: `query order-desk {} --once --key k`, reply: "POST /v1/services/order-desk/query abort", code: 6, err: "next: the outcome is not known; send the same query again with --once --request id-1 --key k"},
+
+		{name: "apply without a base", args: "inventory apply -", code: 2, err: "next: add --base"},
+		{name: "apply", args: "inventory apply - --base 1", reply: "POST /v1/inventory " + inForce, out: "accepted: inventory version 2, change id-1\n", sent: `{"base":1,"change":"id-1","operator":"kari","text":"{\"region\"`},
+		{name: "apply as JSON", args: "inventory apply - --base 1 --change c --json", reply: "POST /v1/inventory " + inForce, out: `"force":true,"hosts":null,"change":"c"}`},
+		{name: "apply without force", args: "inventory apply - --base 1", reply: `POST /v1/inventory {"version":2,"index":9,"accepted":true,"force":false,"hosts":[{"host":"h1","applied":9,"live":true},{"host":"h2","applied":8,"live":true},{"host":"h3","applied":8}]}`, code: 5, out: "version 2", err: "not in force yet on h2\nnext: "},
+		{name: "apply after another change", args: "inventory apply - --base 0", reply: `POST /v1/inventory !409 {"type":"urn:wasabirelay:conflict","title":"Conflict with another change","executed":"none","operator":"per","change":"c7","version":4,"differences":[{"field":"rules.lost","from":"stop"}]}`, code: 3, err: "winner: change c7 by per, version 4\n  rules.lost: stop there, nothing here\nnext: read what is in force"},
+		{name: "apply without an outcome", args: "inventory apply - --base 1", reply: "POST /v1/inventory abort", code: 6, err: "next: the outcome is not known; repeat the command with --change id-1"},
+		{name: "apply with an unknown outcome", args: "inventory apply - --base 1", reply: `POST /v1/inventory !503 {"title":"Service unavailable","executed":"unknown"}`, code: 6, err: "repeat the command with --change id-1"},
+		{name: "show", args: "inventory show", reply: `GET /v1/inventory {"version":3,"text":"{} // One."}`, out: "{} // One.", err: "version 3\n"},
+		{name: "check", args: "inventory check -", reply: `POST /v1/inventory/check {"version":3,"differences":[{"field":"rules.lost","from":"stop","to":"survive"}]}`, out: "rules.lost\tstop\tsurvive\n", err: "differs from version 3 in 1 fields"},
+		{name: "check offline", args: "inventory check - --offline", err: "no faults"},
+		{name: "rule list", args: "rule list", reply: `GET /v1/rules {"version":3,"rules":{"keep":"5s","hedge":{"budget":0.05}}}`, terminal: true, out: "RULE          VALUE\nhedge.budget  0.05\nkeep          5s\n"},
+		{name: "move list", args: "move list", reply: `GET /v1/moves {"moves":[` + move + `]}`, terminal: true, out: "order-desk  v2       trial  2%"},
+		{name: "move show", args: "move show order-desk", reply: "GET /v1/moves/order-desk " + move, out: "v1:3,v2:1"},
+		{name: "move show without a move", args: "move show dye-log", reply: `GET /v1/moves/dye-log !404 {"title":"Not found","executed":"none"}`, code: 1, err: "next: check the name"},
+		{name: "move watch until it is reverted", args: "move watch order-desk", reply: "GET /v1/moves/order-desk " + strings.Replace(move, `"share":0.02`, `"share":0,"reverted":true,"reason":"slow"`, 1), code: 5, err: "the move was reverted: slow\nnext: "},
+		{name: "move watch until it is done", args: "move watch order-desk --json", reply: "GET /v1/moves/order-desk " + strings.Replace(move, "0.02", "1", 1), out: `"share":1`},
+		{name: "move revert", args: "move revert order-desk v2 --reason prices", reply: "POST /v1/moves/order-desk/revert " + inForce, out: "accepted", sent: `{"change":"id-1","operator":"kari","version":"v2","reason":"prices"}`},
+		{name: "move revert of another version", args: "move revert order-desk v1", reply: `POST /v1/moves/order-desk/revert !409 {"title":"Conflict with another change"}`, code: 3, err: "next: "},
+		{name: "host list", args: "host list", reply: `GET /v1/hosts {"hosts":[{"host":"h1","centre":"huonville","caller":"127.0.0.1:7101","operator":"127.0.0.1:7301","control":true,"lease":{"live":true,"applied":9}}]}`, out: "h1\thuonville\t127.0.0.1:7101\t127.0.0.1:7301\ttrue\theld\t9\n"},
+		{name: "target list", args: "target list --state warm", reply: `GET /v1/targets {"targets":[{"target":"od-1","address":"127.0.0.1:7401","shards":[1,2],"snapshots":[{"number":7,"shards":3}],"state":"warm"},{"target":"od-2","state":"cold"}]}`, out: "127.0.0.1:7401\twarm\t1,2\t7/3"},
+		{name: "status in order", args: "status", reply: `GET /v1/status {"findings":[],"targets":12}`, out: "in order  inventory 0  leader none  targets 12"},
+		{name: "status with a failure", args: "status", reply: `GET /v1/status {"level":"failed","findings":[{"level":"failed","subject":"service order-desk"}]}`, code: 5, out: "failed: service order-desk", err: "next: "},
+		{name: "version of a host", args: "version --server", reply: `GET /v1/version {"program":"v0.1.0","host":"h1"}`, out: "h1\tv0.1.0\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -155,3 +182,46 @@
 	_, err = f.ReadFile(name + "y")
 	is.True(errors.Is(err, os.ErrNotExist))
 }
+
+// Guards against a rule change that loses comments, or that is based on another
+// version than the one that was edited.
+func TestRuleChanges(t *testing.T) {
+	text := strings.ReplaceAll(document, "\n", " ")
+	text = strings.Replace(text, "// One.", "/* One. */", 1)
+	for _, c := range []struct {
+		args, text string
+		code       int
+		sent, err  string
+	}{
+		{"rule set hedge.budget 0.1", text, 0, `"hedge": {"budget": 0.1}`, ""},
+		{"rule set lost stop", text, 0, `"lost": "stop"`, ""},
+		{"rule set lost perhaps", text, 4, "", "rules.lost"},
+		{"rule unset lost", strings.Replace(text, `"hosts"`, `"rules":{"lost":"stop","keep":"3s"},"hosts"`, 1), 0, `"keep":"3s"`, ""},
+		{"rule unset lost", text, 4, "", "next: see 'wasabirelay rule list'"},
+	} {
+		t.Run(c.args, func(t *testing.T) {
+			is := is.New(t)
+			quoted, err := json.Marshal(c.text)
+			is.NoErr(err)
+			b := &bench{t: t, replies: map[string]string{
+				"GET /v1/inventory":  `{"version":6,"text":` + string(quoted) + `}`,
+				"POST /v1/inventory": `{"version":7,"accepted":true,"force":true}`,
+			}}
+			is.Equal(b.run(strings.Fields(c.args)...), c.code)
+			contains(t, b.err.String(), c.err)
+			if c.code != 0 {
+				is.Equal(b.received["POST /v1/inventory"], "")
+				return
+			}
+			var sent struct {
+				Base uint64
+				Text string
+			}
+			is.NoErr(json.Unmarshal([]byte(b.received["POST /v1/inventory"]), &sent))
+			is.Equal(sent.Base, uint64(6))
+			contains(t, sent.Text, c.sent)
+			contains(t, sent.Text, "/* One. */")
+			is.Equal(strings.Contains(sent.Text, `"lost":"stop"`), false) // Unset, or set in the layout of the editor.
+		})
+	}
+}
--- a/command/status/status.go
+++ b/command/status/status.go
@@ -3,9 +3,12 @@
 
 import (
 	"context"
+	"io"
+
+	"github.com/pkg/errors"
 
 	"wasabirelay/command/factory"
-	"wasabirelay/command/rule/list"
+	"wasabirelay/operator"
 )
 
 // Options are the arguments of the command and what it depends on.
@@ -20,7 +23,10 @@
 
 // Help returns examples.
 func (o *Options) Help() string {
-	return `Examples:
+	return `Prints what is not as it should be, the most urgent first. The exit code is 5 while callers are refused or get
+incomplete answers.
+
+Examples:
   wasabirelay status
   wasabirelay status --operator 10.0.0.2:7301 --json`
 }
@@ -36,11 +42,15 @@
 		return factory.Explain(err, "")
 	}
 	if o.JSON {
-		return o.Streams.JSON(got)
+		err = o.Streams.JSON(got)
+	} else {
+		_, err = io.WriteString(o.Out, got.Text())
 	}
-	rows, err := list.Flatten(got)
-	if err != nil {
-		return err
+	if err != nil || got.Level != operator.Failed {
+		return errors.Wrap(err, "print")
+	}
+	return &factory.Error{
+		Code: factory.Incomplete, Text: "callers are refused or get incomplete answers",
+		Next: "see the findings above; the line 'operator' of each says what to do",
 	}
-	return o.Table([]string{"FIELD", "VALUE"}, rows)
 }
--- a/command/target/list/list.go
+++ b/command/target/list/list.go
@@ -37,19 +37,18 @@
 	if err != nil {
 		return err
 	}
-	targets, err := c.Targets(ctx)
+	got, err := c.Targets(ctx, o.Service)
 	if err != nil {
 		return factory.Explain(err, "")
 	}
-	targets = slices.DeleteFunc(targets, func(t *control.Target) bool {
-		return o.Service != "" && t.Service != o.Service || o.Centre != "" && t.Centre != o.Centre ||
-			o.State != "" && string(t.State) != o.State
+	got.Targets = slices.DeleteFunc(got.Targets, func(t *control.Target) bool {
+		return o.Centre != "" && t.Centre != o.Centre || o.State != "" && string(t.State) != o.State
 	})
 	if o.JSON {
-		return o.Streams.JSON(targets)
+		return o.Streams.JSON(got)
 	}
 	var rows [][]string
-	for _, t := range targets {
+	for _, t := range got.Targets {
 		rows = append(rows, []string{
 			t.Name, t.Service, t.Version, t.Centre, t.Address.String(), string(t.State), numbers(t.Shards), snapshots(t), t.Home,
 		})
--- a/command/version/version.go
+++ b/command/version/version.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 
 	"wasabirelay/command/factory"
+	"wasabirelay/operator"
 )
 
 // Options are the arguments of the command and what it depends on.
@@ -19,7 +20,8 @@
 // Versions is what the command prints with --json.
 type Versions struct {
 	Client string `json:"client"`
-	Server string `json:"server,omitempty"`
+	// Server is the reply of a host if it was asked.
+	Server *operator.Version `json:"server,omitempty"`
 }
 
 // New returns the command.
@@ -44,14 +46,14 @@
 		if err != nil {
 			return factory.Explain(err, "")
 		}
-		v.Server = got.Version
+		v.Server = got
 	}
 	if o.JSON {
 		return o.Streams.JSON(v)
 	}
 	rows := [][]string{{"client", v.Client}}
 	if o.Server {
-		rows = append(rows, []string{"server", v.Server})
+		rows = append(rows, []string{v.Server.Host, v.Server.Program})
 	}
 	return o.Table([]string{"PROGRAM", "VERSION"}, rows)
 }
