--- a/command/query/query.go
+++ b/command/query/query.go
@@ -20,6 +20,7 @@
 	Service  string        `arg:"" help:"Service to query."`
 	Query    string        `arg:"" help:"Query as JSON."`
 	Coverage float64       `help:"Least share of shards that must answer." default:"1"`
+	Route    string        `help:"Route of the query, one of the service's routes."`
 	Timeout  time.Duration `help:"Time for the answer; 0 leaves it to the service." default:"0s"`
 	Once     bool          `help:"Run the query at most once: it is not idempotent."`
 	Key      string        `help:"Idempotency key of a query with --once, to send the same query again." placeholder:"KEY"`
@@ -50,7 +51,8 @@
 	q := client.Query{
 		Service: o.Service, Key: o.Key, Timeout: o.Timeout,
 		Request: answer.Request{
-			Request: o.Request, Query: json.RawMessage(o.Query), Accept: answer.Accept{Coverage: o.Coverage}, Idempotent: !o.Once,
+			Request: o.Request, Query: json.RawMessage(o.Query), Route: o.Route, Accept: answer.Accept{Coverage: o.Coverage},
+			Idempotent: !o.Once,
 		},
 	}
 	if q.Request.Request == "" {
--- a/searcher/count.go
+++ b/searcher/count.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"wasabirelay/document"
@@ -12,7 +14,7 @@
 // sub-requests/s per searcher, the size to design for, it covers 27 s.
 const remembered = 1 << 16
 
-// identity is the identity of a sub-request.
+// identity is the identity of a sub-request, or of a caller's request and a shard.
 type identity struct {
 	request string
 	shard   int
@@ -33,9 +35,9 @@
 	// the time from the accepted announcement of that to the last of them.
 	Draining int               `json:"draining"`
 	Last     document.Duration `json:"last"`
-	// Most is the highest number of runs of one request and shard.
+	// Most is the highest number of runs of one caller's request and shard.
 	Most int `json:"most"`
-	// Runs holds the runs per request and shard of the last 65,536 identities.
+	// Runs holds the runs per caller's request and shard of the last 65,536 of them.
 	Runs map[string]map[int]int `json:"runs"`
 	// Connections counts accepted connections, Closed those above the limit.
 	Connections int `json:"connections"`
@@ -52,8 +54,10 @@
 	announced time.Time // when a host accepted the announcement of it
 }
 
-// ran counts a run of a sub-request.
+// ran counts a run of a sub-request under the identity of its caller, so that
+// two attempts at one request count as two runs.
 func (c *counts) ran(id identity) {
+	id.request = callerOf(id.request)
 	if _, ok := c.runs[id]; !ok {
 		if len(c.order) < remembered {
 			c.order = append(c.order, id)
@@ -67,6 +71,28 @@
 	c.Most = max(c.Most, c.runs[id])
 }
 
+// callerOf returns the caller's identity of a request. The identity of a
+// sub-request is that, a slash, the identity of the run, a slash and the number
+// of the attempt; any other identity is returned as it is.
+func callerOf(request string) string {
+	rest, attempt, ok := cutLast(request)
+	if _, err := strconv.Atoi(attempt); !ok || err != nil {
+		return request
+	}
+	if caller, _, ok := cutLast(rest); ok {
+		return caller
+	}
+	return request
+}
+
+func cutLast(s string) (before, after string, found bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
 // refuse counts a refusal.
 func (c *counts) refuse(reason string) {
 	if c.Refused == nil {
--- a/searcher/fault_test.go
+++ b/searcher/fault_test.go
@@ -254,6 +254,27 @@
 	is.Equal(c.Most, 2)
 }
 
+// Guards against a second attempt at a request that counts as another request.
+func TestCountsBelongToTheCaller(t *testing.T) {
+	for _, c := range []struct{ request, caller string }{
+		{"r1/5f0c/1", "r1"},
+		{"r1/5f0c/12", "r1"},
+		{"a/b/5f0c/1", "a/b"},
+		{"r1", "r1"},
+		{"r1/1", "r1/1"},
+		{"r1/5f0c/x", "r1/5f0c/x"},
+		{"/5f0c/1", ""},
+	} {
+		is.New(t).Equal(callerOf(c.request), c.caller)
+	}
+	is := is.New(t)
+	b := newBench(t, nil)
+	<-b.send("r1/5f0c/1")
+	<-b.send("r1/5f0c/3")
+	is.Equal(b.Counts().Runs, map[string]map[int]int{"r1": {1: 2}})
+	is.Equal(b.Counts().Most, 2)
+}
+
 // Guards against a distribution whose mean is not the one asked for.
 func TestTimeKeepsItsMean(t *testing.T) {
 	for _, d := range []Distribution{Fixed, Exponential, Lognormal} {
