--- a/certificate/certificate.go
+++ b/certificate/certificate.go
@@ -20,7 +20,7 @@
 
 // Store holds a certificate, its key and a CA. Exported fields are set before use.
 type Store struct {
-	// Certificate and Key are PEM files. Authority is the PEM file of the CA that
+	// Certificate and Key are PEM files; a client may have none. Authority is the PEM file of the CA that
 	// the other side's certificate must be signed by; empty stands for the
 	// system's roots on clients and for no client certificate on servers.
 	Certificate, Key, Authority string
@@ -77,7 +77,10 @@
 	return &tls.Config{
 		MinVersion: tls.VersionTLS12,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			return s.get().certificate, nil
+			if c := s.get().certificate; c != nil {
+				return c, nil
+			}
+			return &tls.Certificate{}, nil
 		},
 		// The standard verification takes its roots once. VerifyConnection does the
 		// same check with the roots that are in force now.
@@ -142,11 +145,14 @@
 	if err != nil {
 		return nil, stamps, err
 	}
-	pair, err := tls.LoadX509KeyPair(s.Certificate, s.Key)
-	if err != nil {
-		return nil, stamps, errors.Wrap(err, "load certificate and key")
+	m := &material{}
+	if s.Certificate != "" || s.Key != "" {
+		pair, err := tls.LoadX509KeyPair(s.Certificate, s.Key)
+		if err != nil {
+			return nil, stamps, errors.Wrap(err, "load certificate and key")
+		}
+		m.certificate = &pair
 	}
-	m := &material{certificate: &pair}
 	if s.Authority == "" {
 		return m, stamps, nil
 	}
--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -13,7 +14,9 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/mattn/go-isatty"
+	"github.com/rs/zerolog"
 
+	"wasabirelay/certificate"
 	"wasabirelay/client"
 )
 
@@ -53,6 +56,30 @@
 type Addresses struct {
 	Operator []netip.AddrPort
 	Hosts    []netip.AddrPort
+	TLS      TLS
+}
+
+// TLS states how connections to hosts are protected. The zero value is plain text.
+type TLS struct {
+	// On uses TLS; it is implied by a file.
+	On bool
+	// Authority is the PEM file of the CA that hosts are checked against; empty
+	// stands for the system's roots. Certificate and Key identify this client.
+	Authority, Certificate, Key string
+}
+
+// client returns the HTTP client and the scheme.
+func (t TLS) client(clock clockwork.Clock) (*http.Client, string, error) {
+	if !t.On && t.Authority == "" && t.Certificate == "" && t.Key == "" {
+		return nil, "http", nil
+	}
+	store := &certificate.Store{
+		Certificate: t.Certificate, Key: t.Key, Authority: t.Authority, Clock: clock, Log: zerolog.Nop(),
+	}
+	if err := store.Load(); err != nil {
+		return nil, "", &Error{Code: Usage, Text: err.Error(), Next: "give PEM files with --ca, --cert and --cert-key"}
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: store.Client()}}, "https", nil
 }
 
 // New returns the factory of the running process. The addresses are read when a
@@ -65,10 +92,10 @@
 		Identity: uuid.NewString, Clock: clockwork.NewRealClock(), Program: os.Executable,
 	}
 	f.Operator = func() (*client.Client, error) {
-		return newClient(addresses.Operator, "--operator", "WASABIRELAY_OPERATOR")
+		return newClient(f.Clock, addresses.TLS, addresses.Operator, "--operator", "WASABIRELAY_OPERATOR")
 	}
 	f.Caller = func() (*client.Client, error) {
-		return newClient(addresses.Hosts, "--hosts", "WASABIRELAY_HOSTS")
+		return newClient(f.Clock, addresses.TLS, addresses.Hosts, "--hosts", "WASABIRELAY_HOSTS")
 	}
 	f.User = func() string {
 		if name := os.Getenv("USER"); name != "" {
@@ -85,14 +112,18 @@
 	return f
 }
 
-func newClient(list []netip.AddrPort, flag, variable string) (*client.Client, error) {
+func newClient(clock clockwork.Clock, t TLS, list []netip.AddrPort, flag, variable string) (*client.Client, error) {
 	if len(list) == 0 {
 		return nil, &Error{
 			Code: Usage, Text: "no address of a host is known",
 			Next: "set " + flag + " or " + variable + ` to addresses such as "10.0.0.1:7301,10.0.0.2:7301"`,
 		}
 	}
-	return &client.Client{Addresses: list, Timeout: attempt}, nil
+	http, scheme, err := t.client(clock)
+	if err != nil {
+		return nil, err
+	}
+	return &client.Client{Addresses: list, Timeout: attempt, HTTP: http, Scheme: scheme}, nil
 }
 
 // Interruptible returns a context that ends when the user interrupts the program.
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -36,6 +36,11 @@
 	Operator []netip.AddrPort `help:"Operator addresses of hosts." env:"WASABIRELAY_OPERATOR" placeholder:"ADDRESS"`
 	Hosts    []netip.AddrPort `help:"Caller addresses of hosts." env:"WASABIRELAY_HOSTS" placeholder:"ADDRESS"`
 
+	TLS     bool   `name:"tls" help:"Use TLS." env:"WASABIRELAY_TLS"`
+	CA      string `name:"ca" help:"CA that hosts are checked against, a PEM file." env:"WASABIRELAY_CA" placeholder:"FILE"`
+	Cert    string `help:"Certificate of this client, a PEM file." env:"WASABIRELAY_CERT" placeholder:"FILE"`
+	CertKey string `help:"Key of this client's certificate, a PEM file." env:"WASABIRELAY_CERT_KEY" placeholder:"FILE"`
+
 	Inventory struct {
 		Apply apply.Options         `cmd:"" help:"Replace the inventory with a document."`
 		Show  inventoryshow.Options `cmd:"" help:"Show the inventory in force."`
@@ -103,7 +108,9 @@
 	if err != nil {
 		return report(f.Err, usage(err))
 	}
-	*addresses = factory.Addresses{Operator: c.Operator, Hosts: c.Hosts}
+	*addresses = factory.Addresses{Operator: c.Operator, Hosts: c.Hosts, TLS: factory.TLS{
+		On: c.TLS, Authority: c.CA, Certificate: c.Cert, Key: c.CertKey,
+	}}
 	return report(f.Err, k.Run())
 }
 
