Let control hosts be found while they run, keep a routing document in the log

Cause: a deployment without a list of members knows three seeds only; quorum took its hosts from the settings, and the log had no routing document, no evacuation and no move without an inventory. Change: quorum.Book grows while the replica runs; Founders names who may found a group; a spare learner replaces a voter that is silent for 15 s; Replica.Read is a linearizable read; control has the commands routing, evacuate and begin. Conclusion: the control plane is the same one for both kinds of deployment.

--- a/control/command.go
+++ b/control/command.go
@@ -25,6 +25,9 @@
 	// in flight is one command.
 	Suspects []SuspectRequest `json:"suspects,omitempty"`
 	Move     *StepMove        `json:"move,omitempty"`
+	Routing  *ApplyRouting    `json:"routing,omitempty"`
+	Evacuate *Evacuate        `json:"evacuate,omitempty"`
+	Begin    *BeginMove       `json:"begin,omitempty"`
 }
 
 // ApplyInventory replaces the inventory if its version is still Base.
--- a/control/moves.go
+++ b/control/moves.go
@@ -39,6 +39,7 @@
 
 func (s *State) setMove(m MoveRecord) {
 	s.moves.set(m.Service, m)
+	s.revision = s.index
 	s.cache.moves = nil
 }
 
--- /dev/null
+++ b/control/routing.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ApplyRouting replaces the routing document if its version is higher than the
+// one that is held. A document of the same or a lower version changes nothing and
+// is not refused: an operator whose change was overtaken needs no second answer.
+type ApplyRouting struct {
+	Version uint64 `json:"version"`
+	// Source is the document as the operator wrote it.
+	Source []byte `json:"source"`
+}
+
+// Evacuate takes a data centre out of service or back into it.
+type Evacuate struct {
+	Centre string `json:"centre"`
+	Out    bool   `json:"out"`
+}
+
+// BeginMove starts a version move that no rule of the inventory asks for.
+type BeginMove struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Length is how long the move may take, Trial the share that it starts with.
+	Length time.Duration `json:"length"`
+	Trial  float64       `json:"trial"`
+}
+
+// Routing is the routing document in force.
+type Routing struct {
+	Version uint64 `json:"version"`
+	Source  []byte `json:"source,omitempty"`
+}
+
+// Shared is the part of the control state that hosts without a lease follow.
+// Revision is the index of the last command that changed it; a larger one is newer.
+type Shared struct {
+	Revision uint64  `json:"revision"`
+	Routing  Routing `json:"routing"`
+	// Out lists the data centres that are out of service, in order.
+	Out   []string              `json:"out,omitempty"`
+	Moves map[string]MoveRecord `json:"moves,omitempty"`
+}
+
+// Shared returns the current shared part.
+func (s *State) Shared() Shared {
+	return Shared{Revision: s.revision, Routing: s.routing, Out: s.out.keys(), Moves: cloned(s.moves.items)}
+}
+
+func (s *State) applyRouting(a *ApplyRouting) *Refusal {
+	if len(a.Source) == 0 {
+		return &Refusal{Kind: Invalid, Detail: "the routing document is empty"}
+	}
+	if a.Version > s.routing.Version {
+		s.setRouting(Routing{a.Version, a.Source})
+		s.revision = s.index
+	}
+	return nil
+}
+
+func (s *State) setRouting(r Routing) {
+	s.routing = r
+	s.routingSum = r.Version ^ xxhash.Sum64(r.Source)
+}
+
+func (s *State) evacuate(e *Evacuate) *Refusal {
+	if e.Centre == "" {
+		return &Refusal{Kind: Invalid, Detail: "an evacuation names a data centre"}
+	}
+	if _, out := s.out.get(e.Centre); out == e.Out {
+		return nil
+	}
+	if e.Out {
+		s.out.set(e.Centre, true)
+	} else {
+		s.out.remove(e.Centre)
+	}
+	s.revision = s.index
+	return nil
+}
+
+// beginMove starts a move. A repeated order changes nothing while the move that it
+// started is the current one.
+func (s *State) beginMove(b *BeginMove) *Refusal {
+	if b.Service == "" || b.Version == "" || b.Length <= 0 {
+		return &Refusal{Kind: Invalid, Detail: "a move names a service, a version and how long it may take"}
+	}
+	if old, ok := s.moves.get(b.Service); ok && old.Version == b.Version {
+		return nil
+	}
+	s.setMove(MoveRecord{
+		Service: b.Service, Version: b.Version, By: s.clock.Add(b.Length), Trial: b.Trial,
+		Step: StepNew, Started: s.clock, Since: s.clock,
+	})
+	return nil
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -32,6 +32,9 @@
 	Suspects  map[string]suspect          `json:"suspects,omitempty"`
 	Moves     map[string]MoveRecord       `json:"moves,omitempty"`
 	Since     map[string]time.Time        `json:"since,omitempty"`
+	Routing   Routing                     `json:"routing,omitzero"`
+	Out       map[string]bool             `json:"out,omitempty"`
+	Revision  uint64                      `json:"revision,omitempty"`
 	// ClaimClock and Claims are absent in the part that entry hosts hold.
 	ClaimClock time.Time    `json:"claimclock,omitzero"`
 	Claims     []keyedClaim `json:"claims,omitempty"`
@@ -54,7 +57,7 @@
 	d.Reset()
 	for _, sum := range []uint64{
 		clock, s.acceptedSum, s.changes.sum, s.targets.sum, s.histories.sum, s.known.sum,
-		s.grants.sum, s.suspects.sum, s.moves.sum, s.since.sum,
+		s.grants.sum, s.suspects.sum, s.moves.sum, s.since.sum, s.routingSum, s.out.sum,
 	} {
 		_, _ = d.Write(binary.BigEndian.AppendUint64(nil, sum))
 	}
@@ -83,7 +86,7 @@
 	m := &image{
 		Format: format, Index: s.index, Clock: s.clock, Accepted: s.accepted, Targets: s.targets.items,
 		Histories: s.histories.items, Known: s.known.items, Grants: s.grants.items, Suspects: s.suspects.items,
-		Moves: s.moves.items, Since: s.since.items,
+		Moves: s.moves.items, Since: s.since.items, Routing: s.routing, Out: s.out.items, Revision: s.revision,
 	}
 	for _, change := range s.changeOrder {
 		o, _ := s.changes.get(change)
@@ -132,6 +135,11 @@
 	}
 	s.known.fill(m.Known)
 	s.moves.fill(m.Moves)
+	s.out.fill(m.Out)
+	if len(m.Routing.Source) > 0 {
+		s.setRouting(m.Routing)
+	}
+	s.revision = m.Revision
 	s.since.fill(m.Since)
 	for name, live := range m.Grants {
 		s.setGrants(name, live)
--- a/control/state.go
+++ b/control/state.go
@@ -36,7 +36,13 @@
 	suspects table[suspect]
 	nextHold time.Time
 	moves    table[MoveRecord]
-	since    table[time.Time]
+	// routing, out and moves are the shared part, revision the index of its last
+	// change.
+	routing    Routing
+	routingSum uint64
+	out        table[bool]
+	revision   uint64
+	since      table[time.Time]
 
 	claims     map[string]claim
 	claimOrder []string
@@ -98,6 +104,12 @@
 		r.Refusal = s.suspectAll(c.Suspects)
 	case c.Move != nil:
 		*r = s.stepMove(c.Move)
+	case c.Routing != nil:
+		r.Refusal = s.applyRouting(c.Routing)
+	case c.Evacuate != nil:
+		r.Refusal = s.evacuate(c.Evacuate)
+	case c.Begin != nil:
+		r.Refusal = s.beginMove(c.Begin)
 	}
 }
 
@@ -123,6 +135,7 @@
 	for _, set := range []bool{
 		c.Inventory != nil, c.Announce != nil, c.Leave != nil, c.Claim != nil, c.Finish != nil,
 		c.Grant != nil, c.Release != nil, c.Suspect != nil, len(c.Suspects) > 0, c.Move != nil,
+		c.Routing != nil, c.Evacuate != nil, c.Begin != nil,
 	} {
 		if set {
 			n++
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -142,14 +142,12 @@
 	if d.Settings.Data == "" {
 		return nil
 	}
-	clients := map[string]*peer.Client{}
+	book := &quorum.Book{Self: d.Settings.Host, TLS: d.certificates.peerClient()}
 	for name, address := range d.Settings.Control {
-		if name != d.Settings.Host {
-			clients[name] = &peer.Client{Address: address, TLS: d.certificates.peerClient()}
-		}
+		book.Set(name, address)
 	}
 	d.replica = &quorum.Replica{
-		Host: d.Settings.Host, Dir: d.Settings.Data, Control: d.Settings.Control, Clients: clients,
+		Host: d.Settings.Host, Dir: d.Settings.Data, Book: book,
 		Clock: d.Clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: d.Log,
 	}
 	return d.replica.Open()
--- a/quorum/founding.go
+++ b/quorum/founding.go
@@ -27,7 +27,8 @@
 // decide returns what a blank replica does, given what the other control hosts
 // said; hosts that gave no answer are absent. A group is founded only if every
 // control host is blank, so that a replica that lost its disk can never found a
-// second group. hosts are all control hosts.
+// second group. hosts are all control hosts, the one that founds first, or none if this
+// replica may only join.
 func decide(self Hello, hosts []string, others map[string]Hello) entry {
 	for _, host := range slices.Sorted(maps.Keys(others)) {
 		o := others[host]
@@ -51,7 +52,7 @@
 		members = append(members, o.ID)
 	}
 	slices.Sort(members)
-	if slices.Min(hosts) != hostOf(self.ID) {
+	if len(hosts) == 0 || hosts[0] != hostOf(self.ID) {
 		return entry{}
 	}
 	return entry{found: members}
@@ -61,7 +62,8 @@
 // founded with it, or joins one as a learner.
 func (r *Replica) enter(ctx context.Context) {
 	for {
-		e := decide(r.hello(), slices.Sorted(maps.Keys(r.Control)), r.ask(ctx))
+		others := r.ask(ctx)
+		e := decide(r.hello(), r.mayFound(), others)
 		if r.act(ctx, e) {
 			return
 		}
@@ -73,6 +75,14 @@
 	}
 }
 
+// mayFound returns the hosts that found a group together with this one.
+func (r *Replica) mayFound() []string {
+	if r.Founders != nil {
+		return r.Founders()
+	}
+	return r.Book.Hosts()
+}
+
 func (r *Replica) hello() Hello { return Hello{ID: r.identity.String()} }
 
 // ask asks the other control hosts who they are.
@@ -83,8 +93,9 @@
 		host  string
 		hello *Hello
 	}
-	answers := make(chan answer, len(r.Clients))
-	for host, c := range r.Clients {
+	clients := r.Book.Clients()
+	answers := make(chan answer, len(clients))
+	for host, c := range clients {
 		go func() {
 			var h Hello
 			if err := c.Call(ctx, MethodHello, struct{}{}, &h); err != nil {
@@ -95,7 +106,7 @@
 		}()
 	}
 	out := map[string]Hello{}
-	for range r.Clients {
+	for range clients {
 		if a := <-answers; a.hello != nil {
 			out[a.host] = *a.hello
 		}
@@ -110,7 +121,7 @@
 		if !r.enterGroup(ctx, e.found, consensus.Found(e.found)) {
 			return false
 		}
-		for host, c := range r.Clients {
+		for host, c := range r.Book.Clients() {
 			if err := c.Notify(ctx, MethodFound, Hello{ID: r.identity.String(), Members: e.found, Founders: e.found}); err != nil {
 				r.Log.Warn().Err(err).Str("to", host).Msg("founding not announced, the host will ask")
 			}
@@ -153,8 +164,12 @@
 func (r *Replica) join(ctx context.Context, host string) bool {
 	call, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	c, ok := r.Book.Client(host)
+	if !ok {
+		return false
+	}
 	var joined Joined
-	if err := r.Clients[host].Call(call, MethodJoin, Join{ID: r.identity.String()}, &joined); err != nil {
+	if err := c.Call(call, MethodJoin, Join{ID: r.identity.String()}, &joined); err != nil {
 		r.Log.Warn().Err(err).Str("host", host).Msg("group not joined yet")
 		return false
 	}
@@ -193,7 +208,7 @@
 	if err := peer.Decode(params, &q); err != nil {
 		return nil, err
 	}
-	if _, known := r.Control[hostOf(q.ID)]; !known || !strings.Contains(q.ID, "/") {
+	if _, known := r.Book.Address(hostOf(q.ID)); !known || !strings.Contains(q.ID, "/") {
 		return nil, &peer.RemoteError{Code: peer.CodeInvalid, Message: q.ID + " is not an identity of a control host"}
 	}
 	leader := ""
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -22,6 +22,7 @@
 	MethodRenew    = "lease.renew"
 	MethodFetch    = "answer.fetch"
 	MethodEvidence = "move.evidence"
+	MethodRead     = "control.read"
 )
 
 // Hello is what a replica tells about itself.
--- a/quorum/moves.go
+++ b/quorum/moves.go
@@ -45,13 +45,20 @@
 		}
 	}
 	for service := range v.Moves {
-		m.step(r, now, move.Inspect(v, service))
+		m.step(r, now, r.inspect(v, service))
 		if r.role != consensus.Leader {
 			return
 		}
 	}
 }
 
+func (r *Replica) inspect(v *control.View, service string) *move.Input {
+	if r.Inspect != nil {
+		return r.Inspect(v, service)
+	}
+	return move.Inspect(v, service)
+}
+
 // machine returns the machine of a move. A move that was started anew has a new one.
 func (m *moves) machine(r *control.MoveRecord) *running {
 	n := m.machines[r.Service]
--- a/quorum/propose.go
+++ b/quorum/propose.go
@@ -98,6 +98,9 @@
 		r.answer(e, result)
 	}
 	r.feed.publish(fed)
+	if len(entries) > 0 {
+		r.changed()
+	}
 }
 
 func (r *Replica) applyOne(e *consensus.Entry) (control.Result, *control.Command) {
@@ -162,7 +165,7 @@
 
 // forward sends a request to the leader.
 func forward[T any](ctx context.Context, r *Replica, leader, method string, params any, out *T) (any, error) {
-	c, ok := r.Clients[hostOf(leader)]
+	c, ok := r.Book.Client(hostOf(leader))
 	if !ok {
 		return nil, &peer.RemoteError{Code: peer.CodeNotLeader, Message: "the leader " + leader + " has no address here"}
 	}
@@ -188,3 +191,16 @@
 		return &peer.RemoteError{Code: peer.CodeUnavailable, Message: err.Error()}
 	}
 }
+
+// Commit commits a command through the leader, wherever it is. The errors are those
+// of Propose and of a call to another daemon.
+func (r *Replica) Commit(ctx context.Context, c control.Command) (control.Result, error) {
+	result, err := r.Propose(ctx, c)
+	var not *consensus.NotLeaderError
+	if errors.As(err, &not) && not.Leader != "" {
+		var out control.Result
+		_, err := forward(ctx, r, not.Leader, MethodPropose, Proposal{Command: c, Forwarded: true}, &out)
+		return out, err
+	}
+	return result, err
+}
--- a/quorum/repair.go
+++ b/quorum/repair.go
@@ -8,9 +8,15 @@
 	"wasabirelay/consensus"
 )
 
-// repairInterval is how often the leader looks for a learner to promote or an
-// identity to remove.
-const repairInterval = 250 * time.Millisecond
+const (
+	// repairInterval is how often the leader looks for a learner to promote or an
+	// identity to remove.
+	repairInterval = 250 * time.Millisecond
+	// replaceAfter is how long a voter must be silent before a learner of another host
+	// takes its place. It exceeds a restart and the usual length of a partition, after
+	// which the voter returns with its log.
+	replaceAfter = 15 * time.Second
+)
 
 // repair completes the replacement of a replica that lost its disk.
 type repair struct {
@@ -57,6 +63,17 @@
 			return consensus.Membership{Action: consensus.Remove, ID: id}, true
 		}
 	}
+	spare := func(id string) bool {
+		own := func(voter string) bool { return replaces(id, voter) }
+		return current(id) && !slices.ContainsFunc(s.Members.Voters, own)
+	}
+	for _, id := range s.Members.Voters {
+		p, ok := s.Progress[id]
+		gone := id != s.ID && ok && !p.Heard.IsZero() && now.Sub(p.Heard) > replaceAfter
+		if gone && slices.ContainsFunc(s.Members.Learners, spare) {
+			return consensus.Membership{Action: consensus.Remove, ID: id}, true
+		}
+	}
 	for _, id := range s.Members.Learners {
 		old := func(voter string) bool { return replaces(id, voter) }
 		if current(id) && !slices.ContainsFunc(s.Members.Voters, old) {
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -17,7 +16,7 @@
 	"wasabirelay/consensus"
 	"wasabirelay/control"
 	"wasabirelay/journal"
-	"wasabirelay/peer"
+	"wasabirelay/move"
 )
 
 // Default timing of the replicated log. An election ends well within a lease, so
@@ -41,18 +40,26 @@
 	Host string
 	// Dir is the data folder.
 	Dir string
-	// Control holds the peer addresses of the control hosts by host name.
-	Control map[string]netip.AddrPort
-	// Clients holds a client for each control host other than this one.
-	Clients map[string]*peer.Client
+	// Book holds the control hosts. It may grow while the replica runs.
+	Book *Book
+	// Founders returns the hosts that found a group once all of them are blank, the one
+	// that does it first, or nil if this replica may only join one. A nil function
+	// stands for the hosts of Book, which is then complete from the start.
+	Founders func() []string
+	// Inspect returns what a version move is decided on; nil stands for move.Inspect,
+	// which looks at the targets in the log.
+	Inspect func(v *control.View, service string) *move.Input
+	// Changed, if set, is called on the control goroutine after commands were applied.
+	Changed func(*control.View)
 	Clock   clockwork.Clock
 	Rand    *rand.Rand
 	Log     zerolog.Logger
 	// Election and Heartbeat default to DefaultElection and DefaultHeartbeat.
 	Election, Heartbeat time.Duration
 
-	events chan func()
-	fatal  error
+	events  chan func()
+	running context.Context // that of Run, for the goroutines that it starts
+	fatal   error
 
 	journal  *journal.Journal
 	identity journal.Identity
@@ -75,6 +82,7 @@
 	moves   moves
 	senders map[string]*sender
 	repair  repair
+	reads   reads
 }
 
 // Open opens the journal. It is called before Run, so that a damaged journal is
@@ -90,6 +98,7 @@
 	r.waiters = map[uint64]waiter{}
 	r.feed.watchers = map[*watcher]bool{}
 	r.leases.init()
+	r.reads.pending = map[uint64]chan readOutcome{}
 	j, saved, err := journal.Open(r.Dir)
 	if err != nil {
 		return errors.Wrap(err, "open journal")
@@ -149,7 +158,11 @@
 	if len(s.Data) == 0 {
 		return nil
 	}
-	return errors.Wrap(r.state.Restore(s.Data), "restore control state")
+	if err := r.state.Restore(s.Data); err != nil {
+		return errors.Wrap(err, "restore control state")
+	}
+	r.changed()
+	return nil
 }
 
 // Run runs the replica until ctx ends or the journal fails.
@@ -159,7 +172,8 @@
 			r.Log.Error().Err(err).Msg("journal not closed")
 		}
 	}()
-	r.startSenders(ctx)
+	r.senders = map[string]*sender{}
+	r.running = ctx
 	if r.node == nil {
 		go r.enter(ctx)
 	}
@@ -191,6 +205,13 @@
 	r.repair.tick(r, now)
 }
 
+// changed reports the view after a change of the state.
+func (r *Replica) changed() {
+	if r.Changed != nil {
+		r.Changed(r.state.View())
+	}
+}
+
 // post runs f on the control goroutine. It reports false if ctx ended first.
 func (r *Replica) post(ctx context.Context, f func()) bool {
 	select {
@@ -224,6 +245,7 @@
 	}
 	r.apply(out.Committed)
 	r.leases.confirmed(r, out.Reads, out.Aborted)
+	r.reads.confirmed(r, out.Reads, out.Aborted)
 	r.noteRole()
 	r.snapshot()
 }
--- a/quorum/send.go
+++ b/quorum/send.go
@@ -24,18 +24,27 @@
 	queue  chan consensus.Message
 }
 
-func (r *Replica) startSenders(ctx context.Context) {
-	r.senders = map[string]*sender{}
-	for host, c := range r.Clients {
-		s := &sender{client: c, queue: make(chan consensus.Message, senderBacklog)}
-		r.senders[host] = s
-		go r.runSender(ctx, s)
+// sender returns the sender to a host, or nil if its address is not known.
+func (r *Replica) sender(host string) *sender {
+	c, ok := r.Book.Client(host)
+	if !ok {
+		return nil
+	}
+	if s := r.senders[host]; s != nil && s.client == c {
+		return s
+	}
+	if s := r.senders[host]; s != nil {
+		close(s.queue) // the host has another address now
 	}
+	s := &sender{client: c, queue: make(chan consensus.Message, senderBacklog)}
+	r.senders[host] = s
+	go r.runSender(r.running, s)
+	return s
 }
 
 func (r *Replica) send(m *consensus.Message) {
-	s, ok := r.senders[hostOf(m.To)]
-	if !ok {
+	s := r.sender(hostOf(m.To))
+	if s == nil {
 		return
 	}
 	select {
@@ -49,7 +58,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-s.queue:
+		case m, open := <-s.queue:
+			if !open {
+				return
+			}
 			if err := s.client.Notify(ctx, MethodStep, m); err != nil {
 				r.Log.Debug().Err(err).Str("to", m.To).Msg("log message not sent")
 				r.Clock.Sleep(redial)
@@ -84,5 +96,6 @@
 		MethodStatus:   r.serveStatus,
 		MethodRenew:    r.serveRenew,
 		MethodEvidence: r.serveEvidence,
+		MethodRead:     r.serveRead,
 	}
 }
