Check whose reply a connection carries, note when targets close idle connections

Change: limit.Pool.Valid closes a connection whose reply belongs to another request, Unframed accepts replies that end with their connection, Keep-Alive bounds the use of idle connections. route.Budget.Limit sets the constant beside the share, so that the parts of all hosts add up to what a target's service permits.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -48,6 +50,9 @@
 	response *http.Response
 	// last states that the reply ends the connection.
 	last bool
+	// expires is when the target closes the connection if it stays idle; zero if the
+	// target did not say.
+	expires time.Time
 }
 
 func newConnection(raw *countingConn, conn net.Conn) *connection {
@@ -66,7 +71,7 @@
 // anything on it. Without this check, the first sub-requests after a restart of the
 // target would be lost although they can be sent safely on a new connection.
 func (c *connection) usable() bool {
-	if c.last || c.reader.Buffered() > 0 {
+	if c.last || c.reader.Buffered() > 0 || !c.expires.IsZero() && time.Now().After(c.expires) {
 		return false
 	}
 	sc, ok := c.raw.Conn.(syscall.Conn)
@@ -135,11 +140,30 @@
 			return &ReplyError{Reason: Malformed, Err: errors.New("the protocol was switched without a request to do so")}
 		case code >= http.StatusOK:
 			c.last = c.response.Close
+			c.noteKeepAlive()
 			return nil
 		}
 	}
 }
 
+// idleMargin is how long before the target closes an idle connection it is no
+// longer used: a request takes some of it to arrive.
+const idleMargin = 500 * time.Millisecond
+
+// noteKeepAlive notes when the target closes the connection if it stays idle.
+func (c *connection) noteKeepAlive() {
+	_, text, ok := strings.Cut(c.response.Header.Get("Keep-Alive"), "timeout=")
+	if !ok {
+		return
+	}
+	text, _, _ = strings.Cut(text, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || seconds < 0 {
+		return // a header that can't be read promises nothing
+	}
+	c.expires = time.Now().Add(max(0, time.Duration(seconds)*time.Second-idleMargin))
+}
+
 // awaitHead waits until a whole header is in the buffer.
 func (c *connection) awaitHead() error {
 	for n := 1; ; n = c.reader.Buffered() + 1 {
@@ -159,7 +183,7 @@
 
 // body reads the whole body of the reply. It does not close the body: that would
 // read on after an error, and the connection is closed then.
-func (c *connection) body(limit int64) ([]byte, error) {
+func (c *connection) body(limit int64, unframed bool) ([]byte, error) {
 	res := c.response
 	if res.ContentLength > limit {
 		return nil, &ReplyError{Reason: TooLarge}
@@ -171,7 +195,7 @@
 		}
 		return body, nil
 	}
-	if len(res.TransferEncoding) == 0 {
+	if len(res.TransferEncoding) == 0 && !unframed {
 		// The end of the connection is the end of the body: a cut would not show.
 		return nil, &ReplyError{Reason: NoLength}
 	}
--- a/limit/do.go
+++ b/limit/do.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, p.headFailed(ctx, permit, c, req, err, interrupted)
 	}
-	return p.rest(ctx, permit, c)
+	return p.rest(ctx, permit, c, req)
 }
 
 // headFailed ends a sub-request whose reply has not begun in time or is unusable.
@@ -75,25 +75,31 @@
 	if err := c.head(req); err != nil {
 		return reply{err: err}
 	}
-	return p.read(c)
+	return p.read(c, req)
 }
 
 // read reads the body of the reply.
-func (p *Pool) read(c *connection) reply {
-	body, err := c.body(p.maxBody())
+func (p *Pool) read(c *connection, req *http.Request) reply {
+	body, err := c.body(p.maxBody(), p.Unframed)
 	if err != nil {
 		return reply{err: err}
 	}
-	return reply{response: &Response{Status: c.response.StatusCode, Header: c.response.Header, Body: body}}
+	res := &Response{Status: c.response.StatusCode, Header: c.response.Header, Body: body}
+	if p.Valid != nil {
+		if err := p.Valid(req, res); err != nil {
+			return reply{err: &ReplyError{Reason: Crossed, Err: err}}
+		}
+	}
+	return reply{response: res}
 }
 
 // rest reads the body, in the background if that may block.
-func (p *Pool) rest(ctx context.Context, permit *Permit, c *connection) (*Response, error) {
+func (p *Pool) rest(ctx context.Context, permit *Permit, c *connection, req *http.Request) (*Response, error) {
 	if c.buffered() {
-		return permit.member.finish(c, p.read(c))
+		return permit.member.finish(c, p.read(c, req))
 	}
 	done := make(chan reply, 1)
-	go func() { done <- p.read(c) }()
+	go func() { done <- p.read(c, req) }()
 	select {
 	case r := <-done:
 		return permit.member.finish(c, r)
--- a/limit/errors.go
+++ b/limit/errors.go
@@ -92,6 +92,8 @@
 	TooLarge Fault = "too large"
 	// NoLength means that only the end of the connection marks the end of the body.
 	NoLength Fault = "without length"
+	// Crossed means that the reply belongs to another request.
+	Crossed Fault = "crossed"
 	// Malformed means that the header is not HTTP/1.1 or exceeds 8 KiB.
 	Malformed Fault = "malformed"
 )
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -9,6 +9,7 @@
 	"crypto/tls"
 	"maps"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -58,6 +59,13 @@
 	// Connect bounds how long opening a connection may take, 1 s if 0.
 	Connect time.Duration
 
+	// Valid, if set, reports why a whole reply is not the reply to the request. The
+	// connection is closed then, because what follows on it can't be trusted either.
+	Valid func(req *http.Request, res *Response) error
+	// Unframed accepts replies whose end is the end of the connection. A reply whose
+	// connection is reset is cut short in any case.
+	Unframed bool
+
 	mu      sync.RWMutex
 	members map[string]*member
 	closed  bool
--- a/route/budget.go
+++ b/route/budget.go
@@ -2,8 +2,7 @@
 
 import "sync"
 
-// burst is the capacity of a budget: the constant by which the extra load may
-// exceed its share.
+// burst is the capacity of a budget unless Limit sets another.
 const burst = 10
 
 const (
@@ -19,8 +18,12 @@
 // a share of the first ones plus a constant. It starts full. It is safe for
 // concurrent use.
 type Budget struct {
+	// ceiling is the constant by which the extra load may exceed its share in any span of
+	// time; 0 stands for burst.
+	ceiling float64
+
 	mu      sync.Mutex
-	spent   float64 // capacity that is used up: burst minus the tokens
+	spent   float64 // capacity that is used up
 	early   float64 // the same of early hedges, which count in spent too
 	sent    int64   // first sub-requests that are not yet credited
 	refused uint64
@@ -39,7 +42,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.credit(share)
-	if share <= 0 || b.spent+1 > burst {
+	if share <= 0 || b.spent+1 > b.capacity() {
 		b.refused++
 		return false
 	}
@@ -53,7 +56,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.credit(share)
-	if share <= 0 || b.spent+1 > burst || b.early+1 > earlyBurst {
+	if share <= 0 || b.spent+1 > b.capacity() || b.early+1 > earlyBurst {
 		b.refused++
 		return false
 	}
@@ -71,3 +74,21 @@
 	b.early = max(0, b.early-earlyShare*share*float64(b.sent))
 	b.sent = 0
 }
+
+// Limit sets the constant by which the extra load may exceed its share. The first
+// call also empties the budget: the process before this one may have just used it.
+func (b *Budget) Limit(ceiling float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ceiling == 0 {
+		b.spent = ceiling
+	}
+	b.ceiling = ceiling
+}
+
+func (b *Budget) capacity() float64 {
+	if b.ceiling == 0 {
+		return burst
+	}
+	return b.ceiling
+}
--- a/route/route.go
+++ b/route/route.go
@@ -42,6 +42,20 @@
 	Failed
 )
 
+// outcomeNames are the labels of the outcomes in logs and metrics.
+var outcomeNames = [...]string{
+	"success", "shed", "draining", "cold", "snapshot-gone", "connect-failed", "reset", "bad-reply", "timed-out", "cancelled",
+	"failed",
+}
+
+// String returns the label of the outcome.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
 // drainingHold is how long a target that refused with "draining" gets no work. It
 // exceeds the 6 s within which a target that left is removed from the view.
 const drainingHold = 10 * time.Second
