Relay opaque requests on the users' platform

Change: packages registry (what targets announce), exchange (hosts learn of each other, of targets and of the control state from every control host), routing, relay (forwarding and merging), eventlog, node, and platform, which translates.

--- /dev/null
+++ b/cmd/wasabirelay-node/main.go
@@ -0,0 +1,85 @@
+// Command wasabirelay-node is the daemon of a deployment on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/eventlog"
+	"wasabirelay/node"
+	"wasabirelay/platform"
+)
+
+// reloadInterval is how often the settings are read again. They may change without a
+// signal.
+const reloadInterval = 2 * time.Second
+
+func main() {
+	kong.Parse(&struct{}{}, kong.Description("Daemon of wasabirelay on the users' platform. It reads the settings file of the platform."))
+	s, err := platform.Load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(run(s))
+}
+
+// host is an entry host or a control host.
+type host interface {
+	Run(ctx, stop context.Context) error
+}
+
+func run(s *node.Settings) int {
+	out := eventlog.NewWriter(os.Stdout)
+	defer out.Close()
+	log := zerolog.New(out).With().Timestamp().Str("node", s.Host).Logger()
+	p := &node.Process{
+		Settings: *s, Interfaces: platform.Interfaces(), Clock: clockwork.NewRealClock(), Log: log, Registry: prometheus.NewRegistry(),
+	}
+	var h host = &node.Control{Process: p}
+	if s.Data == "" {
+		h = &node.Entry{Process: p}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop, stopped := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stopped()
+	go watch(ctx, log, p.Reload)
+	if err := h.Run(ctx, stop); err != nil {
+		log.Error().Err(err).Msg("ended by an error")
+		return 1
+	}
+	log.Info().Msg("ended")
+	return 0
+}
+
+// watch loads the settings again after a signal and at intervals.
+func watch(ctx context.Context, log zerolog.Logger, reload func(*node.Settings)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-ticker.C:
+		}
+		s, err := platform.Load()
+		if err != nil {
+			log.Error().Err(err).Msg("settings not loaded again, the ones before stay")
+			continue
+		}
+		reload(s)
+	}
+}
--- /dev/null
+++ b/exchange/client.go
@@ -0,0 +1,319 @@
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/control"
+	"wasabirelay/peer"
+	"wasabirelay/registry"
+)
+
+const (
+	// retryPause is the pause after a failed question; it doubles up to lastPause.
+	retryPause = 100 * time.Millisecond
+	lastPause  = time.Second
+	// forgetHost is after which time a control host that does not answer and that no
+	// other names is no longer asked.
+	forgetHost = 30 * time.Second
+	// keepTargets is for how long what a control host knew before its restart counts:
+	// some heartbeats, after which its targets have announced themselves again.
+	keepTargets = 5 * time.Second
+)
+
+// Client asks all control hosts and merges their answers. Exported fields are set
+// before Run. It is safe for concurrent use.
+type Client struct {
+	// Self returns what this host tells about itself.
+	Self func() Host
+	// Seeds returns the peer addresses to start from. They may change.
+	Seeds func() []netip.AddrPort
+	Clock clockwork.Clock
+	Log   zerolog.Logger
+	// Found, if set, is called with each control host that answers.
+	Found func(Host)
+	// Changed is called after news of targets, hosts or the shared state.
+	Changed func()
+
+	mu       sync.Mutex
+	contacts map[netip.AddrPort]*contact
+	targets  registry.Merged
+	shared   control.Shared
+	started  context.Context
+	answered atomic.Bool
+}
+
+// contact is a control host that is asked.
+type contact struct {
+	client *peer.Client
+	cancel context.CancelFunc
+	// host is the last answer's sender; its name is empty before the first answer.
+	host  Host
+	list  []Host
+	q     Question
+	heard time.Time
+	named time.Time
+	lost  bool
+}
+
+// Run asks until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.started = ctx
+	c.mu.Unlock()
+	ticker := c.Clock.NewTicker(lastPause)
+	defer ticker.Stop()
+	for {
+		c.sweep()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// sweep starts to ask new control hosts and stops to ask those that are gone.
+func (c *Client) sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	for _, seed := range c.Seeds() {
+		c.add(now, seed)
+	}
+	for address, k := range c.contacts {
+		if now.Sub(k.named) > forgetHost && now.Sub(k.heard) > forgetHost {
+			c.Log.Info().Stringer("address", address).Str("control", k.host.Name).Msg("control host forgotten")
+			k.cancel()
+			k.client.Close()
+			delete(c.contacts, address)
+			c.targets.Drop(k.host.Name)
+		}
+	}
+}
+
+// add starts to ask a control host. The client is locked.
+func (c *Client) add(now time.Time, address netip.AddrPort) {
+	if k := c.contacts[address]; k != nil {
+		k.named = now
+		return
+	}
+	if c.contacts == nil {
+		c.contacts = map[netip.AddrPort]*contact{}
+	}
+	ctx, cancel := context.WithCancel(c.started)
+	k := &contact{client: &peer.Client{Address: address}, cancel: cancel, named: now}
+	c.contacts[address] = k
+	go c.follow(ctx, k)
+}
+
+// follow asks one control host again and again.
+func (c *Client) follow(ctx context.Context, k *contact) {
+	pause := retryPause
+	for ctx.Err() == nil {
+		err := c.ask(ctx, k, Wait)
+		if err == nil {
+			pause = retryPause
+			continue
+		}
+		c.noteLost(ctx, k, err)
+		select {
+		case <-ctx.Done():
+		case <-c.Clock.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, lastPause)
+	}
+}
+
+func (c *Client) noteLost(ctx context.Context, k *contact, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !k.lost && ctx.Err() == nil {
+		k.lost = true
+		c.Log.Warn().Err(err).Str("control", k.host.Name).Stringer("address", k.client.Address).Msg("control host lost")
+	}
+}
+
+// ask sends one question and takes the answer.
+func (c *Client) ask(ctx context.Context, k *contact, wait time.Duration) error {
+	c.mu.Lock()
+	q := k.q
+	q.From, q.Wait = c.Self(), wait
+	q.Shared, q.Routing = c.shared.Revision, c.shared.Routing.Version
+	c.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	defer cancel()
+	var a Answer
+	if err := k.client.Call(call, Method, q, &a); err != nil {
+		return err
+	}
+	c.take(k, &a)
+	return nil
+}
+
+// take merges an answer.
+func (c *Client) take(k *contact, a *Answer) {
+	c.mu.Lock()
+	now := c.Clock.Now()
+	if k.lost || k.host.Name == "" {
+		c.Log.Info().Str("control", a.From.Name).Stringer("address", k.client.Address).Msg("control host answers")
+	}
+	changed := k.lost || k.host != a.From || len(a.Changes) > 0 || a.List != nil
+	k.host, k.heard, k.lost = a.From, now, false
+	if k.q.Run != a.From.Start {
+		k.q, k.list = Question{Run: a.From.Start}, nil
+	}
+	if a.Targets >= k.q.Targets {
+		c.targets.Update(now, a.From.Name, uint64(a.From.Start), a.Changes, keepTargets)
+		k.q.Targets = a.Targets
+	}
+	if a.Hosts != k.q.Hosts {
+		k.list, k.q.Hosts = a.List, a.Hosts
+	}
+	for i := range a.List {
+		if a.List[i].IsControl() {
+			c.add(now, a.List[i].Peer)
+		}
+	}
+	if a.Shared != nil && a.Shared.Revision > c.shared.Revision {
+		c.adopt(a.Shared)
+		changed = true
+	}
+	c.mu.Unlock()
+	c.answered.Store(true)
+	if c.Found != nil {
+		c.Found(a.From)
+	}
+	if changed && c.Changed != nil {
+		c.Changed()
+	}
+}
+
+// adopt takes a newer shared state. The client is locked.
+func (c *Client) adopt(s *control.Shared) {
+	routing := s.Routing
+	if routing.Version <= c.shared.Routing.Version {
+		routing = c.shared.Routing
+	}
+	c.shared = *s
+	c.shared.Routing = routing
+	c.Log.Info().Uint64("revision", s.Revision).Uint64("routing", routing.Version).Strs("out", s.Out).Int("moves", len(s.Moves)).
+		Msg("control state followed")
+}
+
+// Tell tells all control hosts at once about a change of this host.
+func (c *Client) Tell(ctx context.Context) {
+	c.mu.Lock()
+	contacts := make([]*contact, 0, len(c.contacts))
+	for _, k := range c.contacts {
+		contacts = append(contacts, k)
+	}
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, k := range contacts {
+		wg.Go(func() {
+			if err := c.ask(ctx, k, 0); err != nil {
+				c.Log.Debug().Err(err).Stringer("address", k.client.Address).Msg("control host not told")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Answered reports whether any control host has answered yet.
+func (c *Client) Answered() bool { return c.answered.Load() }
+
+// Shared returns the newest shared state.
+func (c *Client) Shared() control.Shared {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shared
+}
+
+// Targets returns the targets that may get work; see registry.Merged.Targets.
+func (c *Client) Targets() (map[string][]*control.Target, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.targets.Targets(c.Clock.Now())
+}
+
+// Hosts returns the entry hosts that a control host that answers has heard from,
+// this one included. While no control host answers, the last lists count.
+func (c *Client) Hosts() []Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	current := false
+	for _, k := range c.contacts {
+		current = current || now.Sub(k.heard) < Expiry
+	}
+	known := map[string]Host{}
+	for _, k := range c.contacts {
+		if current && now.Sub(k.heard) >= Expiry {
+			continue
+		}
+		for _, h := range k.list {
+			old, ok := known[h.Name]
+			if h.IsControl() || ok && (h.Start < old.Start || h.Start == old.Start && old.Draining) {
+				continue
+			}
+			known[h.Name] = h
+		}
+	}
+	if self := c.Self(); !self.IsControl() {
+		known[self.Name] = self
+	}
+	list := make([]Host, 0, len(known))
+	for _, h := range known {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Control returns the control hosts that answered within age, in order of their
+// names.
+func (c *Client) Control(age time.Duration) []Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	var list []Host
+	for _, k := range c.contacts {
+		if k.host.Name != "" && now.Sub(k.heard) < age {
+			list = append(list, k.host)
+		}
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Send calls a method of one control host after the other until one answers.
+func (c *Client) Send(ctx context.Context, method string, params any) error {
+	c.mu.Lock()
+	var clients []*peer.Client
+	for _, k := range c.contacts {
+		if !k.lost {
+			clients = append(clients, k.client)
+		}
+	}
+	c.mu.Unlock()
+	var err error
+	for _, client := range clients {
+		call, cancel := context.WithTimeout(ctx, answerTimeout)
+		err = client.Call(call, method, params, &struct{}{})
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,76 @@
+// Package exchange keeps hosts and control hosts in touch without a list of
+// members: every host asks every control host that it has heard of, tells it about
+// itself, and learns of other hosts, targets and the shared control state.
+package exchange
+
+import (
+	"net/netip"
+	"time"
+
+	"wasabirelay/control"
+	"wasabirelay/registry"
+)
+
+// Method is the method of the peer interface.
+const Method = "host.exchange"
+
+const (
+	// Wait is how long a control host keeps a question without news open. It bounds
+	// how often idle hosts ask.
+	Wait = time.Second
+	// answerTimeout is how long an answer may take beyond Wait before the control host
+	// counts as unreachable.
+	answerTimeout = 700 * time.Millisecond
+	// Expiry is after which time without a question a host counts as dead. It exceeds
+	// Wait and answerTimeout by the time for one more attempt.
+	Expiry = 2500 * time.Millisecond
+	// settleTime collects changes that come together into one answer.
+	settleTime = 20 * time.Millisecond
+)
+
+// Host is what a host tells about itself.
+type Host struct {
+	Name   string `json:"name"`
+	Centre string `json:"centre"`
+	// Start identifies the run of the process; a later run has a larger one.
+	Start int64 `json:"start"`
+	// Peer is the address for other hosts. It is set on control hosts.
+	Peer netip.AddrPort `json:"peer,omitzero"`
+	// Caller is the address for callers. It is set on entry hosts.
+	Caller netip.AddrPort `json:"caller,omitzero"`
+	// Draining states that the host stops soon and must not be named to callers.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// IsControl reports whether the host keeps the control state.
+func (h *Host) IsControl() bool { return h.Peer.IsValid() }
+
+// Question is sent to a control host.
+type Question struct {
+	From Host `json:"from"`
+	// Run is the Start of the control host that the revisions belong to; 0 if none.
+	Run int64 `json:"run,omitempty"`
+	// Targets and Hosts are the revisions of the lists that the host has.
+	Targets uint64 `json:"targets,omitempty"`
+	Hosts   uint64 `json:"hosts,omitempty"`
+	// Shared is the revision of the control state that the host has, and Routing the
+	// version of its routing document.
+	Shared  uint64 `json:"shared,omitempty"`
+	Routing uint64 `json:"routing,omitempty"`
+	// Wait is how long the answer may take if there is no news.
+	Wait time.Duration `json:"wait,omitempty"`
+}
+
+// Answer is the reply of a control host.
+type Answer struct {
+	From Host `json:"from"`
+	// Targets is the revision of the table of targets, Changes what the host lacks.
+	Targets uint64            `json:"targets"`
+	Changes []registry.Record `json:"changes,omitempty"`
+	// Hosts is the revision of the list of hosts. List is set if the host has another.
+	Hosts uint64 `json:"hosts"`
+	List  []Host `json:"list,omitempty"`
+	// Shared is set if the host has an older revision. Its routing document has no
+	// source if the host has that version.
+	Shared *control.Shared `json:"shared,omitempty"`
+}
--- /dev/null
+++ b/exchange/hub.go
@@ -0,0 +1,258 @@
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/control"
+	"wasabirelay/peer"
+	"wasabirelay/registry"
+)
+
+// forgetControl is after which time without a word a control host is no longer
+// named to others.
+const forgetControl = time.Minute
+
+// Hub answers the questions of hosts. It runs on control hosts. Exported fields are
+// set before use. It is safe for concurrent use.
+type Hub struct {
+	Self  Host
+	Clock clockwork.Clock
+	Log   zerolog.Logger
+	// Silence is after which time without a heartbeat a target counts as silent.
+	Silence time.Duration
+	// Heard, if set, is called with each control host that asks.
+	Heard func(Host)
+
+	mu      sync.Mutex
+	targets registry.Table
+	members map[string]*member
+	list    []Host
+	version uint64
+	shared  control.Shared
+	news    chan struct{} // closed at the next change
+}
+
+type member struct {
+	Host
+	heard time.Time
+}
+
+// Init prepares the hub. It is called before any other use.
+func (h *Hub) Init() {
+	h.targets.Silence = h.Silence
+	h.members = map[string]*member{}
+	h.news = make(chan struct{})
+}
+
+// Run looks after the age of targets and hosts until ctx ends.
+func (h *Hub) Run(ctx context.Context) error {
+	ticker := h.Clock.NewTicker(Expiry / 10)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			h.tick()
+		}
+	}
+}
+
+func (h *Hub) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	if h.targets.Tick(now) {
+		h.wake()
+	}
+	h.update(now)
+}
+
+// wake ends the wait of all questions. The hub is locked.
+func (h *Hub) wake() {
+	close(h.news)
+	h.news = make(chan struct{})
+}
+
+// Announce takes an announcement of a target.
+func (h *Hub) Announce(a registry.Announcement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.targets.Announce(h.Clock.Now(), a) {
+		h.Log.Info().Str("target", a.Target).Int64("born", a.Born).Uint64("sequence", a.Sequence).Str("service", a.Service).
+			Str("state", string(a.State)).Dur("cold", a.Cold).Msg("target changed")
+		h.wake()
+	}
+}
+
+// Connected reports whether entry hosts have asked lately. Without them, what a
+// target announces here reaches nobody.
+func (h *Hub) Connected() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	for _, m := range h.members {
+		if !m.IsControl() && now.Sub(m.heard) < Expiry {
+			return true
+		}
+	}
+	return false
+}
+
+// SetShared publishes the shared control state.
+func (h *Hub) SetShared(s control.Shared) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.Revision > h.shared.Revision {
+		h.shared = s
+		h.wake()
+	}
+}
+
+// Shared returns the shared control state.
+func (h *Hub) Shared() control.Shared {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.shared
+}
+
+// Drain tells all hosts that this one stops.
+func (h *Hub) Drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Self.Draining = true
+	h.version++
+	h.wake()
+}
+
+// Draining reports whether this host stops.
+func (h *Hub) Draining() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Self.Draining
+}
+
+// note records the host that asks. The hub is locked.
+func (h *Hub) note(now time.Time, from *Host) {
+	if m := h.members[from.Name]; m != nil {
+		if from.Start < m.Start {
+			return // a question of an earlier run that was held up
+		}
+		m.heard = now
+		if m.Host == *from {
+			return
+		}
+	}
+	h.members[from.Name] = &member{*from, now}
+	h.update(now)
+}
+
+// update renews the list of hosts. The hub is locked.
+func (h *Hub) update(now time.Time) {
+	var list []Host
+	for name, m := range h.members {
+		age := now.Sub(m.heard)
+		switch {
+		case m.IsControl() && age > forgetControl:
+			delete(h.members, name)
+		case m.IsControl(), age < Expiry:
+			list = append(list, m.Host)
+		default:
+			delete(h.members, name)
+			h.Log.Warn().Str("member", name).Dur("age", age).Msg("host not heard from, no longer named to callers")
+		}
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	if !slices.Equal(list, h.list) {
+		h.list = list
+		h.version++
+		h.wake()
+	}
+}
+
+// Serve answers a question of another host.
+func (h *Hub) Serve(ctx context.Context, _ *peer.Conn, params json.RawMessage) (any, error) {
+	var q Question
+	if err := peer.Decode(params, &q); err != nil {
+		return nil, err
+	}
+	if q.From.Name == "" {
+		return nil, &peer.RemoteError{Code: peer.CodeInvalid, Message: "the question does not name its host"}
+	}
+	if q.From.IsControl() && h.Heard != nil {
+		h.Heard(q.From)
+	}
+	timer := h.Clock.NewTimer(min(q.Wait, Wait))
+	defer timer.Stop()
+	first := true
+	for {
+		a, news := h.answer(&q, first)
+		if a != nil {
+			return a, nil
+		}
+		first = false
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.Chan():
+			q.Wait = 0
+		case <-news:
+			h.Clock.Sleep(settleTime)
+		}
+	}
+}
+
+// answer returns the answer, or nil and a channel that is closed at the next change.
+func (h *Hub) answer(q *Question, first bool) (*Answer, chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	if first {
+		h.note(now, &q.From)
+	}
+	if q.Run != h.Self.Start {
+		q.Targets, q.Hosts = 0, 0
+	}
+	a := &Answer{From: h.Self, Targets: h.targets.Revision(), Hosts: h.version}
+	news := q.Run != h.Self.Start || q.Wait <= 0
+	if q.Targets < a.Targets {
+		a.Changes = h.targets.Since(now, q.Targets)
+		news = true
+	}
+	if q.Hosts != a.Hosts {
+		a.List = h.list
+		news = true
+	}
+	if h.shared.Revision > q.Shared {
+		shared := h.shared
+		if shared.Routing.Version <= q.Routing {
+			shared.Routing.Source = nil
+		}
+		a.Shared = &shared
+		news = true
+	}
+	if !news {
+		return nil, h.news
+	}
+	return a, nil
+}
+
+// Hosts returns the hosts that asked lately, by name.
+func (h *Hub) Hosts() map[string]Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]Host, len(h.members))
+	for name, m := range maps.All(h.members) {
+		out[name] = m.Host
+	}
+	return out
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,321 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wasabirelay/control"
+	"wasabirelay/exchange"
+	"wasabirelay/limit"
+	"wasabirelay/move"
+	"wasabirelay/quorum"
+	"wasabirelay/relay"
+	"wasabirelay/route"
+	"wasabirelay/routing"
+)
+
+const (
+	// sweepInterval is how often idle connections are looked after and what has ended
+	// by time alone is noticed.
+	sweepInterval = time.Second
+	// lingering is the part of a planned stop during which the host still accepts
+	// requests of callers that have an older list of addresses.
+	lingering = 0.65
+	// tellTimeout bounds how long a planned stop waits for control hosts to take notice.
+	tellTimeout = 500 * time.Millisecond
+	// discard is how long the reply of a request that nobody waits for is awaited
+	// before its connection is closed: less than the half second in which targets are
+	// expected to be free of it.
+	discard = 400 * time.Millisecond
+	// hostMemory is for how long a host that was heard of still has its part of what
+	// hosts share.
+	hostMemory = 15 * time.Second
+	// evidenceInterval is how often evidence for version moves is sent.
+	evidenceInterval = 500 * time.Millisecond
+	// maxAddresses is how many addresses callers take from one answer.
+	maxAddresses = 64
+)
+
+// Entry is an entry host. Exported fields are set before Run.
+type Entry struct {
+	*Process
+
+	client   exchange.Client
+	pool     *limit.Pool
+	table    *route.Table
+	relay    *relay.Service
+	view     atomic.Pointer[relay.View]
+	moves    atomic.Pointer[control.View]
+	evidence move.Collector
+	// wake asks for a new view.
+	wake chan struct{}
+	// known holds the hosts of the last time and when they were heard of.
+	known map[string]time.Time
+
+	// tables is the table in force, refused the version of the newest document that
+	// could not be read. Both belong to the goroutine of follow.
+	tables  *routing.Table
+	refused uint64
+}
+
+// Run serves until stop ends, then stops as planned. It stops at once with ctx.
+func (e *Entry) Run(ctx, stop context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.init()
+	e.prepare()
+	g, ctx := errgroup.WithContext(ctx)
+	var callers *http.Server
+	for _, l := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+		server  **http.Server
+	}{
+		{e.Settings.Caller, e.relay, &callers},
+		{e.Settings.Ready, e.Interfaces.Ready(e.serving), nil},
+		{e.Settings.Addresses, e.Interfaces.Addresses(e), nil},
+		{e.Settings.Metrics, e.metrics(), nil},
+	} {
+		server, err := e.serve(ctx, g, l.address, l.handler)
+		if err != nil {
+			return err
+		}
+		if l.server != nil {
+			*l.server = server
+		}
+	}
+	g.Go(func() error { return e.client.Run(ctx) })
+	g.Go(func() error { return e.follow(ctx) })
+	g.Go(func() error { return e.report(ctx) })
+	e.Log.Info().Stringer("callers", e.Settings.Caller).Int64("start", e.start).Int("seeds", len(e.Settings.Seeds)).Msg("entry host started")
+	go func() {
+		select {
+		case <-stop.Done():
+			e.drain(ctx, callers)
+		case <-ctx.Done():
+		}
+		cancel()
+	}()
+	return g.Wait()
+}
+
+func (e *Entry) prepare() {
+	e.wake = make(chan struct{}, 1)
+	e.known = map[string]time.Time{}
+	e.moves.Store(&control.View{})
+	e.client = exchange.Client{
+		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.changed,
+	}
+	e.pool = &limit.Pool{Clock: e.Clock, Drain: discard, Unframed: true}
+	e.table = &route.Table{Centre: e.Settings.Centre}
+	e.relay = &relay.Service{
+		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
+		View: e.view.Load, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack,
+		Draining: e.draining.Load, Metrics: relay.NewMetrics(e.Registry),
+		Observe: func(t *control.Target, name string, latency time.Duration, o route.Outcome) {
+			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
+		},
+	}
+	e.pool.Valid = e.relay.CheckReply
+}
+
+// self is what this host tells the control hosts.
+func (e *Entry) self() exchange.Host {
+	return exchange.Host{
+		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start, Caller: e.Settings.Caller, Draining: e.draining.Load(),
+	}
+}
+
+// serving reports whether callers may be sent here.
+func (e *Entry) serving() bool { return e.view.Load() != nil && !e.draining.Load() }
+
+func (e *Entry) changed() {
+	select {
+	case e.wake <- struct{}{}:
+	default: // a new view is due anyway
+	}
+}
+
+// follow renews the view after news, and when a cold phase ends.
+func (e *Entry) follow(ctx context.Context) error {
+	ticker := e.Clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	timer := e.Clock.NewTimer(sweepInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			e.pool.Sweep()
+		case <-e.wake:
+		case <-timer.Chan():
+		}
+		if next := e.renew(); !next.IsZero() {
+			timer.Reset(max(0, next.Sub(e.Clock.Now())))
+		}
+	}
+}
+
+// renew computes the view. It returns when the next change by time alone is due.
+func (e *Entry) renew() time.Time {
+	shared := e.client.Shared()
+	table := e.routes(&shared.Routing)
+	targets, next := e.client.Targets()
+	hosts := e.hosts()
+	if table == nil {
+		return next
+	}
+	v := &relay.View{Routing: table, Targets: targets, Out: map[string]bool{}, Moves: shared.Moves, Hosts: len(hosts)}
+	for _, centre := range shared.Out {
+		v.Out[centre] = true
+	}
+	e.pool.SetShares(e.shares(v, hosts))
+	live := map[string]bool{}
+	for _, list := range targets {
+		for _, t := range list {
+			live[t.Name] = true
+		}
+	}
+	e.table.Forget(live)
+	e.moves.Store(&control.View{Moves: shared.Moves})
+	e.view.Store(v)
+	return next
+}
+
+// routes returns the table of the newest routing document that could be read.
+func (e *Entry) routes(r *control.Routing) *routing.Table {
+	if r.Version == 0 && len(r.Source) == 0 || e.tables != nil && e.tables.Document.Version >= r.Version || r.Version == e.refused && r.Version != 0 {
+		return e.tables
+	}
+	d, err := e.Interfaces.Decode(r.Source)
+	if err != nil {
+		e.refused = r.Version
+		e.Log.Error().Err(err).Uint64("version", r.Version).Msg("routing document can't be read, the one before stays in force")
+		return e.tables
+	}
+	e.tables = routing.NewTable(d)
+	e.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Msg("routing document in force")
+	return e.tables
+}
+
+// hosts returns the names of the entry hosts that may hold connections.
+func (e *Entry) hosts() []string {
+	now := e.Clock.Now()
+	for _, h := range e.client.Hosts() {
+		e.known[h.Name] = now
+	}
+	var names []string
+	for name, at := range e.known {
+		if now.Sub(at) > hostMemory {
+			delete(e.known, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// shares divides the connections of the targets among the hosts.
+func (e *Entry) shares(v *relay.View, hosts []string) map[string]limit.Share {
+	var all []*control.Target
+	for service, list := range v.Targets {
+		s := v.Routing.Service(service)
+		for _, t := range list {
+			if s != nil {
+				t.Connections = s.Connections
+				all = append(all, t)
+			}
+		}
+	}
+	counts := limit.Shares(hosts, e.Settings.Host, all)
+	out := make(map[string]limit.Share, len(all))
+	for _, t := range all {
+		n := counts[t.Name]
+		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(t), n)}
+	}
+	return out
+}
+
+// warm is the number of connections that are opened ahead of use: one to a target
+// nearby.
+func (e *Entry) warm(t *control.Target) int {
+	if t.State == control.Warm && t.Centre == e.Settings.Centre {
+		return 1
+	}
+	return 0
+}
+
+// Callers implements AddressService. Hosts are listed in a random order.
+func (e *Entry) Callers(centre string) ([]netip.AddrPort, time.Duration) {
+	var near, far []netip.AddrPort
+	for _, h := range e.client.Hosts() {
+		switch {
+		case h.Draining || !h.Caller.IsValid():
+		case h.Centre == centre:
+			near = append(near, h.Caller)
+		default:
+			far = append(far, h.Caller)
+		}
+	}
+	if len(near)+len(far) == 0 {
+		return nil, e.Settings.Keep
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	list := slices.Concat(near, far)
+	return list[:min(len(list), maxAddresses)], e.Settings.Keep
+}
+
+// report sends evidence for the running version moves to a control host.
+func (e *Entry) report(ctx context.Context) error {
+	ticker := e.Clock.NewTicker(evidenceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+		reports, err := e.evidence.Take(e.moves.Load())
+		if err == nil && len(reports) > 0 {
+			err = e.client.Send(ctx, quorum.MethodEvidence, quorum.Evidence{Host: e.Settings.Host, Reports: reports})
+		}
+		if err != nil && ctx.Err() == nil {
+			e.Log.Warn().Err(err).Msg("evidence for version moves not sent")
+		}
+	}
+}
+
+// drain is the planned stop: the host leaves the lists, serves callers that have an
+// older one, and ends when its last request has.
+func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+	deadline := e.Clock.Now().Add(e.Settings.Stop)
+	e.draining.Store(true)
+	e.Log.Info().Dur("length", e.Settings.Stop).Msg("planned stop: leaving the lists of addresses")
+	tell, cancel := context.WithTimeout(ctx, tellTimeout)
+	e.client.Tell(tell)
+	cancel()
+	select {
+	case <-e.Clock.After(time.Duration(lingering * float64(e.Settings.Stop))):
+	case <-ctx.Done():
+		return
+	}
+	rest, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if callers != nil {
+		if err := callers.Shutdown(rest); err != nil {
+			e.Log.Warn().Err(err).Msg("planned stop: requests were still running")
+		}
+	}
+	e.pool.Close()
+	e.Log.Info().Msg("planned stop: done")
+}
--- /dev/null
+++ b/node/process.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"wasabirelay/eventlog"
+	"wasabirelay/peer"
+)
+
+const (
+	// headerTimeout bounds how long a request header may take. Callers stay within a
+	// routing document's bound, which is shorter.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long idle connections of callers are kept. It exceeds the time
+	// for which callers use them.
+	idleTimeout = 60 * time.Second
+	// memoryShare is the part of the memory at which the garbage collector works
+	// harder; the rest is for stacks and buffers of the kernel.
+	memoryShare = 0.7
+	// linesPerSecond bounds the log lines of one kind of event.
+	linesPerSecond = 10
+)
+
+// Process is what entry hosts and control hosts have in common. Exported fields are
+// set before Run.
+type Process struct {
+	Settings   Settings
+	Interfaces Interfaces
+	Clock      clockwork.Clock
+	Log        zerolog.Logger
+	Registry   *prometheus.Registry
+
+	// seeds may change while the process runs.
+	seeds    atomic.Pointer[[]netip.AddrPort]
+	draining atomic.Bool
+	start    int64
+	events   *eventlog.Limiter
+	servers  []*http.Server
+}
+
+// Reload takes over what may change while the process runs: the seeds.
+func (p *Process) Reload(s *Settings) {
+	if old := p.seeds.Load(); old != nil && slices.Equal(*old, s.Seeds) {
+		return
+	}
+	p.seeds.Store(&s.Seeds)
+	p.Log.Info().Any("seeds", s.Seeds).Msg("settings loaded again")
+}
+
+func (p *Process) init() {
+	p.seeds.CompareAndSwap(nil, &p.Settings.Seeds)
+	p.start = p.Clock.Now().UnixNano()
+	p.events = &eventlog.Limiter{Clock: p.Clock, PerSecond: linesPerSecond}
+	if p.Settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.Memory)))
+	}
+	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+}
+
+func (p *Process) seedAddresses() []netip.AddrPort { return *p.seeds.Load() }
+
+// serve opens an HTTP listener and serves it in g. An address that is not valid is
+// left out.
+func (p *Process) serve(ctx context.Context, g *errgroup.Group, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	if !address.IsValid() {
+		return nil, nil
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	p.servers = append(p.servers, server)
+	g.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve")
+		}
+		return nil
+	})
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends
+	return server, nil
+}
+
+// servePeers opens the listener for other hosts and serves it in g.
+func (p *Process) servePeers(ctx context.Context, g *errgroup.Group, handlers map[string]peer.Handler) error {
+	server := &peer.Server{Address: p.Settings.Peer, Handlers: handlers, Log: p.Log}
+	l, err := server.Listen(ctx)
+	if err != nil {
+		return err
+	}
+	g.Go(func() error { return server.Run(ctx, l) })
+	return nil
+}
+
+func (p *Process) metrics() http.Handler {
+	return promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,93 @@
+// Package node runs one process of a deployment without a list of members: an entry
+// host, which relays requests, or a control host, which keeps the control state and
+// hears the targets.
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"wasabirelay/control"
+	"wasabirelay/registry"
+	"wasabirelay/relay"
+	"wasabirelay/routing"
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	// Host is the name of this host, Centre its data centre.
+	Host   string
+	Centre string
+	// Peer is the address for other hosts of the system.
+	Peer netip.AddrPort
+	// Caller, Ready, Operator and Addresses are the listeners for callers, for health
+	// checks, for targets and operators, and for callers that ask where to connect. One
+	// that is not valid is not opened.
+	Caller, Ready, Operator, Addresses netip.AddrPort
+	// Metrics is the address that metrics are served on.
+	Metrics netip.AddrPort
+	// Data is the folder of the control state, empty on an entry host.
+	Data string
+	// Seeds are the peer addresses of some control hosts.
+	Seeds []netip.AddrPort
+	// Found permits this process to found a new group: the whole system starts for
+	// the first time.
+	Found bool
+	// Memory is the memory of the process in bytes; 0 if not bounded.
+	Memory int64
+	// Heartbeat is the time between the heartbeats of a target.
+	Heartbeat time.Duration
+	// RetryShare and RetrySlack bound the extra requests of all hosts together.
+	RetryShare, RetrySlack float64
+	// Keep is how long callers may use an answer to where to connect.
+	Keep time.Duration
+	// Stop is how long a planned stop may take.
+	Stop time.Duration
+	// Exposure is the share of requests that an untried version may get.
+	Exposure float64
+}
+
+// Interfaces translates between the protocols of a deployment and the node.
+type Interfaces struct {
+	// Headers are the names of the headers of callers and targets.
+	Headers relay.Headers
+	// Decode reads a routing document as operators write it.
+	Decode func(source []byte) (*routing.Document, error)
+	// Operator serves targets and operators, Addresses callers that ask where to
+	// connect, and Ready health checks.
+	Operator  func(ControlService) http.Handler
+	Addresses func(AddressService) http.Handler
+	Ready     func(serving func() bool) http.Handler
+}
+
+// ControlService is what a control host does for targets and operators.
+type ControlService interface {
+	// Announce takes an announcement of a target. The error is an *UnavailableError if
+	// it would reach no other host.
+	Announce(a registry.Announcement) error
+	// Operator is the address that targets may keep announcing to.
+	Operator() netip.AddrPort
+	// Route puts a routing document in force once it is on the disks of a quorum.
+	Route(ctx context.Context, source []byte) error
+	// Evacuate takes a data centre out of service, or back into it.
+	Evacuate(ctx context.Context, centre string, out bool) error
+	// Move starts a version move.
+	Move(ctx context.Context, service, version string, length time.Duration) error
+	// Read returns the state that all accepted changes are in.
+	Read(ctx context.Context) (control.Shared, error)
+}
+
+// AddressService tells callers where to connect.
+type AddressService interface {
+	// Callers returns the addresses of the hosts that serve callers, those of the data
+	// centre first, and how long they may be used.
+	Callers(centre string) ([]netip.AddrPort, time.Duration)
+}
+
+// UnavailableError reports that a request had no effect and that another control
+// host should be asked.
+type UnavailableError struct{ Reason string }
+
+func (e *UnavailableError) Error() string { return "not available: " + e.Reason }
--- /dev/null
+++ b/relay/accept.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wasabirelay/routing"
+)
+
+// refusal is a final answer of this host's own.
+type refusal struct {
+	status int
+	// reason is for logs, metrics and the body.
+	reason string
+	// retry is when the caller may come back; 0 if that is of no use.
+	retry time.Duration
+	route string
+}
+
+// accept reads the request and finds its route.
+func (s *Service) accept(r *http.Request) (*job, *refusal) {
+	started := s.Clock.Now()
+	view := s.View()
+	if view == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no routing document is known yet", retry: retryAfter}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	rt := view.Routing.Match(r.Host, path)
+	if rt == nil {
+		return nil, &refusal{status: http.StatusNotFound, reason: "no route matches"}
+	}
+	id := r.Header.Get(s.Headers.Request)
+	if id == "" {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no identity", route: rt.Name}
+	}
+	body, refused := readBody(r, view.Routing.Document.Limits.BodyBytes)
+	if refused != nil {
+		refused.route = rt.Name
+		return nil, refused
+	}
+	j := &job{Request: r, body: body, id: id, view: view, route: rt, started: started}
+	j.deadline = started.Add(s.timeout(r, rt) - endMargin)
+	return j, nil
+}
+
+// timeout is how long the caller and the route let the request wait.
+func (s *Service) timeout(r *http.Request, rt *routing.Route) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get(s.Headers.Timeout), 64)
+	if err != nil || ms <= 0 {
+		return rt.Timeout // without a usable header, the route's bound holds alone
+	}
+	return min(time.Duration(ms*float64(time.Millisecond)), rt.Timeout)
+}
+
+func readBody(r *http.Request, bound int) ([]byte, *refusal) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	reader := io.Reader(r.Body)
+	if bound > 0 {
+		reader = http.MaxBytesReader(nil, r.Body, int64(bound))
+	}
+	body, err := io.ReadAll(reader)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	case err != nil:
+		return nil, &refusal{status: http.StatusBadRequest, reason: "the body can't be read: " + err.Error()}
+	}
+	return body, nil
+}
+
+// refuse sends an answer of this host's own.
+func (s *Service) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
+	if f.retry > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.retry.Seconds(), 'f', 3, 64))
+	}
+	s.Metrics.request(f.route, f.status)
+	if omitted, ok := s.Events.Allow("refused"); ok {
+		s.Log.Warn().Str("request", r.Header.Get(s.Headers.Request)).Str("route", f.route).Str("host", r.Host).Str("path", r.URL.Path).
+			Int("status", f.status).Str("reason", f.reason).Int("omitted", omitted).Msg("request refused")
+	}
+	http.Error(w, f.reason, f.status)
+}
--- /dev/null
+++ b/relay/fetch.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"wasabirelay/control"
+	"wasabirelay/route"
+)
+
+// fetch gets the reply of one target of a service. It hedges and retries idempotent
+// requests within the attempts of the route and the budget; other requests are sent
+// again only if the one before has not run.
+func (s *Service) fetch(ctx context.Context, j *job, service string) result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // The replies that are no longer needed are awaited by the pool.
+	f := fetching{Service: s, ctx: ctx, j: j, service: service, exclude: map[string]bool{}, results: make(chan result, maxUnsent+j.route.Attempts)}
+	budget := s.Table.Budget(service)
+	budget.Limit(s.RetrySlack / float64(max(1, j.view.Hosts)))
+	budget.Sent()
+	f.last = result{service: service, err: errNoTarget}
+	if !f.launch() {
+		return f.last
+	}
+	timer := s.Clock.NewTimer(s.hedgeDelay(j))
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-f.results:
+			if done := f.received(r, func() bool { return budget.Extra(s.RetryShare) }); done {
+				f.last.attempts = f.sent
+				return f.last
+			}
+		case <-timer.Chan():
+			if j.route.Idempotent && f.sent < j.route.Attempts && budget.Extra(s.RetryShare) {
+				f.launch()
+			}
+		case <-ctx.Done():
+			f.last = result{service: service, outcome: route.TimedOut, err: ctx.Err(), ran: f.sent > 0, target: f.newest, attempts: f.sent}
+			return f.last
+		}
+	}
+}
+
+// fetching is the state of a fetch.
+type fetching struct {
+	*Service
+	ctx     context.Context
+	j       *job
+	service string
+	exclude map[string]bool
+	results chan result
+	// sent counts the attempts that may have reached a target, unsent the others.
+	sent, unsent, inFlight int
+	newest                 *control.Target
+	last                   result
+}
+
+// launch sends the request to one more target. It reports false if there is none.
+func (f *fetching) launch() bool {
+	t, ok := f.pick(f.j, f.service, f.exclude)
+	if !ok {
+		return false
+	}
+	f.exclude[t.Name] = true
+	f.newest = t
+	f.sent++
+	f.inFlight++
+	go func() { f.results <- f.attempt(f.ctx, f.j, t) }()
+	return true
+}
+
+// received takes the end of an attempt. It reports whether the fetch is over.
+func (f *fetching) received(r result, budget func() bool) bool {
+	f.inFlight--
+	if r.outcome == route.Success {
+		f.last = r
+		return true
+	}
+	f.keep(r)
+	if !reached(&r) {
+		f.sent--
+		f.unsent++
+	}
+	if f.mayRepeat(&r) && (!reached(&r) || budget()) && f.launch() {
+		return false
+	}
+	return f.inFlight == 0
+}
+
+// keep remembers the result that says most: what ran before what did not, and a
+// reply before its absence.
+func (f *fetching) keep(r result) {
+	if f.last.target == nil || r.ran && !f.last.ran || r.ran == f.last.ran && r.response != nil {
+		f.last = r
+	}
+}
+
+func (f *fetching) mayRepeat(r *result) bool {
+	if f.ctx.Err() != nil || f.unsent >= maxUnsent {
+		return false
+	}
+	return f.sent < f.j.route.Attempts && (f.j.route.Idempotent || !r.ran)
+}
+
+// reached reports whether the request may have arrived at the target.
+func reached(r *result) bool { return r.ran || r.response != nil }
+
+// hedgeDelay is after which time a request is hedged.
+func (s *Service) hedgeDelay(j *job) time.Duration {
+	part := func(share float64) time.Duration { return time.Duration(share * float64(j.route.Objective)) }
+	learned, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
+	switch {
+	case learned == 0:
+		return part(firstHedge)
+	case !ok:
+		return part(lastHedge)
+	}
+	return min(max(learned, part(leastHedge)), part(lastHedge))
+}
+
+// pick chooses the target for the next attempt.
+func (s *Service) pick(j *job, service string, exclude map[string]bool) (*control.Target, bool) {
+	now := s.Clock.Now()
+	version, all := s.version(j, service)
+	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
+		return s.Table.Pick(now, route.Choice{
+			Service: service, Replicas: j.view.Targets[service], Exclude: exclude, NoProbe: !j.route.Idempotent,
+			Allow: func(t *control.Target) bool { return !j.view.Out[t.Centre] && s.Pool.HasShare(t) && allow(t) },
+		})
+	}
+	warm := func(t *control.Target) bool {
+		return t.State == control.Warm && (all || (t.Version == j.view.Moves[service].Version) == version)
+	}
+	if t, ok := choose(warm); ok {
+		return t, true
+	}
+	t, ok := choose(func(t *control.Target) bool { return t.State == control.Cold && s.cold.room(now, j.view, t) })
+	if ok {
+		s.cold.take(now, t)
+	}
+	return t, ok
+}
+
+// version draws whether the request goes to the new version of a service that is
+// being moved. All versions do if there is no move.
+func (s *Service) version(j *job, service string) (wantNew, all bool) {
+	m, ok := j.view.Moves[service]
+	if !ok {
+		return false, true
+	}
+	return s.splits.draw() < m.Share, false
+}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wasabirelay/route"
+)
+
+// Metrics are the counters of relayed requests. A nil *Metrics counts nothing.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	missing  *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	replies  prometheus.Histogram
+}
+
+// routeLabel is the label of the route's name.
+const routeLabel = "route"
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_relay_requests_total", Help: "Requests by route and status; 0 if the caller left.",
+		}, []string{routeLabel, "status"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "wasabirelay_relay_seconds", Help: "Time to the answer.", Buckets: latencyBuckets,
+		}, []string{routeLabel}),
+		missing: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_relay_missing_shards_total", Help: "Shards that were left out of answers.",
+		}, []string{routeLabel}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_relay_attempts_total", Help: "Requests to targets by service and outcome.",
+		}, []string{"service", "outcome"}),
+		replies: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "wasabirelay_relay_attempt_seconds", Help: "Time of successful requests to targets.", Buckets: latencyBuckets,
+		}),
+	}
+	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies)
+	return m
+}
+
+func (m *Metrics) request(name string, status int) {
+	if m != nil {
+		m.requests.WithLabelValues(name, strconv.Itoa(status)).Inc()
+	}
+}
+
+func (m *Metrics) answer(name string, took time.Duration, missing int) {
+	if m != nil {
+		m.latency.WithLabelValues(name).Observe(seconds(took))
+		m.missing.WithLabelValues(name).Add(float64(missing))
+	}
+}
+
+func (m *Metrics) attempt(service string, o route.Outcome, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.attempts.WithLabelValues(service, o.String()).Inc()
+	if o == route.Success {
+		m.replies.Observe(seconds(took))
+	}
+}
--- /dev/null
+++ b/relay/split.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wasabirelay/control"
+	"wasabirelay/routing"
+)
+
+// splits distributes requests among the backends of a route in proportion to their
+// weights, with less spread than independent draws. The zero value is ready.
+type splits struct {
+	mu     sync.Mutex
+	routes map[string]map[string]float64
+}
+
+// pick returns the service for the next request: each earns its share of every
+// request, and the one that is owed most pays a whole one.
+func (s *splits) pick(r *routing.Route) string {
+	if len(r.Backends) == 1 {
+		return r.Backends[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.routes == nil {
+		s.routes = map[string]map[string]float64{}
+	}
+	owed := s.routes[r.Name]
+	if owed == nil {
+		owed = map[string]float64{}
+		s.routes[r.Name] = owed
+	}
+	sum := 0.0
+	for _, b := range r.Backends {
+		sum += b.Weight
+	}
+	best := ""
+	for _, b := range r.Backends {
+		if b.Weight <= 0 {
+			continue
+		}
+		owed[b.Service] += b.Weight / sum
+		if best == "" || owed[b.Service] > owed[best] {
+			best = b.Service
+		}
+	}
+	owed[best]--
+	return best
+}
+
+// draw returns a number from 0 to 1.
+func (s *splits) draw() float64 { return rand.Float64() }
+
+// coldGate keeps this host's requests to cold targets within its part of what they
+// bear. The zero value is ready.
+type coldGate struct {
+	mu   sync.Mutex
+	sent map[string]coldCount
+}
+
+type coldCount struct {
+	second int64
+	n      int
+}
+
+// room reports whether the cold target bears one more request of this host in this
+// second. A target that bears less than a request per host and second gets none.
+func (g *coldGate) room(now time.Time, v *View, t *control.Target) bool {
+	service := v.Routing.Service(t.Service)
+	if service == nil {
+		return false
+	}
+	part := int(service.ColdRate / float64(max(1, v.Hosts)))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.sent[t.Name]
+	if c.second != now.Unix() {
+		c.n = 0
+	}
+	return c.n < part
+}
+
+func (g *coldGate) take(now time.Time, t *control.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sent == nil || len(g.sent) > maxCold {
+		g.sent = map[string]coldCount{}
+	}
+	c := g.sent[t.Name]
+	if c.second != now.Unix() {
+		c = coldCount{second: now.Unix()}
+	}
+	c.n++
+	g.sent[t.Name] = c
+}
+
+// maxCold bounds the targets that counts are kept for.
+const maxCold = 4096
