Serve again sooner after the loss of all hosts

Change: connection attempts are bounded by 250 ms, a member of a group without leases may vote at once, control hosts save their table of targets every second.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -27,6 +27,10 @@
 	// between Election and twice Election. Heartbeat is the interval of a
 	// leader's heartbeats, at most half of Election.
 	Election, Heartbeat time.Duration
+	// NoLease states that nothing relies on a leader's lease. A member may then vote
+	// directly after its start, and stand for election within one Election: after the
+	// loss of all members there is no leader to protect.
+	NoLease bool
 	// MaxBatch limits the entries in one message (64 if zero), MaxInflight the
 	// unacknowledged Append messages per member (8 if zero).
 	MaxBatch, MaxInflight int
@@ -82,6 +86,10 @@
 	// that leader, so it behaves as if it had just heard from it.
 	n.heard = now
 	n.resetDeadline()
+	if n.NoLease {
+		n.heard = time.Time{}
+		n.deadline = now.Add(n.Election/2 + time.Duration(n.Rand.Int64N(int64(n.Election/2))))
+	}
 	return nil
 }
 
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -111,7 +111,7 @@
 		c.contacts = map[netip.AddrPort]*contact{}
 	}
 	ctx, cancel := context.WithCancel(c.started)
-	k := &contact{client: &peer.Client{Address: address}, cancel: cancel, named: now}
+	k := &contact{client: &peer.Client{Address: address, Dial: DialTimeout}, cancel: cancel, named: now}
 	c.contacts[address] = k
 	go c.follow(ctx, k)
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,8 @@
 	// Wait is how long a control host keeps a question without news open. It bounds
 	// how often idle hosts ask.
 	Wait = time.Second
+	// DialTimeout bounds a connection attempt: some round trips between regions.
+	DialTimeout = 250 * time.Millisecond
 	// answerTimeout is how long an answer may take beyond Wait before the control host
 	// counts as unreachable.
 	answerTimeout = 700 * time.Millisecond
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// Restore takes the targets that an earlier run knew. They count as silent after
+// length unless they announce themselves.
+func (h *Hub) Restore(records []registry.Record, length time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.targets.Restore(h.Clock.Now(), records, length)
+	h.wake()
+}
+
+// Records returns all known targets and the revision of the table.
+func (h *Hub) Records() ([]registry.Record, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.targets.Since(h.Clock.Now(), 0), h.targets.Revision()
+}
+
 // Connected reports whether entry hosts have asked lately. Without them, what a
 // target announces here reaches nobody.
 func (h *Hub) Connected() bool {
--- a/node/control.go
+++ b/node/control.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -14,6 +17,7 @@
 	"wasabirelay/consensus"
 	"wasabirelay/control"
 	"wasabirelay/exchange"
+	"wasabirelay/journal"
 	"wasabirelay/move"
 	"wasabirelay/quorum"
 	"wasabirelay/registry"
@@ -31,6 +35,13 @@
 	orderTimeout = 900 * time.Millisecond
 	// proposeTimeout is how long one leader may take for an order.
 	proposeTimeout = 400 * time.Millisecond
+	// saveInterval is how often the table of targets is saved if it has changed. After
+	// a power loss, targets of the last seconds announce themselves again.
+	saveInterval = time.Second
+	// restoredFor is how long a saved target counts without a new heartbeat: some
+	// heartbeats, and less than the time in which a host that has just started may
+	// lack knowledge of targets that left.
+	restoredFor = 3 * time.Second
 	// proposePause separates the attempts.
 	proposePause = 50 * time.Millisecond
 	// stopPause is how long a control host that stops keeps answering after it has
@@ -73,6 +84,7 @@
 	g.Go(func() error { return c.replica.Run(ctx) })
 	g.Go(func() error { return c.hub.Run(ctx) })
 	g.Go(func() error { return c.client.Run(ctx) })
+	g.Go(func() error { return c.saveTargets(ctx) })
 	c.Log.Info().Stringer("operators", c.Settings.Operator).Stringer("peer", c.Settings.Peer).Int64("start", c.start).
 		Bool("found", c.Settings.Found).Int("seeds", len(c.Settings.Seeds)).Msg("control host started")
 	go func() {
@@ -89,24 +101,71 @@
 func (c *Control) prepare() error {
 	self := exchange.Host{Name: c.Settings.Host, Centre: c.Settings.Centre, Start: c.start, Peer: c.Settings.Peer}
 	c.found.Store(c.start)
-	c.book.Self = c.Settings.Host
+	c.book.Self, c.book.Dial = c.Settings.Host, exchange.DialTimeout
 	c.book.Set(c.Settings.Host, c.Settings.Peer)
 	c.hub = exchange.Hub{
 		Self: self, Clock: c.Clock, Log: c.Log, Silence: silentHeartbeats * c.Settings.Heartbeat, Heard: c.heard,
 	}
 	c.hub.Init()
+	c.restoreTargets()
 	c.client = exchange.Client{
 		Self: func() exchange.Host { h := self; h.Draining = c.draining.Load(); return h }, Seeds: c.seedAddresses,
 		Clock: c.Clock, Log: c.Log, Found: c.heard,
 	}
 	c.replica = &quorum.Replica{
-		Host: c.Settings.Host, Dir: c.Settings.Data, Book: &c.book, Founders: c.founders, Clock: c.Clock,
+		Host: c.Settings.Host, Dir: c.Settings.Data, Book: &c.book, Founders: c.founders, NoLease: true, Clock: c.Clock,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: c.Log, Inspect: c.inspect,
 		Changed: func(v *control.View) { c.hub.SetShared(v.Shared) },
 	}
 	return c.replica.Open()
 }
 
+// targetsFile holds the table of targets in the data folder.
+const targetsFile = "targets"
+
+// restoreTargets reads the table of targets that an earlier run has saved. Without
+// it, hosts that restarted as well would have no targets until the next heartbeats.
+func (c *Control) restoreTargets() {
+	text, err := os.ReadFile(filepath.Join(c.Settings.Data, targetsFile))
+	var records []registry.Record
+	if err == nil {
+		err = json.Unmarshal(text, &records)
+	}
+	if err != nil {
+		if !errors.Is(err, os.ErrNotExist) {
+			c.Log.Warn().Err(err).Msg("saved targets not read, they announce themselves again")
+		}
+		return
+	}
+	c.hub.Restore(records, restoredFor)
+}
+
+// saveTargets saves the table of targets when it has changed.
+func (c *Control) saveTargets(ctx context.Context) error {
+	ticker := c.Clock.NewTicker(saveInterval)
+	defer ticker.Stop()
+	saved := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+		records, revision := c.hub.Records()
+		if revision == saved {
+			continue
+		}
+		saved = revision
+		text, err := json.Marshal(records)
+		if err == nil {
+			err = journal.WriteFile(filepath.Join(c.Settings.Data, targetsFile), text)
+		}
+		if err != nil {
+			c.Log.Warn().Err(err).Msg("targets not saved, after a restart they announce themselves again")
+		}
+	}
+}
+
 // heard notes a control host.
 func (c *Control) heard(h exchange.Host) {
 	if c.book.Set(h.Name, h.Peer) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -10,8 +11,8 @@
 	"time"
 )
 
-// dialTimeout bounds a connection attempt to another daemon.
-const dialTimeout = time.Second
+// defaultDial bounds a connection attempt to another daemon unless Dial is set.
+const defaultDial = time.Second
 
 // ConnectError reports that no connection could be opened, so nothing was sent.
 type ConnectError struct {
@@ -31,6 +32,10 @@
 	TLS     *tls.Config
 	// Handlers serve what the other daemon sends over this connection.
 	Handlers map[string]Handler
+	// Dial bounds a connection attempt, 1 s if 0. The first packet to a host that has
+	// just started may be lost and is sent again only after a second, so that a new
+	// attempt is the faster way to reach it.
+	Dial time.Duration
 
 	mu   sync.Mutex
 	conn *Conn
@@ -65,7 +70,7 @@
 			return c.conn, nil
 		}
 	}
-	ctx2, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx2, cancel := context.WithTimeout(ctx, cmp.Or(c.Dial, defaultDial))
 	defer cancel()
 	nc, err := c.dial(ctx2)
 	if err != nil {
--- a/quorum/book.go
+++ b/quorum/book.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"wasabirelay/peer"
 )
@@ -17,6 +18,8 @@
 	// Self is the name of this host. It has no client.
 	Self string
 	TLS  *tls.Config
+	// Dial bounds a connection attempt; see peer.Client.
+	Dial time.Duration
 
 	mu        sync.Mutex
 	addresses map[string]netip.AddrPort
@@ -38,7 +41,7 @@
 		old.Close()
 	}
 	if host != b.Self {
-		b.clients[host] = &peer.Client{Address: address, TLS: b.TLS}
+		b.clients[host] = &peer.Client{Address: address, TLS: b.TLS, Dial: b.Dial}
 	}
 	return true
 }
--- a/quorum/group.go
+++ b/quorum/group.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/hex"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"wasabirelay/journal"
 )
 
 // groupFile holds the founders of the group, one a line. Their hash identifies the
@@ -35,27 +36,6 @@
 // writeFounders makes the founders of the group durable. It comes before the first
 // entry of the log, so that a log without them is known to be damaged.
 func writeFounders(dir string, founders []string) error {
-	name := filepath.Join(dir, groupFile)
-	f, err := os.Create(name + ".tmp")
-	if err != nil {
-		return errors.Wrap(err, "write group")
-	}
-	_, err = io.WriteString(f, strings.Join(founders, "\n")+"\n")
-	for _, step := range []func() error{f.Sync, f.Close} {
-		if stepErr := step(); err == nil {
-			err = stepErr
-		}
-	}
-	if err != nil {
-		return errors.Wrap(err, "write group")
-	}
-	if err := os.Rename(name+".tmp", name); err != nil {
-		return errors.Wrap(err, "write group")
-	}
-	folder, err := os.Open(dir)
-	if err != nil {
-		return errors.Wrap(err, "sync folder")
-	}
-	defer folder.Close()
-	return errors.Wrap(folder.Sync(), "sync folder")
+	text := strings.Join(founders, "\n") + "\n"
+	return errors.Wrap(journal.WriteFile(filepath.Join(dir, groupFile), []byte(text)), "write group")
 }
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -56,6 +56,8 @@
 	Log     zerolog.Logger
 	// Election and Heartbeat default to DefaultElection and DefaultHeartbeat.
 	Election, Heartbeat time.Duration
+	// NoLease states that no host works under a lease; see consensus.Node.
+	NoLease bool
 
 	events  chan func()
 	running context.Context // that of Run, for the goroutines that it starts
@@ -144,7 +146,7 @@
 			return err
 		}
 	}
-	n := &consensus.Node{ID: r.identity.String(), Rand: r.Rand, Election: r.Election, Heartbeat: r.Heartbeat}
+	n := &consensus.Node{ID: r.identity.String(), Rand: r.Rand, Election: r.Election, Heartbeat: r.Heartbeat, NoLease: r.NoLease}
 	if err := n.Start(r.Clock.Now(), saved); err != nil {
 		return errors.Wrap(err, "start replicated log")
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -153,6 +153,19 @@
 	return changed
 }
 
+// Restore takes records of an earlier run. Those that are not silent become so after
+// length unless the target is heard.
+func (t *Table) Restore(now time.Time, records []Record, length time.Duration) {
+	if t.entries == nil {
+		t.entries = map[string]*entry{}
+	}
+	for _, r := range records {
+		e := &entry{Record: r, heard: now.Add(length - t.Silence), coldEnd: now.Add(r.Cold)}
+		t.entries[r.Target] = e
+		t.touch(e)
+	}
+}
+
 // Since returns the records that have changed after a revision.
 func (t *Table) Since(now time.Time, revision uint64) []Record {
 	var out []Record
