--- /dev/null
+++ b/node/addresses.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"wasabirelay/exchange"
+)
+
+const (
+	// maxAddresses is how many addresses callers take from one answer.
+	maxAddresses = 64
+	// gathering is how long after its start a control host names no addresses: the
+	// hosts that have not asked it yet would be missing.
+	gathering = 600 * time.Millisecond
+)
+
+// Callers implements AddressService.
+func (c *Control) Callers(centre string) ([]netip.AddrPort, time.Duration) {
+	if c.draining.Load() || c.Clock.Now().UnixNano()-c.start < int64(gathering) {
+		return nil, c.Settings.Keep
+	}
+	return callers(c.client.Hosts(), centre), c.Settings.Keep
+}
+
+// callers returns the addresses of the hosts that serve callers, those of the data
+// centre first, each in random order.
+func callers(hosts []exchange.Host, centre string) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for _, h := range hosts {
+		switch {
+		case h.Draining || !h.Caller.IsValid():
+		case h.Centre == centre:
+			near = append(near, h.Caller)
+		default:
+			far = append(far, h.Caller)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	list := slices.Concat(near, far)
+	return list[:min(len(list), maxAddresses)]
+}
--- a/node/control.go
+++ b/node/control.go
@@ -78,6 +78,9 @@
 	if _, err := c.serve(ctx, g, c.Settings.Operator, c.Interfaces.Operator(c)); err != nil {
 		return err
 	}
+	if _, err := c.serve(ctx, g, c.Settings.Addresses, c.Interfaces.Addresses(c)); err != nil {
+		return err
+	}
 	if _, err := c.serve(ctx, g, c.Settings.Metrics, c.metrics()); err != nil {
 		return err
 	}
@@ -299,5 +302,5 @@
 
 var (
 	_ ControlService = (*Control)(nil)
-	_ AddressService = (*Entry)(nil)
+	_ AddressService = (*Control)(nil)
 )
--- a/node/entry.go
+++ b/node/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -39,8 +38,6 @@
 	hostMemory = 15 * time.Second
 	// evidenceInterval is how often evidence for version moves is sent.
 	evidenceInterval = 500 * time.Millisecond
-	// maxAddresses is how many addresses callers take from one answer.
-	maxAddresses = 64
 )
 
 // Entry is an entry host. Exported fields are set before Run.
@@ -80,7 +77,6 @@
 	}{
 		{e.Settings.Caller, e.relay, &callers},
 		{e.Settings.Ready, e.Interfaces.Ready(e.serving), nil},
-		{e.Settings.Addresses, e.Interfaces.Addresses(e), nil},
 		{e.Settings.Metrics, e.metrics(), nil},
 	} {
 		server, err := e.serve(ctx, g, l.address, l.handler)
@@ -254,27 +250,6 @@
 	return 0
 }
 
-// Callers implements AddressService. Hosts are listed in a random order.
-func (e *Entry) Callers(centre string) ([]netip.AddrPort, time.Duration) {
-	var near, far []netip.AddrPort
-	for _, h := range e.client.Hosts() {
-		switch {
-		case h.Draining || !h.Caller.IsValid():
-		case h.Centre == centre:
-			near = append(near, h.Caller)
-		default:
-			far = append(far, h.Caller)
-		}
-	}
-	if len(near)+len(far) == 0 {
-		return nil, e.Settings.Keep
-	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	list := slices.Concat(near, far)
-	return list[:min(len(list), maxAddresses)], e.Settings.Keep
-}
-
 // report sends evidence for the running version moves to a control host.
 func (e *Entry) report(ctx context.Context) error {
 	ticker := e.Clock.NewTicker(evidenceInterval)
