--- a/node/addresses.go
+++ b/node/addresses.go
@@ -12,11 +12,19 @@
 const (
 	// maxAddresses is how many addresses callers take from one answer.
 	maxAddresses = 64
-	// gathering is how long after its start a control host names no addresses: the
-	// hosts that have not asked it yet would be missing.
+	// gathering is how long after its start a host names no addresses: those that it
+	// has not heard of yet would be missing.
 	gathering = 600 * time.Millisecond
 )
 
+// Callers implements AddressService.
+func (e *Entry) Callers(centre string) ([]netip.AddrPort, time.Duration) {
+	if !e.serving() || e.Clock.Now().UnixNano()-e.start < int64(gathering) {
+		return nil, e.Settings.Keep
+	}
+	return callers(e.client.Hosts(), centre), e.Settings.Keep
+}
+
 // Callers implements AddressService.
 func (c *Control) Callers(centre string) ([]netip.AddrPort, time.Duration) {
 	if c.draining.Load() || c.Clock.Now().UnixNano()-c.start < int64(gathering) {
--- a/node/control.go
+++ b/node/control.go
@@ -303,4 +303,5 @@
 var (
 	_ ControlService = (*Control)(nil)
 	_ AddressService = (*Control)(nil)
+	_ AddressService = (*Entry)(nil)
 )
--- a/node/entry.go
+++ b/node/entry.go
@@ -76,6 +76,7 @@
 		server  **http.Server
 	}{
 		{e.Settings.Caller, e.relay, &callers},
+		{e.Settings.Addresses, e.Interfaces.Addresses(e), nil},
 		{e.Settings.Ready, e.Interfaces.Ready(e.serving), nil},
 		{e.Settings.Metrics, e.metrics(), nil},
 	} {
