--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -303,3 +303,25 @@
 		}
 	}
 }
+
+// Guards against a group without leases that waits out an election timeout after the
+// loss of all members, and against one with leases that does not.
+func TestNoLease(t *testing.T) {
+	for _, tt := range []struct {
+		noLease bool
+		grants  bool
+	}{{true, true}, {false, false}} {
+		is := is.New(t)
+		now := time.Unix(0, 0)
+		saved := Found([]string{"h1", "h2", "h3"})
+		n := &Node{ID: "h1", Rand: rand.New(rand.NewPCG(1, 1)), Election: election, Heartbeat: heartbeat, NoLease: tt.noLease}
+		is.NoErr(n.Start(now, saved))
+		is.Equal(n.Next().Sub(now) < election, tt.noLease)
+		out := n.Step(now.Add(heartbeat/2), Message{Kind: PreVote, From: "h2", To: "h1", Term: 2, Index: 1, Prior: 1})
+		granted := false
+		for _, m := range out.Messages {
+			granted = granted || m.Kind == AckPreVote && !m.Reject
+		}
+		is.Equal(granted, tt.grants)
+	}
+}
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,142 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/control"
+	"wasabirelay/peer"
+	"wasabirelay/registry"
+)
+
+// patience bounds the wait for a state that must come.
+const patience = 10 * time.Second
+
+// hub runs a hub on loopback.
+func hub(ctx context.Context, t *testing.T, name string, start int64) (*Hub, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(l.Addr().String())
+	h := &Hub{
+		Self: Host{Name: name, Start: start, Peer: address}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Silence: time.Minute,
+	}
+	h.Init()
+	server := &peer.Server{Address: address, Handlers: map[string]peer.Handler{Method: h.Serve}}
+	go func() { _ = server.Run(ctx, l) }()
+	go func() { _ = h.Run(ctx) }()
+	return h, address
+}
+
+func follow(ctx context.Context, self Host, seeds ...netip.AddrPort) *Client {
+	c := &Client{
+		Self: func() Host { return self }, Seeds: func() []netip.AddrPort { return seeds }, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+	}
+	go func() { _ = c.Run(ctx) }()
+	return c
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+func entry(name string) Host {
+	return Host{Name: name, Start: 1, Caller: netip.MustParseAddrPort("10.0.0.1:80")}
+}
+
+// Guards against hosts that do not find each other from one seed, against targets and
+// documents that do not spread, and against dead hosts that are named on.
+func TestExchange(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a, first := hub(ctx, t, "a", 1)
+	b, second := hub(ctx, t, "b", 1)
+	follow(ctx, b.Self, first) // b tells a about itself
+	c := follow(ctx, entry("e1"), first)
+	await(t, "both control hosts found", func() bool { return len(c.Control(Expiry)) == 2 })
+	is.Equal(c.Control(Expiry)[1].Peer, second)
+
+	b.Announce(registry.Announcement{Target: "t", Born: 1, Service: "s", State: registry.Ready, Address: first})
+	await(t, "the target", func() bool { targets, _ := c.Targets(); return len(targets["s"]) == 1 })
+	a.Announce(registry.Announcement{Target: "t", State: registry.Gone})
+	await(t, "the leave", func() bool { targets, _ := c.Targets(); return len(targets["s"]) == 0 })
+
+	b.SetShared(control.Shared{Revision: 4, Routing: control.Routing{Version: 2, Source: []byte("two")}})
+	await(t, "the document", func() bool { return c.Shared().Routing.Version == 2 })
+	a.SetShared(control.Shared{Revision: 3, Routing: control.Routing{Version: 1, Source: []byte("one")}})
+	b.SetShared(control.Shared{Revision: 5, Routing: control.Routing{Version: 2, Source: []byte("two")}, Out: []string{"x"}})
+	await(t, "the evacuation", func() bool { return len(c.Shared().Out) == 1 })
+	is.Equal(string(c.Shared().Routing.Source), "two") // an older one at a changes nothing
+
+	short, stop := context.WithCancel(ctx)
+	follow(short, entry("e2"), second)
+	await(t, "another host", func() bool { return len(c.Hosts()) == 2 })
+	stop()
+	await(t, "its end", func() bool { return len(c.Hosts()) == 1 })
+}
+
+// Guards against a host that is still named to callers after it said that it stops.
+func TestDraining(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	_, address := hub(ctx, t, "a", 1)
+	other := follow(ctx, entry("e1"), address)
+	self := entry("e2")
+	c := &Client{
+		Self: func() Host { return self }, Seeds: func() []netip.AddrPort { return []netip.AddrPort{address} },
+		Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+	}
+	go func() { _ = c.Run(ctx) }()
+	await(t, "both hosts", func() bool { return len(other.Hosts()) == 2 })
+	c.mu.Lock()
+	self.Draining = true
+	c.mu.Unlock()
+	c.Tell(ctx)
+	await(t, "the notice", func() bool {
+		for _, h := range other.Hosts() {
+			if h.Name == "e2" && h.Draining {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against a question of an earlier run of a host that replaces the later one,
+// and against a wait without end.
+func TestHub(t *testing.T) {
+	is := is.New(t)
+	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Silence: time.Minute}
+	h.Init()
+	is.True(!h.Connected())
+	ask := func(q Question) *Answer {
+		a, _ := h.answer(&q, true)
+		return a
+	}
+	newer, older := entry("e1"), entry("e1")
+	newer.Start, newer.Draining = 5, true
+	is.True(ask(Question{From: newer}) != nil)
+	is.True(h.Connected())
+	is.True(ask(Question{From: older}) != nil)
+	is.True(h.Hosts()["e1"].Draining)
+	a := ask(Question{From: newer, Run: 9, Targets: 0, Hosts: h.version, Wait: time.Second})
+	is.True(a == nil) // no news: the question waits
+	a = ask(Question{From: newer, Run: 8, Targets: 99, Hosts: 99, Wait: time.Second})
+	is.True(a != nil) // the revisions are of another run
+	is.Equal(len(a.List), 1)
+}
--- /dev/null
+++ b/limit/reply_test.go
@@ -0,0 +1,88 @@
+package limit
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// ask runs one sub-request and returns what came of it.
+func (g *rig) ask(t *testing.T) (*Response, error) {
+	t.Helper()
+	permit := g.acquire(t)
+	defer permit.Release(Succeeded)
+	return g.query(t.Context(), permit, "q")
+}
+
+// Guards against a reply of another request that is taken for the own one, and
+// against the use of its connection for the next request.
+func TestCrossed(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "theirs") })
+	g.pool.Valid = func(*http.Request, *Response) error { return errors.New("theirs") }
+	_, err := g.ask(t)
+	var reply *ReplyError
+	is.True(errors.As(err, &reply))
+	is.Equal(reply.Reason, Crossed)
+	var lost *LostError
+	is.True(errors.As(err, &lost) && lost.Sent)
+	g.pool.Valid = nil
+	res, err := g.ask(t)
+	is.NoErr(err)
+	is.Equal(string(res.Body), "theirs")
+	is.Equal(g.dials.Load(), int64(2)) // the first connection is closed
+}
+
+// Guards against a reply that a reset cut short and that looks whole, and against the
+// loss of one that ends with its connection.
+func TestUnframed(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		unframed bool
+		reset    bool
+		want     Fault
+	}{
+		{"not accepted", false, false, NoLength},
+		{"accepted", true, false, ""},
+		{"reset", true, true, CutShort},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) { raw(w, "HTTP/1.1 200 OK\r\n\r\nbody", tt.reset) })
+			g.pool.Unframed = tt.unframed
+			res, err := g.ask(t)
+			if tt.want == "" {
+				is.NoErr(err)
+				is.Equal(string(res.Body), "body")
+				return
+			}
+			var lost *LostError
+			is.True(errors.As(err, &lost) && lost.Sent)
+			var reply *ReplyError
+			if errors.As(err, &reply) { // a reset may also come before the header was read
+				is.Equal(reply.Reason, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a request on a connection that the target is about to close.
+func TestKeepAlive(t *testing.T) {
+	for _, tt := range []struct {
+		header string
+		dials  int64
+	}{{"timeout=0", 2}, {"timeout=60", 1}, {"timeout=60, max=5", 1}, {"timeout=x", 1}, {"", 1}} {
+		t.Run(tt.header, func(t *testing.T) {
+			is := is.New(t)
+			g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Keep-Alive", tt.header) })
+			for range 2 {
+				_, err := g.ask(t)
+				is.NoErr(err)
+			}
+			is.Equal(g.dials.Load(), tt.dials)
+		})
+	}
+}
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -82,6 +82,14 @@
 		want   consensus.Membership
 	}{
 		{"a silent voter stays", status(nil, map[string]consensus.Progress{"h2/b": dead, "h3/c": live(1000)}, "h1/a", "h2/b", "h3/c"), consensus.Membership{}},
+		{
+			"a spare host takes the place of a voter that is silent for long", status([]string{"h4/d"}, map[string]consensus.Progress{"h4/d": live(1000), "h2/b": dead, "h3/c": live(1000)}, "h1/a", "h2/b", "h3/c"),
+			consensus.Membership{Action: consensus.Remove, ID: "h2/b"},
+		},
+		{
+			"a spare host leaves a voter that is silent for a moment its place", status([]string{"h4/d"}, map[string]consensus.Progress{"h4/d": live(1000), "h2/b": {Match: 10, Heard: now.Add(-2 * time.Second)}, "h3/c": live(1000)}, "h1/a", "h2/b", "h3/c"),
+			consensus.Membership{Action: consensus.Promote, ID: "h4/d"},
+		},
 		{
 			"a learner far behind waits", status([]string{"h2/n"}, map[string]consensus.Progress{"h2/n": live(900), "h2/b": dead, "h3/c": live(1000)}, "h1/a", "h2/b", "h3/c"),
 			consensus.Membership{},
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,487 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/control"
+	"wasabirelay/eventlog"
+	"wasabirelay/limit"
+	"wasabirelay/route"
+	"wasabirelay/routing"
+)
+
+var headers = Headers{
+	Request: "Req", Timeout: "Left", Signature: "Sign", Target: "For", NotRun: "Not-Run", Parts: "Parts", Missing: "Missing",
+}
+
+// fake is a target. It answers with reply after checking who the request is for.
+type fake struct {
+	name, service string
+	reply         func(w http.ResponseWriter, r *http.Request)
+	asked, ran    atomic.Int64
+	mu            sync.Mutex
+	last          *http.Request
+	body          string
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.asked.Add(1)
+	body, _ := io.ReadAll(r.Body)
+	f.mu.Lock()
+	f.last, f.body = r, string(body)
+	f.mu.Unlock()
+	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
+	f.reply(w, r)
+}
+
+// records answers with the records, each filled up to its size with zeros.
+func (f *fake) records(list ...string) *fake {
+	f.reply = func(w http.ResponseWriter, _ *http.Request) {
+		f.ran.Add(1)
+		w.Header().Set(headers.Signature, "sign-"+f.name)
+		for _, text := range list {
+			_, _ = w.Write(record(text))
+		}
+	}
+	return f
+}
+
+func record(text string) []byte { return append([]byte(text), make([]byte, recordSize-len(text))...) }
+
+// status answers with a status; signed replies have run.
+func (f *fake) status(code int, signed bool) *fake {
+	f.reply = func(w http.ResponseWriter, _ *http.Request) {
+		if signed {
+			f.ran.Add(1)
+			w.Header().Set(headers.Signature, "sign-"+f.name)
+		} else {
+			w.Header().Set(headers.NotRun, "1")
+		}
+		w.WriteHeader(code)
+	}
+	return f
+}
+
+// hang runs the request and answers when the client has gone.
+func (f *fake) hang() *fake {
+	f.reply = func(_ http.ResponseWriter, r *http.Request) {
+		f.ran.Add(1)
+		<-r.Context().Done()
+	}
+	return f
+}
+
+// reset runs the request and resets the connection.
+func (f *fake) reset() *fake {
+	f.reply = func(w http.ResponseWriter, _ *http.Request) {
+		f.ran.Add(1)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}
+	return f
+}
+
+// crossed answers another request.
+func (f *fake) crossed() *fake {
+	f.reply = func(w http.ResponseWriter, _ *http.Request) {
+		f.ran.Add(1)
+		w.Header().Set(headers.Request, "another")
+		w.Header().Set(headers.Signature, "sign-other")
+		_, _ = w.Write(record("zzz"))
+	}
+	return f
+}
+
+func target(name, service string) *fake { return &fake{name: name, service: service} }
+
+// rig is a relay before some targets.
+type rig struct {
+	service *Service
+	server  *httptest.Server
+	view    *View
+}
+
+func newRig(t *testing.T, r routing.Route, targets ...*fake) *rig {
+	t.Helper()
+	r.Host, r.Prefix = "h", "/q/"
+	if r.Timeout == 0 {
+		r.Timeout = 2 * time.Second
+	}
+	if r.Objective == 0 {
+		r.Objective = time.Second
+	}
+	d := &routing.Document{Version: 3, Routes: []routing.Route{r}, Limits: routing.Limits{BodyBytes: 64}}
+	view := &View{Targets: map[string][]*control.Target{}, Out: map[string]bool{}, Hosts: 1}
+	shares := map[string]limit.Share{}
+	for _, f := range targets {
+		server := httptest.NewServer(f)
+		t.Cleanup(server.Close)
+		address := netip.MustParseAddrPort(server.Listener.Addr().String())
+		view.Targets[f.service] = append(view.Targets[f.service], &control.Target{
+			Name: f.name, Incarnation: "1", Service: f.service, Centre: "c", Address: address, State: control.Warm,
+		})
+		shares[f.name] = limit.Share{Incarnation: "1", Address: address, Connections: 8, Slots: 8}
+		d.Services = append(d.Services, routing.Service{Name: f.service, Connections: 8})
+	}
+	view.Routing = routing.NewTable(d)
+	clock := clockwork.NewRealClock()
+	g := &rig{view: view}
+	g.service = &Service{
+		Headers: headers, Clock: clock, Log: zerolog.Nop(), Events: &eventlog.Limiter{Clock: clock, PerSecond: 1},
+		Pool: &limit.Pool{Drain: 50 * time.Millisecond, Unframed: true}, Table: &route.Table{Centre: "c"},
+		View: func() *View { return g.view }, RetryShare: 1, RetrySlack: 100, Draining: func() bool { return false },
+	}
+	g.service.Pool.Valid = g.service.CheckReply
+	g.service.Pool.SetShares(shares)
+	g.server = httptest.NewServer(g.service)
+	t.Cleanup(func() { g.server.Close(); g.service.Pool.Close() })
+	g.fill()
+	return g
+}
+
+// fill earns the budget for hedges and retries, which starts empty.
+func (g *rig) fill() {
+	for service := range g.view.Targets {
+		b := g.service.Table.Budget(service)
+		b.Limit(g.service.RetrySlack)
+		for range int(g.service.RetrySlack) {
+			b.Sent()
+		}
+	}
+}
+
+// answered is the head of an answer.
+type answered struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func (g *rig) get(t *testing.T, change func(*http.Request)) (answered, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, g.server.URL+"/q/x%2Fy?a=1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set(headers.Request, "r1")
+	req.Header.Set(headers.Timeout, "1500")
+	if change != nil {
+		change(req)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answered{res.StatusCode, res.Header}, string(body)
+}
+
+func shards(quorum float64, names ...string) routing.Route {
+	return routing.Route{Name: "all", Idempotent: true, Attempts: 2, Shards: names, Limit: 3, Quorum: quorum}
+}
+
+func backend(idempotent bool, attempts int) routing.Route {
+	return routing.Route{Name: "one", Idempotent: idempotent, Attempts: attempts, Backends: []routing.Backend{{Service: "s1", Weight: 1}}}
+}
+
+// Guards against an answer that is not the greatest records of the parts it names,
+// and against a request that reaches targets changed.
+func TestGather(t *testing.T) {
+	is := is.New(t)
+	a, b := target("a", "s1").records("b", "d", "a"), target("b", "s2").records("d", "c")
+	g := newRig(t, shards(1, "s1", "s2"), a, b)
+	res, body := g.get(t, func(r *http.Request) { r.Header.Set("Connection", "X-Hop"); r.Header.Set("X-Hop", "1") })
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(body, string(bytes.Join([][]byte{record("d"), record("d"), record("c")}, nil)))
+	is.Equal(res.Header.Get(headers.Missing), "0")
+	parts := strings.Split(res.Header.Get(headers.Parts), ", ")
+	is.Equal(len(parts), 2)
+	is.Equal(a.last.RequestURI, "/q/x%2Fy?a=1")
+	is.Equal(a.last.Host, "h")
+	is.Equal(a.last.Header.Get(headers.Request), "r1")
+	is.Equal(a.last.Header.Get(headers.Target), "a")
+	is.Equal(a.last.Header.Get("X-Hop"), "")
+	left, err := strconv.Atoi(a.last.Header.Get(headers.Timeout))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 1500)
+}
+
+// Guards against answers with parts that are none, or that are fewer than the route
+// wants.
+func TestMissing(t *testing.T) {
+	whole := func() *fake { return target("a", "s1").records("a") }
+	for _, tt := range []struct {
+		name    string
+		quorum  float64
+		second  []*fake
+		status  int
+		missing string
+	}{
+		{"no target", 0.5, nil, 200, "1"},
+		{"no target and all wanted", 1, nil, 503, ""},
+		{"failure with a signature", 0.5, []*fake{target("b", "s2").status(500, true)}, 200, "1"},
+		{"failure with a signature and all wanted", 1, []*fake{target("b", "s2").status(500, true)}, 502, ""},
+		{"crossed reply", 0.5, []*fake{target("b", "s2").crossed()}, 200, "1"},
+		{"failure, then another target", 1, []*fake{target("b", "s2").status(500, true), target("c", "s2").records("b")}, 200, "0"},
+		{"reset, then another target", 1, []*fake{target("b", "s2").reset(), target("c", "s2").records("b")}, 200, "0"},
+		{"another instance has the address", 1, []*fake{target("b", "s2").status(421, false), target("c", "s2").records("b")}, 200, "0"},
+		{"hangs, hedged", 1, []*fake{target("b", "s2").hang(), target("c", "s2").records("b")}, 200, "0"},
+		{"hangs", 0.5, []*fake{target("b", "s2").hang()}, 200, "1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRig(t, shards(tt.quorum, "s1", "s2"), append(tt.second, whole())...)
+			if tt.second == nil {
+				g.view.Targets["s2"] = nil
+			}
+			started := time.Now()
+			res, body := g.get(t, nil)
+			is.Equal(res.StatusCode, tt.status)
+			is.Equal(res.Header.Get(headers.Missing), tt.missing)
+			is.True(!strings.Contains(body, "zzz"))
+			is.True(time.Since(started) < 1500*time.Millisecond)
+		})
+	}
+}
+
+// Guards against an answer that waits for a straggler past the objective although
+// enough shards have replied.
+func TestObjective(t *testing.T) {
+	is := is.New(t)
+	r := shards(0.5, "s1", "s2")
+	r.Objective, r.Attempts = 200*time.Millisecond, 1
+	g := newRig(t, r, target("a", "s1").records("a"), target("b", "s2").hang())
+	started := time.Now()
+	res, _ := g.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(res.Header.Get(headers.Missing), "1")
+	is.True(time.Since(started) >= r.Objective-ReplyMargin) // not before it is decided
+	is.True(time.Since(started) < time.Second)
+}
+
+// Guards against a request that runs twice, against a refusal that says "not run"
+// of one that has run, and against the end of a request that could have been sent on.
+func TestRepeat(t *testing.T) {
+	post := func(r *http.Request) {
+		r.Method = http.MethodPost
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader("body")), 4
+	}
+	refusing := func(name string) *fake { return target(name, "s1").status(503, false) }
+	for _, tt := range []struct {
+		name       string
+		idempotent bool
+		attempts   int
+		targets    []*fake
+		status     int
+		ran        int64
+	}{
+		{"answered", false, 3, []*fake{target("a", "s1").records("x")}, 200, 1},
+		{"not run by one", false, 2, []*fake{refusing("a"), target("b", "s1").records("x")}, 200, 1},
+		{"not run by any", false, 3, []*fake{refusing("a"), refusing("b")}, 503, 0},
+		{"reset after it ran", false, 3, []*fake{target("a", "s1").reset(), target("b", "s1").reset()}, 502, 1},
+		{"failed after it ran", false, 3, []*fake{target("a", "s1").status(500, true), target("b", "s1").status(500, true)}, 500, 1},
+		{"no reply", false, 3, []*fake{target("a", "s1").hang(), target("b", "s1").hang()}, 504, 1},
+		{"crossed reply", false, 3, []*fake{target("a", "s1").crossed(), target("b", "s1").crossed()}, 502, 1},
+		{"idempotent, reset", true, 2, []*fake{target("a", "s1").reset(), target("b", "s1").reset(), target("c", "s1").reset()}, 502, 2},
+		{"idempotent, no reply", true, 2, []*fake{target("a", "s1").hang(), target("b", "s1").hang(), target("c", "s1").hang()}, 504, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := backend(tt.idempotent, tt.attempts)
+			r.Timeout, r.Objective = 600*time.Millisecond, 200*time.Millisecond
+			g := newRig(t, r, tt.targets...)
+			res, _ := g.get(t, post)
+			is.Equal(res.StatusCode, tt.status)
+			is.Equal(res.Header.Get("Retry-After") != "", tt.status == http.StatusServiceUnavailable)
+			ran := int64(0)
+			for _, f := range tt.targets {
+				ran += f.ran.Load()
+				if f.asked.Load() > 0 {
+					is.Equal(f.body, "body")
+				}
+			}
+			is.Equal(ran, tt.ran)
+		})
+	}
+}
+
+// Guards against more extra requests than the budget has room for.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	a, b := target("a", "s1").status(500, true), target("b", "s1").status(500, true)
+	g := newRig(t, backend(true, 2), a, b)
+	g.service.RetryShare, g.service.RetrySlack = 0.2, 2
+	budget := g.service.Table.Budget("s1")
+	budget.Limit(2)
+	for budget.Extra(0.2) { // what fill has earned
+	}
+	const requests = 50
+	for range requests {
+		g.get(t, nil)
+	}
+	extra := a.asked.Load() + b.asked.Load() - requests
+	is.True(extra > 0)
+	is.True(extra <= requests/5+2)
+}
+
+// Guards against requests to targets that are cold, out of service or draining.
+func TestNoWork(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*View)
+	}{
+		{"cold", func(v *View) { v.Targets["s1"][0].State = control.Cold }},
+		{"out of service", func(v *View) { v.Out["c"] = true }},
+		{"gone", func(v *View) { v.Targets["s1"] = nil }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := target("a", "s1").records("x")
+			g := newRig(t, backend(true, 2), a)
+			tt.change(g.view)
+			res, _ := g.get(t, nil)
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(a.asked.Load(), int64(0))
+		})
+	}
+}
+
+// Guards against wrong answers of this host's own.
+func TestRefusals(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*http.Request)
+		status int
+	}{
+		{"no route", func(r *http.Request) { r.Host = "other" }, http.StatusNotFound},
+		{"no identity", func(r *http.Request) { r.Header.Del(headers.Request) }, http.StatusBadRequest},
+		{"too large", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 65))), 65
+		}, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			a := target("a", "s1").records("x")
+			g := newRig(t, backend(true, 2), a)
+			res, _ := g.get(t, tt.change)
+			is := is.New(t)
+			is.Equal(res.StatusCode, tt.status)
+			is.Equal(a.asked.Load(), int64(0))
+		})
+	}
+	t.Run("no document yet", func(t *testing.T) {
+		g := newRig(t, backend(true, 2), target("a", "s1").records("x"))
+		g.view = nil
+		res, _ := g.get(t, nil)
+		is.New(t).Equal(res.StatusCode, http.StatusServiceUnavailable)
+	})
+}
+
+// Guards against targets that keep working for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	a := target("a", "s1")
+	a.reply = func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	}
+	g := newRig(t, backend(true, 1), a)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, g.server.URL+"/q/", nil)
+	is.NoErr(err)
+	req.Host = "h"
+	req.Header.Set(headers.Request, "r1")
+	res, err := http.DefaultClient.Do(req)
+	if err == nil {
+		res.Body.Close()
+	}
+	is.True(err != nil)
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Fatal("the target still works")
+	}
+}
+
+// Guards against shares of a split that are off their weights.
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	var s splits
+	r := &routing.Route{Name: "r", Backends: []routing.Backend{{Service: "a", Weight: 1}, {Service: "b", Weight: 3}, {Service: "c", Weight: 0}}}
+	counts := map[string]int{}
+	for range 400 {
+		counts[s.pick(r)]++
+	}
+	is.Equal(counts, map[string]int{"a": 100, "b": 300})
+}
+
+// Guards against more requests to a cold target than this host's part of what it
+// bears.
+func TestColdGate(t *testing.T) {
+	is := is.New(t)
+	var gate coldGate
+	v := &View{Hosts: 2, Routing: routing.NewTable(&routing.Document{Services: []routing.Service{{Name: "s", ColdRate: 5}}})}
+	cold := &control.Target{Name: "t", Service: "s"}
+	sent := 0
+	now := time.Unix(50, 0)
+	for range 10 {
+		if gate.room(now, v, cold) {
+			gate.take(now, cold)
+			sent++
+		}
+	}
+	is.Equal(sent, 2)
+	is.True(gate.room(now.Add(time.Second), v, cold))
+	is.True(!gate.room(now, v, &control.Target{Name: "u", Service: "unknown"}))
+}
+
+// Guards against records that are lost or made up by the merge.
+func TestMerge(t *testing.T) {
+	body := func(texts ...string) []byte {
+		var out []byte
+		for _, text := range texts {
+			out = append(out, record(text)...)
+		}
+		return out
+	}
+	for i, tt := range []struct {
+		bodies [][]byte
+		limit  int
+		want   []byte
+	}{
+		{nil, 5, []byte{}},
+		{[][]byte{body("a", "c"), body("b")}, 5, body("c", "b", "a")},
+		{[][]byte{body("a", "c"), body("c")}, 2, body("c", "c")},
+		{[][]byte{append(body("a"), "rest"...), nil}, 5, body("a")},
+		{[][]byte{body("a")}, 0, []byte{}},
+	} {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			is.New(t).True(bytes.Equal(merge(tt.bodies, tt.limit), tt.want))
+		})
+	}
+}
--- a/route/budget.go
+++ b/route/budget.go
@@ -84,6 +84,7 @@
 		b.spent = ceiling
 	}
 	b.ceiling = ceiling
+	b.spent = min(b.spent, ceiling)
 }
 
 func (b *Budget) capacity() float64 {
