Log what a host believes of targets, name pending shards, give later services a full budget

Cause: after a repartitioning the retry budgets of the new services were empty, so that requests waited for targets that had just died: 504 with four shards without a reply. Change: a budget starts empty only within a budget window of a restart. Log lines for ejected and reinstated targets, followed targets, extra attempts and pending shards; lines on failed requests have the largest share of the volume.

--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -32,8 +32,6 @@
 // use. It is safe for concurrent use.
 type Limiter struct {
 	Clock clockwork.Clock
-	// PerSecond is the number of lines of one kind in a second.
-	PerSecond int
 
 	mu    sync.Mutex
 	kinds map[string]*kind
@@ -45,9 +43,9 @@
 	omitted int
 }
 
-// Allow reports whether a line of the kind may be written now, and how many lines
-// were left out since the last one.
-func (l *Limiter) Allow(name string) (omitted int, ok bool) {
+// Allow reports whether a line of the kind may be written now, given how many may be
+// in a second, and how many lines were left out since the last one.
+func (l *Limiter) Allow(name string, perSecond int) (omitted int, ok bool) {
 	now := l.Clock.Now().Unix()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -62,7 +60,7 @@
 	if k.second != now {
 		k.second, k.written = now, 0
 	}
-	if k.written >= l.PerSecond {
+	if k.written >= perSecond {
 		k.omitted++
 		return 0, false
 	}
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -13,21 +13,21 @@
 func TestLimiter(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClockAt(time.Unix(100, 0))
-	l := Limiter{Clock: clock, PerSecond: 2}
+	l := Limiter{Clock: clock}
 	written := 0
 	for range 10 {
-		if _, ok := l.Allow("refused"); ok {
+		if _, ok := l.Allow("refused", 2); ok {
 			written++
 		}
 	}
 	is.Equal(written, 2)
-	_, ok := l.Allow("other")
+	_, ok := l.Allow("other", 2)
 	is.True(ok)
 	clock.Advance(time.Second)
-	omitted, ok := l.Allow("refused")
+	omitted, ok := l.Allow("refused", 2)
 	is.True(ok)
 	is.Equal(omitted, 8)
-	omitted, _ = l.Allow("refused")
+	omitted, _ = l.Allow("refused", 2)
 	is.Equal(omitted, 0)
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -36,6 +36,9 @@
 	// hostMemory is for how long a host that was heard of still has its part of what
 	// hosts share.
 	hostMemory = 15 * time.Second
+	// beliefLines bounds the log lines per second on one kind of change of what this
+	// host believes, maxNames the names in one of them.
+	beliefLines, maxNames = 20, 32
 	// evidenceInterval is how often evidence for version moves is sent.
 	evidenceInterval = 500 * time.Millisecond
 )
@@ -55,7 +58,8 @@
 	wake chan struct{}
 	// known holds the hosts of the last time and when they were heard of.
 	known map[string]time.Time
-
+	// live holds the names of the targets in the view.
+	live map[string]bool
 	// tables is the table in force, refused the version of the newest document that
 	// could not be read. Both belong to the goroutine of follow.
 	tables  *routing.Table
@@ -111,7 +115,7 @@
 		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.changed,
 	}
 	e.pool = &limit.Pool{Clock: e.Clock, Drain: discard, Unframed: true}
-	e.table = &route.Table{Centre: e.Settings.Centre}
+	e.table = &route.Table{Centre: e.Settings.Centre, Judged: e.judged}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
 		View: e.view.Load, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack,
@@ -121,6 +125,9 @@
 		},
 	}
 	e.pool.Valid = e.relay.CheckReply
+	if !e.Settings.Found {
+		e.relay.BudgetsEmpty = e.Clock.Now().Add(e.Settings.RetryWindow)
+	}
 }
 
 // self is what this host tells the control hosts.
@@ -182,11 +189,46 @@
 		}
 	}
 	e.table.Forget(live)
+	e.logTargets(live)
 	e.moves.Store(&control.View{Moves: shared.Moves})
 	e.view.Store(v)
 	return next
 }
 
+// judged logs that a target gets probes only, or work again.
+func (e *Entry) judged(j route.Judgement) {
+	omitted, ok := e.events.Allow("judged", beliefLines)
+	if !ok {
+		return
+	}
+	e.Log.Info().Str("target", j.Target).Str("born", j.Incarnation).Bool("ejected", j.Ejected).Str("reason", j.Reason).
+		Dur("probe", j.After).Dur("latency", j.Latency).Float64("failures", j.Failures).Float64("shed", j.Shed).
+		Int("omitted", omitted).Msg("target judged")
+}
+
+// logTargets logs which targets may get work that could not before, and which may not
+// any more.
+func (e *Entry) logTargets(live map[string]bool) {
+	difference := func(a, b map[string]bool) []string {
+		var names []string
+		for name := range a {
+			if !b[name] && len(names) < maxNames {
+				names = append(names, name)
+			}
+		}
+		slices.Sort(names)
+		return names
+	}
+	added, removed := difference(live, e.live), difference(e.live, live)
+	e.live = live
+	if len(added)+len(removed) == 0 {
+		return
+	}
+	if omitted, ok := e.events.Allow("targets", beliefLines); ok {
+		e.Log.Info().Strs("added", added).Strs("removed", removed).Int("all", len(live)).Int("omitted", omitted).Msg("targets followed")
+	}
+}
+
 // routes returns the table of the newest routing document that could be read.
 func (e *Entry) routes(r *control.Routing) *routing.Table {
 	if r.Version == 0 && len(r.Source) == 0 || e.tables != nil && e.tables.Document.Version >= r.Version || r.Version == e.refused && r.Version != 0 {
--- a/node/process.go
+++ b/node/process.go
@@ -32,8 +32,6 @@
 	// memoryShare is the part of the memory at which the garbage collector works
 	// harder; the rest is for stacks and buffers of the kernel.
 	memoryShare = 0.7
-	// linesPerSecond bounds the log lines of one kind of event.
-	linesPerSecond = 10
 )
 
 // Process is what entry hosts and control hosts have in common. Exported fields are
@@ -65,7 +63,7 @@
 func (p *Process) init() {
 	p.seeds.CompareAndSwap(nil, &p.Settings.Seeds)
 	p.start = p.Clock.Now().UnixNano()
-	p.events = &eventlog.Limiter{Clock: p.Clock, PerSecond: linesPerSecond}
+	p.events = &eventlog.Limiter{Clock: p.Clock}
 	if p.Settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.Memory)))
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -41,6 +41,8 @@
 	Heartbeat time.Duration
 	// RetryShare and RetrySlack bound the extra requests of all hosts together.
 	RetryShare, RetrySlack float64
+	// RetryWindow is the span of time that the bound holds for.
+	RetryWindow time.Duration
 	// Keep is how long callers may use an answer to where to connect.
 	Keep time.Duration
 	// Stop is how long a planned stop may take.
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -81,7 +81,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(f.retry.Seconds(), 'f', 3, 64))
 	}
 	s.Metrics.request(f.route, f.status)
-	if omitted, ok := s.Events.Allow("refused"); ok {
+	if omitted, ok := s.Events.Allow("refused", failedLines); ok {
 		s.Log.Warn().Str("request", r.Header.Get(s.Headers.Request)).Str("route", f.route).Str("host", r.Host).Str("path", r.URL.Path).
 			Int("status", f.status).Str("reason", f.reason).Int("omitted", omitted).Msg("request refused")
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -186,7 +186,7 @@
 	if r.outcome == route.Success || r.outcome == route.Cancelled {
 		return
 	}
-	omitted, ok := s.Events.Allow("attempt")
+	omitted, ok := s.Events.Allow("attempt", failedLines)
 	if !ok {
 		return
 	}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -7,7 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wasabirelay/limit"
+	"wasabirelay/route"
 )
 
 // gather answers a request from one target of each shard. It answers when all
@@ -27,21 +30,27 @@
 	s.failed(w, j, failed)
 }
 
-// collect asks all shards. It returns the parts and the shards that failed.
+// errPending is the reason of a shard that has not replied when the answer is sent.
+var errPending = errors.New("no reply yet")
+
+// collect asks all shards. It returns the parts, and the shards that failed or have
+// not replied.
 func (s *Service) collect(ctx context.Context, j *job) (parts, failed []result) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	shards, needed := j.route.Shards, j.route.Needed()
-	results := make(chan result, len(shards))
-	for _, service := range shards {
+	results := make(chan result, len(j.route.Shards))
+	pending := make(map[string]bool, len(j.route.Shards))
+	for _, service := range j.route.Shards {
+		pending[service] = true
 		go func() { results <- s.fetch(ctx, j, service) }()
 	}
 	timer := s.Clock.NewTimer(j.started.Add(j.route.Objective - ReplyMargin).Sub(s.Clock.Now()))
 	defer timer.Stop()
-	late := false
-	for len(parts)+len(failed) < len(shards) {
+	late, ended := false, false
+	for len(pending) > 0 && !ended && !(late && len(parts) >= j.route.Needed()) {
 		select {
 		case r := <-results:
+			delete(pending, r.service)
 			if r.good() {
 				parts = append(parts, r)
 			} else {
@@ -50,12 +59,12 @@
 		case <-timer.Chan():
 			late = true
 		case <-ctx.Done():
-			return parts, failed
-		}
-		if late && len(parts) >= needed {
-			return parts, failed
+			ended = true
 		}
 	}
+	for service := range pending {
+		failed = append(failed, result{service: service, outcome: route.TimedOut, ran: true, err: errPending})
+	}
 	return parts, failed
 }
 
@@ -77,18 +86,14 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(body) // the caller has gone if this fails
-	s.finished(j, http.StatusOK, missing, failed)
+	s.finished(j, http.StatusOK, missing, extra(parts)+extra(failed), failed)
 }
 
 // failed sends the final answer to a request that too few shards have replied to.
 func (s *Service) failed(w http.ResponseWriter, j *job, failed []result) {
-	ran := len(failed) == 0 // shards that have not ended may have run it
-	var worst *result
+	ran := false
 	for i := range failed {
 		ran = ran || failed[i].ran
-		if worst == nil || failed[i].ran && !worst.ran {
-			worst = &failed[i]
-		}
 	}
 	f := &refusal{status: http.StatusServiceUnavailable, reason: "too few shards can be asked", retry: retryAfter, route: j.route.Name}
 	if ran {
@@ -97,9 +102,7 @@
 	if !s.Clock.Now().Before(j.deadline) {
 		f.status, f.retry = http.StatusGatewayTimeout, 0
 	}
-	if worst != nil {
-		f.reason += ": " + worst.service + ": " + worst.reason()
-	}
+	f.reason += ": " + failures(failed)
 	s.refuse(w, j.Request, f)
 }
 
@@ -109,7 +112,7 @@
 	switch {
 	case r.response != nil && r.ran && r.err == nil:
 		s.reply(w, j, r.response)
-		s.finished(j, r.response.Status, 0, nil)
+		s.finished(j, r.response.Status, 0, extra([]result{r}), nil)
 	case j.Context().Err() != nil:
 		s.gone(j)
 	case !r.ran:
@@ -141,33 +144,42 @@
 // gone records that the caller left before there was an answer.
 func (s *Service) gone(j *job) {
 	s.Metrics.request(j.route.Name, 0)
-	if omitted, ok := s.Events.Allow("gone"); ok {
+	if omitted, ok := s.Events.Allow("gone", degradedLines); ok {
 		s.Log.Info().Str("request", j.id).Str("route", j.route.Name).Dur("after", s.Clock.Since(j.started)).
 			Int("omitted", omitted).Msg("caller left")
 	}
 }
 
 // finished records an answer. Complete answers in time are sampled.
-func (s *Service) finished(j *job, status, missing int, failed []result) {
+func (s *Service) finished(j *job, status, missing, repeated int, failed []result) {
 	took := s.Clock.Since(j.started)
 	s.Metrics.request(j.route.Name, status)
 	s.Metrics.answer(j.route.Name, took, missing)
-	kind := "answered"
+	kind, lines := "answered", answeredLines
 	if missing > 0 || status >= http.StatusInternalServerError || took > j.route.Objective {
-		kind = "degraded"
+		kind, lines = "degraded", degradedLines
 	}
-	omitted, ok := s.Events.Allow(kind)
+	omitted, ok := s.Events.Allow(kind, lines)
 	if !ok {
 		return
 	}
 	e := s.Log.Info().Str("request", j.id).Str("route", j.route.Name).Uint64("routing", j.view.Routing.Document.Version).
-		Int("status", status).Int("missing", missing).Dur("took", took).Dur("objective", j.route.Objective).Int("omitted", omitted)
+		Int("status", status).Int("missing", missing).Int("extra", repeated).Dur("took", took).Dur("objective", j.route.Objective).Int("omitted", omitted)
 	if len(failed) > 0 {
 		e = e.Str("failed", failures(failed))
 	}
 	e.Msg("request " + kind)
 }
 
+// extra counts the attempts beyond the first ones: hedges and retries.
+func extra(results []result) int {
+	n := 0
+	for i := range results {
+		n += max(0, results[i].attempts-1)
+	}
+	return n
+}
+
 // failures lists the shards that failed with their reasons.
 func failures(failed []result) string {
 	const shown = 4
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,10 @@
 	// retryAfter is when a caller whose request has not run may come back: by then
 	// a queue of a target has drained.
 	retryAfter = 100 * time.Millisecond
+	// failedLines, degradedLines and answeredLines bound the log lines per second on
+	// requests that got no success, that got an incomplete or late one, and on the
+	// others: when there is too much to write, what explains failures is left out last.
+	failedLines, degradedLines, answeredLines = 100, 20, 2
 	// maxUnsent bounds the targets that are tried for a request without any being sent.
 	maxUnsent = 4
 )
@@ -84,6 +88,9 @@
 	// RetryShare is the share of extra requests, RetrySlack the constant beside it,
 	// for all hosts together.
 	RetryShare, RetrySlack float64
+	// BudgetsEmpty is until when a service that is used for the first time gets no part
+	// of RetrySlack in advance: an earlier run of this process may have used it.
+	BudgetsEmpty time.Time
 	// Observe, if set, is called with the outcome of each request to a target.
 	Observe func(t *control.Target, route string, latency time.Duration, o route.Outcome)
 	// Draining reports whether callers are told to leave.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -147,7 +147,7 @@
 	clock := clockwork.NewRealClock()
 	g := &rig{view: view}
 	g.service = &Service{
-		Headers: headers, Clock: clock, Log: zerolog.Nop(), Events: &eventlog.Limiter{Clock: clock, PerSecond: 1},
+		Headers: headers, Clock: clock, Log: zerolog.Nop(), Events: &eventlog.Limiter{Clock: clock},
 		Pool: &limit.Pool{Drain: 50 * time.Millisecond, Unframed: true}, Table: &route.Table{Centre: "c"},
 		View: func() *View { return g.view }, RetryShare: 1, RetrySlack: 100, Draining: func() bool { return false },
 	}
@@ -163,7 +163,7 @@
 func (g *rig) fill() {
 	for service := range g.view.Targets {
 		b := g.service.Table.Budget(service)
-		b.Limit(g.service.RetrySlack)
+		b.Limit(g.service.RetrySlack, true)
 		for range int(g.service.RetrySlack) {
 			b.Sent()
 		}
@@ -336,7 +336,7 @@
 	g := newRig(t, backend(true, 2), a, b)
 	g.service.RetryShare, g.service.RetrySlack = 0.2, 2
 	budget := g.service.Table.Budget("s1")
-	budget.Limit(2)
+	budget.Limit(2, true)
 	for budget.Extra(0.2) { // what fill has earned
 	}
 	const requests = 50
--- a/route/budget.go
+++ b/route/budget.go
@@ -75,12 +75,13 @@
 	b.sent = 0
 }
 
-// Limit sets the constant by which the extra load may exceed its share. The first
-// call also empties the budget: the process before this one may have just used it.
-func (b *Budget) Limit(ceiling float64) {
+// Limit sets the constant by which the extra load may exceed its share. With empty,
+// the first call empties the budget: the process before this one may have just used
+// it.
+func (b *Budget) Limit(ceiling float64, empty bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ceiling == 0 {
+	if b.ceiling == 0 && empty {
 		b.spent = ceiling
 	}
 	b.ceiling = ceiling
--- a/route/cost.go
+++ b/route/cost.go
@@ -31,6 +31,7 @@
 
 // record is what is known about one incarnation of a target.
 type record struct {
+	name                  string
 	incarnation, previous string
 	replaced              bool
 	inFlight              int
--- a/route/health.go
+++ b/route/health.go
@@ -177,6 +177,22 @@
 	}
 	r.ejected, r.reason, r.since = true, why, now
 	t.extend(now, r)
+	t.judged(now, r)
+}
+
+// judged reports a change of the ejection of a target.
+func (t *Table) judged(now time.Time, r *record) {
+	if t.Judged == nil {
+		return
+	}
+	j := Judgement{
+		Target: r.name, Incarnation: r.incarnation, Ejected: r.ejected, Latency: time.Duration(r.latency),
+		Failures: r.failures, Shed: r.shedShare(now),
+	}
+	if r.ejected {
+		j.Reason, j.After = string(r.reason), r.due.Sub(now)
+	}
+	t.Judged(j)
 }
 
 // extend sets the time of the next probe.
@@ -193,6 +209,7 @@
 	r.ejected, r.since, r.probing = false, now, time.Time{}
 	r.failures = 0
 	r.latency, r.sampled = float64(latency), now
+	t.judged(now, r)
 }
 
 // probe returns an ejected replica that is due for a probe. One probe of a target
--- a/route/route.go
+++ b/route/route.go
@@ -85,6 +85,9 @@
 	// Rand makes the random choices; nil stands for a source with a random seed. It is
 	// used under the lock of the table and must not be shared.
 	Rand *rand.Rand
+	// Judged, if set, is called under the lock of the table when a target is ejected
+	// or reinstated. It must not call the table.
+	Judged func(Judgement)
 
 	mu       sync.Mutex
 	targets  map[string]*record
@@ -92,6 +95,19 @@
 	counts   counts
 }
 
+// Judgement is a change of what this host believes about a target.
+type Judgement struct {
+	Target, Incarnation string
+	// Ejected states that the target gets only probes, for Reason, the next one After.
+	Ejected bool
+	Reason  string
+	After   time.Duration
+	// Latency is the learned latency, Failures and Shed the shares of failed and
+	// refused sub-requests.
+	Latency        time.Duration
+	Failures, Shed float64
+}
+
 // Pick returns the replica that gets the sub-request. It reports false if no
 // replica is left that is neither excluded, disallowed nor draining. Ejected
 // replicas are chosen only for a probe or if no other is left.
@@ -229,7 +245,7 @@
 	case ok && rec.previous == target.Incarnation && rec.replaced:
 		return &record{}
 	}
-	fresh := &record{incarnation: target.Incarnation}
+	fresh := &record{name: target.Name, incarnation: target.Incarnation}
 	if ok {
 		fresh.previous, fresh.replaced = rec.incarnation, true
 	}
