Decide by the connection when an incomplete answer is due, open connections sparingly

Cause: on the grown deployment callers come on new connections and lost their objective to the margin for kept ones; hedges waited for new connections; idle connections beyond need were opened and expired again and again. Change: a larger margin for the first request on a connection; one connection ahead to each warm target, none beyond, and none again after one expired unused.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -67,11 +67,14 @@
 	c.conn.Close()
 }
 
+// expired reports whether the target is about to close the idle connection.
+func (c *connection) expired() bool { return !c.expires.IsZero() && time.Now().After(c.expires) }
+
 // usable reports whether the target has neither closed the idle connection nor sent
 // anything on it. Without this check, the first sub-requests after a restart of the
 // target would be lost although they can be sent safely on a new connection.
 func (c *connection) usable() bool {
-	if c.last || c.reader.Buffered() > 0 || !c.expires.IsZero() && time.Now().After(c.expires) {
+	if c.last || c.reader.Buffered() > 0 || c.expired() {
 		return false
 	}
 	sc, ok := c.raw.Conn.(syscall.Conn)
--- a/limit/member.go
+++ b/limit/member.go
@@ -63,6 +63,8 @@
 	// quiet is the time until which no connection is opened ahead, after pause.
 	quiet time.Time
 	pause time.Duration
+	// unneeded states that a connection has expired unused since the last use.
+	unneeded bool
 
 	stats TargetStats
 }
--- a/limit/open.go
+++ b/limit/open.go
@@ -23,6 +23,7 @@
 // connection that was closed by the target while it was idle is not returned.
 func (m *member) take(ctx context.Context) (*connection, error) {
 	m.mu.Lock()
+	m.unneeded = false
 	for len(m.idle) > 0 {
 		last := len(m.idle) - 1
 		c := m.idle[last]
@@ -66,17 +67,21 @@
 	}
 }
 
-// sweep drops idle connections that the target has closed and opens others.
+// sweep drops idle connections that the target has closed and opens others. One that
+// nobody needed for as long as the target keeps it is not replaced before the next use.
 func (m *member) sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	unneeded := false
 	m.idle = slices.DeleteFunc(m.idle, func(c *connection) bool {
 		if c.usable() {
 			return false
 		}
+		unneeded = unneeded || c.expired()
 		m.drop(c)
 		return true
 	})
+	m.unneeded = m.unneeded || unneeded
 	m.fill()
 }
 
@@ -119,11 +124,11 @@
 // ahead is the number of connections to open ahead of use: up to Warm, and one more
 // than there are sub-requests in flight, so that the next does not wait for it.
 func (m *member) ahead() int {
-	if m.pool.clock().Now().Before(m.quiet) {
+	if m.unneeded || m.pool.clock().Now().Before(m.quiet) {
 		return 0
 	}
 	wanted := m.share.Warm
-	if m.inUse > 0 {
+	if m.inUse > 0 && !m.share.Lean {
 		wanted = max(wanted, m.inUse+1)
 	}
 	return wanted - m.open
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -41,6 +41,9 @@
 	Slots int
 	// Warm is the number of connections that are opened ahead of use.
 	Warm int
+	// Lean states that no more than Warm connections are opened ahead, also while
+	// others are in use.
+	Lean bool
 }
 
 // Pool sends sub-requests over HTTP/1.1 connections within the shares of this
--- a/limit/reply_test.go
+++ b/limit/reply_test.go
@@ -86,3 +86,21 @@
 		})
 	}
 }
+
+// Guards against connections that are opened again and again for nobody: beyond those
+// kept ahead, and after one has expired unused.
+func TestLean(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, 4, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Keep-Alive", "timeout=0") })
+	g.share.Warm, g.share.Lean = 1, true
+	g.pool.SetShares(map[string]Share{"t0": g.share})
+	_, err := g.ask(t)
+	is.NoErr(err)
+	dials := g.dials.Load()
+	is.True(dials <= 2) // the one ahead, and one if the request came before it was open
+	g.pool.Sweep()      // the connection has expired
+	g.pool.Sweep()
+	is.Equal(g.dials.Load(), dials)
+	_, err = g.ask(t)
+	is.NoErr(err)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -279,15 +279,15 @@
 	out := make(map[string]limit.Share, len(all))
 	for _, t := range all {
 		n := counts[t.Name]
-		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(t), n)}
+		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(t), n), Lean: true}
 	}
 	return out
 }
 
-// warm is the number of connections that are opened ahead of use: one to a target
-// nearby.
+// warm is the number of connections that are opened ahead of use: one to each target
+// that may get work, so that a hedge does not wait for a new one.
 func (e *Entry) warm(t *control.Target) int {
-	if t.State == control.Warm && t.Centre == e.Settings.Centre {
+	if t.State == control.Warm {
 		return 1
 	}
 	return 0
--- a/node/process.go
+++ b/node/process.go
@@ -20,6 +20,7 @@
 
 	"wasabirelay/eventlog"
 	"wasabirelay/peer"
+	"wasabirelay/relay"
 )
 
 const (
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, ConnContext: relay.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.servers = append(p.servers, server)
 	g.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -43,6 +43,7 @@
 		return nil, refused
 	}
 	j := &job{Request: r, body: body, id: id, view: view, route: rt, started: started}
+	j.decide = started.Add(rt.Objective - margin(r))
 	j.deadline = started.Add(s.timeout(r, rt) - endMargin)
 	return j, nil
 }
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -44,7 +44,7 @@
 		pending[service] = true
 		go func() { results <- s.fetch(ctx, j, service) }()
 	}
-	timer := s.Clock.NewTimer(j.started.Add(j.route.Objective - ReplyMargin).Sub(s.Clock.Now()))
+	timer := s.Clock.NewTimer(j.decide.Sub(s.Clock.Now()))
 	defer timer.Stop()
 	late, ended := false, false
 	for len(pending) > 0 && !ended && !(late && len(parts) >= j.route.Needed()) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -38,9 +40,12 @@
 
 const (
 	// ReplyMargin is how long before the objective an incomplete answer is sent: the
-	// way from and to a caller in the same region, 3 ms each, twice for the caller's
-	// new connection, and some milliseconds to merge and write.
-	ReplyMargin = 16 * time.Millisecond
+	// way from and to a caller in the same region, 3 ms each, and as much to merge,
+	// write and wait for the processor.
+	ReplyMargin = 12 * time.Millisecond
+	// ConnectMargin comes on top for the first request on a connection, which the
+	// caller had to ask an address for and to open: a round trip each.
+	ConnectMargin = 12 * time.Millisecond
 	// endMargin is how long before its deadline a request gets its final answer, so
 	// that the answer arrives while the caller still waits.
 	endMargin = 15 * time.Millisecond
@@ -111,6 +116,28 @@
 	route    *routing.Route
 	started  time.Time
 	deadline time.Time
+	// decide is when an incomplete answer is better than a late one.
+	decide time.Time
+}
+
+// connectionKey is the key of the state of a caller's connection in its context.
+type connectionKey struct{}
+
+// connection is the state of a caller's connection.
+type connection struct{ used atomic.Bool }
+
+// ConnContext is for http.Server.ConnContext: it lets the relay tell the first request
+// on a connection from the others.
+func ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, &connection{})
+}
+
+// margin is how long before the objective an answer to the request has to be sent.
+func margin(r *http.Request) time.Duration {
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.used.Swap(true) {
+		return ReplyMargin + ConnectMargin
+	}
+	return ReplyMargin
 }
 
 // ServeHTTP relays one request.
