Move attempts that have not left this host to another target

Cause: requests waited for connections to targets that had just died, and the budget for hedges was spent on attempts that no target had received. Change: when the hedge delay passes and nothing of an attempt has been sent, it is withdrawn and another target is asked without budget, for all kinds of request.

--- a/daemon/docs_test.go
+++ b/daemon/docs_test.go
@@ -29,7 +29,7 @@
 // Guards against examples on the pages that the programs refuse.
 func TestExamplesOfThePages(t *testing.T) {
 	is := is.New(t)
-	_, err := settings.Parse("OPERATING.md", block(t, "OPERATING.md"))
+	_, err := settings.Parse("OPERATIONS.md", block(t, "OPERATIONS.md"))
 	is.NoErr(err)
 	_, err = inventory.Parse("design.md", block(t, "design.md"))
 	is.NoErr(err)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,6 +27,8 @@
 	// ran states that the request may have run.
 	ran bool
 	err error
+	// withdrawn states that the attempt was given up before anything was sent.
+	withdrawn bool
 	// attempts is the number of targets that the request was sent to.
 	attempts int
 }
@@ -46,8 +48,9 @@
 }
 
 var (
-	errNoTarget = errors.New("no target can take the request")
-	errUnsigned = errors.New("the reply has no signature")
+	errNoTarget  = errors.New("no target can take the request")
+	errWithdrawn = errors.New("given up before it was sent")
+	errUnsigned  = errors.New("the reply has no signature")
 )
 
 // CheckReply reports why a reply does not belong to the request. It is for
@@ -61,7 +64,8 @@
 }
 
 // attempt sends the request to a target and waits for the reply.
-func (s *Service) attempt(ctx context.Context, j *job, t *control.Target) result {
+func (s *Service) attempt(ctx context.Context, j *job, y *try) result {
+	t := y.target
 	out := result{service: t.Service, target: t}
 	permit, err := s.Pool.Acquire(ctx, t)
 	if err != nil {
@@ -69,13 +73,15 @@
 		if ctx.Err() != nil {
 			out.outcome = route.Cancelled
 		}
+		out.withdrawn = y.state.Load() == withdrawn
 		return out
 	}
 	started := s.Clock.Now()
 	s.Table.Start(started, t)
-	out.response, err = s.Pool.Do(ctx, permit, s.request(j, t), nil)
+	out.response, err = s.Pool.Do(ctx, permit, s.request(j, t), y.commit)
 	now := s.Clock.Now()
 	s.classify(ctx, &out, err)
+	out.withdrawn = y.state.Load() == withdrawn
 	permit.Release(permitResult(out.outcome))
 	s.Table.Done(now, t, j.route.Name, now.Sub(started), out.outcome)
 	s.Metrics.attempt(t.Service, out.outcome, now.Sub(started))
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"wasabirelay/control"
@@ -32,11 +33,19 @@
 				return f.last
 			}
 		case <-timer.Chan():
-			if j.route.Idempotent && f.sent < j.route.Attempts && budget.Extra(s.RetryShare) {
+			switch {
+			case f.newest.withdraw():
+				// Nothing has left this host, so another target costs no budget.
+				f.sent--
+				f.unsent++
+				if f.unsent < maxUnsent && f.launch() {
+					timer.Reset(s.hedgeDelay(j))
+				}
+			case j.route.Idempotent && f.sent < j.route.Attempts && budget.Extra(s.RetryShare):
 				f.launch()
 			}
 		case <-ctx.Done():
-			f.last = result{service: service, outcome: route.TimedOut, err: ctx.Err(), ran: f.sent > 0, target: f.newest, attempts: f.sent}
+			f.last = result{service: service, outcome: route.TimedOut, err: ctx.Err(), ran: f.sent > 0, target: f.newest.target, attempts: f.sent}
 			return f.last
 		}
 	}
@@ -52,27 +61,68 @@
 	results chan result
 	// sent counts the attempts that may have reached a target, unsent the others.
 	sent, unsent, inFlight int
-	newest                 *control.Target
+	newest                 *try
 	last                   result
 }
 
+// try is one attempt on its way to a target.
+type try struct {
+	target *control.Target
+	cancel context.CancelFunc
+	state  atomic.Int32
+}
+
+// States of a try.
+const (
+	waiting   = iota // for room or for a connection
+	committed        // the first byte is about to leave
+	withdrawn
+)
+
+// withdraw ends the try if nothing of it has left this host.
+func (y *try) withdraw() bool {
+	if !y.state.CompareAndSwap(waiting, withdrawn) {
+		return false
+	}
+	y.cancel()
+	return true
+}
+
+// commit is called directly before the first byte is sent. The error says that
+// nothing may be sent.
+func (y *try) commit() error {
+	if !y.state.CompareAndSwap(waiting, committed) {
+		return errWithdrawn
+	}
+	return nil
+}
+
 // launch sends the request to one more target. It reports false if there is none.
 func (f *fetching) launch() bool {
 	t, ok := f.pick(f.j, f.service, f.exclude)
 	if !ok {
 		return false
 	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	y := &try{target: t, cancel: cancel}
 	f.exclude[t.Name] = true
-	f.newest = t
+	f.newest = y
 	f.sent++
 	f.inFlight++
-	go func() { f.results <- f.attempt(f.ctx, f.j, t) }()
+	go func() {
+		defer cancel()
+		f.results <- f.attempt(ctx, f.j, y)
+	}()
 	return true
 }
 
 // received takes the end of an attempt. It reports whether the fetch is over.
 func (f *fetching) received(r result, budget func() bool) bool {
 	f.inFlight--
+	if r.withdrawn {
+		f.keep(r)
+		return f.inFlight == 0
+	}
 	if r.outcome == route.Success {
 		f.last = r
 		return true
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -47,7 +47,7 @@
 	timer := s.Clock.NewTimer(j.decide.Sub(s.Clock.Now()))
 	defer timer.Stop()
 	late, ended := false, false
-	for len(pending) > 0 && !ended && !(late && len(parts) >= j.route.Needed()) {
+	for len(pending) > 0 && !ended && (!late || len(parts) < j.route.Needed()) {
 		select {
 		case r := <-results:
 			delete(pending, r.service)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -329,6 +329,35 @@
 	}
 }
 
+// Guards against requests that wait for a connection to a dead target while another
+// could answer, and against a cost of that in the budget or a second run.
+func TestDeadTarget(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		r := backend(idempotent, 1)
+		r.Objective = 200 * time.Millisecond
+		a, b := target("a", "s1").records("x"), target("b", "s1").records("x")
+		g := newRig(t, r, a, b)
+		dead := g.view.Targets["s1"][0].Address.String()
+		g.service.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == dead {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+		g.service.RetryShare = 0
+		for range 10 {
+			started := time.Now()
+			res, _ := g.get(t, nil)
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.True(time.Since(started) < r.Objective)
+		}
+		is.Equal(a.ran.Load(), int64(0))
+		is.Equal(b.ran.Load(), int64(10))
+	}
+}
+
 // Guards against more extra requests than the budget has room for.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
