Leave busy shards out, let single requests wait, wait for the first document after a start

Cause: an attempt that waited for room was withdrawn even where no other target was left, and the request refused with time to spare; requests that came directly after a start were refused although the first document came 0.2 s later.

--- a/node/entry.go
+++ b/node/entry.go
@@ -56,6 +56,8 @@
 	evidence move.Collector
 	// wake asks for a new view.
 	wake chan struct{}
+	// first is closed with the first view.
+	first chan struct{}
 	// known holds the hosts of the last time and when they were heard of.
 	known map[string]time.Time
 	// live holds the names of the targets in the view.
@@ -108,7 +110,7 @@
 }
 
 func (e *Entry) prepare() {
-	e.wake = make(chan struct{}, 1)
+	e.wake, e.first = make(chan struct{}, 1), make(chan struct{})
 	e.known = map[string]time.Time{}
 	e.moves.Store(&control.View{})
 	e.client = exchange.Client{
@@ -118,7 +120,7 @@
 	e.table = &route.Table{Centre: e.Settings.Centre, Judged: e.judged}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
-		View: e.view.Load, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack,
+		View: e.view.Load, Known: e.first, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack,
 		Draining: e.draining.Load, Metrics: relay.NewMetrics(e.Registry),
 		Observe: func(t *control.Target, name string, latency time.Duration, o route.Outcome) {
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
@@ -191,7 +193,9 @@
 	e.table.Forget(live)
 	e.logTargets(live)
 	e.moves.Store(&control.View{Moves: shared.Moves})
-	e.view.Store(v)
+	if e.view.Swap(v) == nil {
+		close(e.first)
+	}
 	return next
 }
 
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -24,7 +24,7 @@
 // accept reads the request and finds its route.
 func (s *Service) accept(r *http.Request) (*job, *refusal) {
 	started := s.Clock.Now()
-	view := s.View()
+	view := s.firstView(r)
 	if view == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no routing document is known yet", retry: retryAfter}
 	}
@@ -48,13 +48,41 @@
 	return j, nil
 }
 
+// firstView returns the view. Directly after the start of this host it waits for the
+// first one: that comes sooner than the caller could try again.
+func (s *Service) firstView(r *http.Request) *View {
+	if v := s.View(); v != nil || s.Known == nil {
+		return v
+	}
+	wait := startWait
+	if left := s.callerTimeout(r); left > 0 {
+		wait = min(wait, time.Duration(startShare*float64(left)))
+	}
+	timer := s.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-s.Known:
+	case <-timer.Chan():
+	case <-r.Context().Done():
+	}
+	return s.View()
+}
+
 // timeout is how long the caller and the route let the request wait.
 func (s *Service) timeout(r *http.Request, rt *routing.Route) time.Duration {
+	if left := s.callerTimeout(r); left > 0 {
+		return min(left, rt.Timeout)
+	}
+	return rt.Timeout // without a usable header, the route's bound holds alone
+}
+
+// callerTimeout is how long the caller waits, or 0 if it did not say so readably.
+func (s *Service) callerTimeout(r *http.Request) time.Duration {
 	ms, err := strconv.ParseFloat(r.Header.Get(s.Headers.Timeout), 64)
 	if err != nil || ms <= 0 {
-		return rt.Timeout // without a usable header, the route's bound holds alone
+		return 0
 	}
-	return min(time.Duration(ms*float64(time.Millisecond)), rt.Timeout)
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 func readBody(r *http.Request, bound int) ([]byte, *refusal) {
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -34,14 +34,12 @@
 			}
 		case <-timer.Chan():
 			switch {
-			case f.newest.withdraw():
-				// Nothing has left this host, so another target costs no budget.
-				f.sent--
-				f.unsent++
-				if f.unsent < maxUnsent && f.launch() {
-					timer.Reset(s.hedgeDelay(j))
-				}
-			case j.route.Idempotent && f.sent < j.route.Attempts && budget.Extra(s.RetryShare):
+			case f.move():
+				timer.Reset(s.hedgeDelay(j))
+			case len(j.route.Shards) > 0 && f.newest.withdraw():
+				// All targets of the shard are busy. The answer does without it, or the caller
+				// is refused while there is time to come back: a longer queue helps nobody.
+			case f.newest.state.Load() == committed && j.route.Idempotent && f.sent < j.route.Attempts && budget.Extra(s.RetryShare):
 				f.launch()
 			}
 		case <-ctx.Done():
@@ -100,9 +98,30 @@
 // launch sends the request to one more target. It reports false if there is none.
 func (f *fetching) launch() bool {
 	t, ok := f.pick(f.j, f.service, f.exclude)
-	if !ok {
+	if ok {
+		f.start(t)
+	}
+	return ok
+}
+
+// move gives up the newest attempt, of which nothing has left this host, for another
+// target; that costs no budget. Without another target the attempt goes on waiting.
+func (f *fetching) move() bool {
+	if f.newest.state.Load() != waiting || f.unsent >= maxUnsent {
+		return false
+	}
+	t, ok := f.pick(f.j, f.service, f.exclude)
+	if !ok || !f.newest.withdraw() {
 		return false
 	}
+	f.sent--
+	f.unsent++
+	f.start(t)
+	return true
+}
+
+// start sends the request to a target.
+func (f *fetching) start(t *control.Target) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	y := &try{target: t, cancel: cancel}
 	f.exclude[t.Name] = true
@@ -113,7 +132,6 @@
 		defer cancel()
 		f.results <- f.attempt(ctx, f.j, y)
 	}()
-	return true
 }
 
 // received takes the end of an attempt. It reports whether the fetch is over.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,6 +62,10 @@
 	// requests that got no success, that got an incomplete or late one, and on the
 	// others: when there is too much to write, what explains failures is left out last.
 	failedLines, degradedLines, answeredLines = 100, 20, 2
+	// startShare is the part of the caller's time, and startWait the time, for which a
+	// request waits for the first routing document after the start of this host.
+	startShare = 0.3
+	startWait  = time.Second
 	// maxUnsent bounds the targets that are tried for a request without any being sent.
 	maxUnsent = 4
 )
@@ -90,6 +94,8 @@
 	Table   *route.Table
 	// View returns the current view, or nil before a routing document is known.
 	View func() *View
+	// Known is closed once there is a view; nil stands for one that is there.
+	Known <-chan struct{}
 	// RetryShare is the share of extra requests, RetrySlack the constant beside it,
 	// for all hosts together.
 	RetryShare, RetrySlack float64
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -358,6 +358,32 @@
 	}
 }
 
+// Guards against a refusal while the only targets are busy for a moment.
+func TestBusyTarget(t *testing.T) {
+	is := is.New(t)
+	r := backend(true, 2)
+	r.Objective = 100 * time.Millisecond
+	a := target("a", "s1")
+	a.reply = func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		w.Header().Set(headers.Signature, "sign")
+	}
+	g := newRig(t, r, a)
+	address := g.view.Targets["s1"][0].Address
+	g.service.Pool.SetShares(map[string]limit.Share{"a": {Incarnation: "1", Address: address, Connections: 1, Slots: 1}})
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			res, _ := g.get(t, nil)
+			if res.StatusCode != http.StatusOK {
+				t.Errorf("status %d", res.StatusCode)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(a.asked.Load(), int64(3))
+}
+
 // Guards against more extra requests than the budget has room for.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
@@ -429,6 +455,26 @@
 	})
 }
 
+// Guards against a refusal directly after the start although the first document is
+// about to come, and against a wait without end.
+func TestFirstView(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, backend(true, 2), target("a", "s1").records("x"))
+	view, known := g.view, make(chan struct{})
+	var current atomic.Pointer[View]
+	g.service.View, g.service.Known = current.Load, known
+	started := time.Now()
+	res, _ := g.get(t, func(r *http.Request) { r.Header.Set(headers.Timeout, "300") })
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.True(time.Since(started) < 300*time.Millisecond)
+	time.AfterFunc(100*time.Millisecond, func() {
+		current.Store(view)
+		close(known)
+	})
+	res, _ = g.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
 // Guards against targets that keep working for a caller that has left.
 func TestCallerLeaves(t *testing.T) {
 	is := is.New(t)
