Add a fault soak of the real programs

Change: package soak and cmd/soak inject faults by seed into three control hosts, three entry hosts and twelve targets on loopback: kills, pauses, planned stops, a lost disk, faulty and crashed targets, links that are delayed, reset, silent or deaf. They check whole answers, single runs, true refusals, documents that never revert, and service within 12 s.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,85 @@
+// Command soak injects faults into a deployment on loopback and checks the promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"wasabirelay/soak"
+)
+
+type options struct {
+	Program string        `arg:"" help:"Path of wasabirelay-node." type:"existingfile"`
+	First   uint64        `help:"First seed." default:"1"`
+	Seeds   int           `help:"Number of seeds." default:"1"`
+	Length  time.Duration `help:"How long faults are injected per seed." default:"20s"`
+	Jobs    int           `help:"Seeds that run at the same time." default:"1"`
+	Dir     string        `help:"Folder for data and logs; those of seeds without a violation are removed." default:"tmp/soak"`
+	Verbose bool          `help:"Print the faults."`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Description("Injects faults into a deployment on loopback and checks the promises."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if failed := run(ctx, &o); failed > 0 {
+		fmt.Fprintf(os.Stderr, "%d seeds failed\n", failed)
+		os.Exit(1)
+	}
+}
+
+// run plays the seeds and returns how many failed.
+func run(ctx context.Context, o *options) int {
+	seeds := make(chan uint64)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	failed := 0
+	for range max(1, o.Jobs) {
+		wg.Go(func() {
+			for seed := range seeds {
+				text, ok := play(ctx, o, seed)
+				mu.Lock()
+				fmt.Println(text)
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range o.Seeds {
+		if ctx.Err() == nil {
+			seeds <- o.First + uint64(i)
+		}
+	}
+	close(seeds)
+	wg.Wait()
+	return failed
+}
+
+func play(ctx context.Context, o *options, seed uint64) (text string, ok bool) {
+	r := &soak.Run{Seed: seed, Length: o.Length, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
+		if o.Verbose {
+			fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
+		}
+	}}
+	report, err := r.Do(ctx)
+	switch {
+	case err != nil:
+		return fmt.Sprintf("seed %d: not played: %v", seed, err), false
+	case len(report.Violations) > 0:
+		return report.String(), false
+	}
+	if err := os.RemoveAll(r.Folder()); err != nil {
+		return err.Error(), false
+	}
+	return report.String(), true
+}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -272,3 +272,10 @@
 	}
 	return out
 }
+
+// Targets returns the number of targets that were heard here lately.
+func (h *Hub) Targets() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.targets.Len()
+}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -174,30 +174,12 @@
 // place writes a file so that after a crash it is either complete or absent.
 func (j *Journal) place(name string, content []byte) error {
 	path := filepath.Join(j.dir, name)
-	if err := j.writeSynced(path+temporary, content); err != nil {
+	if err := replaceFile(path, content, j.folder, j.sync); err != nil {
 		return j.fail(err, "write "+name)
 	}
-	if err := os.Rename(path+temporary, path); err != nil {
-		return j.fail(err, "rename "+name)
-	}
-	if err := j.sync(j.folder); err != nil {
-		return j.fail(err, "sync folder")
-	}
 	return nil
 }
 
-func (j *Journal) writeSynced(path string, content []byte) error {
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	if _, err := file.Write(content); err != nil {
-		return err
-	}
-	return j.sync(file)
-}
-
 // removeOlder removes the snapshots and segments that the current ones replace.
 func (j *Journal) removeOlder() error {
 	found, err := list(j.dir)
--- a/node/control.go
+++ b/node/control.go
@@ -120,6 +120,7 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: c.Log, Inspect: c.inspect,
 		Changed: func(v *control.View) { c.hub.SetShared(v.Shared) },
 	}
+	c.registerMetrics()
 	return c.replica.Open()
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -39,8 +39,6 @@
 	// beliefLines bounds the log lines per second on one kind of change of what this
 	// host believes, maxNames the names in one of them.
 	beliefLines, maxNames = 20, 32
-	// evidenceInterval is how often evidence for version moves is sent.
-	evidenceInterval = 500 * time.Millisecond
 )
 
 // Entry is an entry host. Exported fields are set before Run.
@@ -299,22 +297,10 @@
 
 // report sends evidence for the running version moves to a control host.
 func (e *Entry) report(ctx context.Context) error {
-	ticker := e.Clock.NewTicker(evidenceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		}
-		reports, err := e.evidence.Take(e.moves.Load())
-		if err == nil && len(reports) > 0 {
-			err = e.client.Send(ctx, quorum.MethodEvidence, quorum.Evidence{Host: e.Settings.Host, Reports: reports})
-		}
-		if err != nil && ctx.Err() == nil {
-			e.Log.Warn().Err(err).Msg("evidence for version moves not sent")
-		}
-	}
+	e.evidence.Report(ctx, e.Clock, e.moves.Load, func(reports []move.Report) error {
+		return e.client.Send(ctx, quorum.MethodEvidence, quorum.Evidence{Host: e.Settings.Host, Reports: reports})
+	}, func(err error) { e.Log.Warn().Err(err).Msg("evidence for version moves not sent") })
+	return nil
 }
 
 // drain is the planned stop: the host leaves the lists, serves callers that have an
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wasabirelay/quorum"
+)
+
+// localTimeout bounds the wait for the control goroutine when figures are fetched.
+const localTimeout = 200 * time.Millisecond
+
+// registerMetrics registers the figures of a control host. One that can't be had in
+// time is shown as -1.
+func (c *Control) registerMetrics() {
+	local := func(value func(quorum.Local) float64) func() float64 {
+		return func() float64 {
+			ctx, cancel := context.WithTimeout(context.Background(), localTimeout)
+			defer cancel()
+			l, err := c.replica.Local(ctx)
+			if err != nil {
+				return -1
+			}
+			return value(l)
+		}
+	}
+	gauge := func(name, help string, value func() float64) {
+		c.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "wasabirelay_control_" + name, Help: help}, value))
+	}
+	gauge("voter", "1 if this host counts towards a quorum.", local(func(l quorum.Local) float64 { return number(l.Voter) }))
+	gauge("leader", "1 if this host leads the control hosts.", local(func(l quorum.Local) float64 { return number(l.Leader) }))
+	gauge("voters", "Members that count towards a quorum.", local(func(l quorum.Local) float64 { return float64(l.Voters) }))
+	gauge("applied", "Index of the last command in the state.", local(func(l quorum.Local) float64 { return float64(l.Applied) }))
+	gauge("routing", "Version of the routing document.", func() float64 { return float64(c.hub.Shared().Routing.Version) })
+	gauge("hosts", "Hosts that asked lately.", func() float64 { return float64(len(c.hub.Hosts())) })
+	gauge("targets", "Targets that were heard here lately.", func() float64 { return float64(c.hub.Targets()) })
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -110,7 +109,6 @@
 
 	splits splits
 	cold   coldGate
-	active sync.WaitGroup
 }
 
 // job is a request on its way.
@@ -148,8 +146,6 @@
 
 // ServeHTTP relays one request.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.active.Add(1)
-	defer s.active.Done()
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -166,18 +162,3 @@
 	}
 	s.forward(ctx, w, j)
 }
-
-// Drain waits until no request is in progress, or ctx ends.
-func (s *Service) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// regressions are the seeds that ever failed, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// length is how long faults are injected for a seed in CI.
+const length = 6 * time.Second
+
+// Guards against promises that are broken while processes are killed, paused, stopped
+// and wiped, targets fail, and links are delayed, reset and cut one way.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "node")
+	if out, err := exec.Command("go", "build", "-o", program, "wasabirelay/cmd/wasabirelay-node").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	seeds := []uint64{1001, 1002}
+	for _, r := range regressions {
+		seeds = append(seeds, r.seed)
+	}
+	for _, seed := range seeds {
+		r := &Run{Seed: seed, Length: length, Program: program, Dir: t.TempDir(), Logf: t.Logf}
+		report, err := r.Do(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(report.Violations) > 0 {
+			t.Error(report)
+		}
+		if report.Whole == 0 {
+			t.Errorf("seed %d: no request was answered", seed)
+		}
+	}
+}
