--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -74,12 +75,19 @@
 	others  []*exec.Cmd
 }
 
+// givenPorts holds the ports that FreePort has returned or found taken.
+var givenPorts sync.Map
+
 // FreePort returns a port of the loopback address that no listener has now. It is
 // below the ports that systems give to outgoing connections, which could take it
-// before the process that it is meant for listens, or while that restarts.
+// before the process that it is meant for listens, or while that restarts. No port is
+// returned twice, because the listener that the first one is meant for may not be open.
 func FreePort() (int, error) {
 	for range portAttempts {
 		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)) //nolint:noctx // It returns at once.
 		if err == nil {
 			l.Close()
--- /dev/null
+++ b/bench/fleet_test.go
@@ -0,0 +1,19 @@
+package bench
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against two listeners of a fleet that are given the same port.
+func TestFreePort(t *testing.T) {
+	is := is.New(t)
+	seen := map[int]bool{}
+	for range 500 {
+		port, err := FreePort()
+		is.NoErr(err)
+		is.True(!seen[port])
+		seen[port] = true
+	}
+}
--- a/limit/shares.go
+++ b/limit/shares.go
@@ -34,17 +34,19 @@
 // rank returns the position of the host among the hosts for the target. Equal
 // scores are ordered by name.
 func rank(hosts []string, self, target string) int {
-	var buffer [128]byte
-	score := func(host string) uint64 {
-		text := append(buffer[:0], host...)
-		text = append(text, 0) // not part of a name
-		return xxhash.Sum64(append(text, target...))
-	}
-	own, before := score(self), 0
+	own, before := Score(self, target), 0
 	for _, h := range hosts {
-		if s := score(h); s > own || s == own && h < self {
+		if s := Score(h, target); s > own || s == own && h < self {
 			before++
 		}
 	}
 	return before
 }
+
+// Score is what rendezvous hashing orders hosts and targets by.
+func Score(host, target string) uint64 {
+	var buffer [128]byte
+	text := append(buffer[:0], host...)
+	text = append(text, 0) // not part of a name
+	return xxhash.Sum64(append(text, target...))
+}
--- a/node/control.go
+++ b/node/control.go
@@ -2,22 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"wasabirelay/consensus"
 	"wasabirelay/control"
 	"wasabirelay/exchange"
-	"wasabirelay/journal"
 	"wasabirelay/move"
 	"wasabirelay/quorum"
 	"wasabirelay/registry"
@@ -35,13 +29,6 @@
 	orderTimeout = 900 * time.Millisecond
 	// proposeTimeout is how long one leader may take for an order.
 	proposeTimeout = 400 * time.Millisecond
-	// saveInterval is how often the table of targets is saved if it has changed. After
-	// a power loss, targets of the last seconds announce themselves again.
-	saveInterval = time.Second
-	// restoredFor is how long a saved target counts without a new heartbeat: some
-	// heartbeats, and less than the time in which a host that has just started may
-	// lack knowledge of targets that left.
-	restoredFor = 3 * time.Second
 	// proposePause separates the attempts.
 	proposePause = 50 * time.Millisecond
 	// stopPause is how long a control host that stops keeps answering after it has
@@ -124,52 +111,6 @@
 	return c.replica.Open()
 }
 
-// targetsFile holds the table of targets in the data folder.
-const targetsFile = "targets"
-
-// restoreTargets reads the table of targets that an earlier run has saved. Without
-// it, hosts that restarted as well would have no targets until the next heartbeats.
-func (c *Control) restoreTargets() {
-	text, err := os.ReadFile(filepath.Join(c.Settings.Data, targetsFile))
-	var records []registry.Record
-	if err == nil {
-		err = json.Unmarshal(text, &records)
-	}
-	if err != nil {
-		if !errors.Is(err, os.ErrNotExist) {
-			c.Log.Warn().Err(err).Msg("saved targets not read, they announce themselves again")
-		}
-		return
-	}
-	c.hub.Restore(records, restoredFor)
-}
-
-// saveTargets saves the table of targets when it has changed.
-func (c *Control) saveTargets(ctx context.Context) error {
-	ticker := c.Clock.NewTicker(saveInterval)
-	defer ticker.Stop()
-	saved := uint64(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		}
-		records, revision := c.hub.Records()
-		if revision == saved {
-			continue
-		}
-		saved = revision
-		text, err := json.Marshal(records)
-		if err == nil {
-			err = journal.WriteFile(filepath.Join(c.Settings.Data, targetsFile), text)
-		}
-		if err != nil {
-			c.Log.Warn().Err(err).Msg("targets not saved, after a restart they announce themselves again")
-		}
-	}
-}
-
 // heard notes a control host.
 func (c *Control) heard(h exchange.Host) {
 	if c.book.Set(h.Name, h.Peer) {
@@ -281,8 +222,7 @@
 // Read implements ControlService.
 func (c *Control) Read(ctx context.Context) (control.Shared, error) {
 	shared, err := c.replica.Read(ctx)
-	var not *consensus.NotLeaderError
-	if errors.As(err, &not) || err != nil {
+	if err != nil {
 		return shared, &UnavailableError{"the newest state is not certain: " + err.Error()}
 	}
 	return shared, nil
--- a/node/entry.go
+++ b/node/entry.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
@@ -181,6 +182,7 @@
 	for _, centre := range shared.Out {
 		v.Out[centre] = true
 	}
+	v.Spare = e.spare(v)
 	e.pool.SetShares(e.shares(v, hosts))
 	live := map[string]bool{}
 	for _, list := range targets {
@@ -281,15 +283,60 @@
 	out := make(map[string]limit.Share, len(all))
 	for _, t := range all {
 		n := counts[t.Name]
-		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(t), n), Lean: true}
+		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(v, t), n), Lean: true}
 	}
 	return out
 }
 
+const (
+	// roomy is how many connections per host a target must accept for every host to use
+	// it: connections of hosts that lost power stay open at it beside the new ones.
+	roomy = 2
+	// subset is the number of targets of a service that a host uses otherwise: one, and
+	// one for its hedges.
+	subset = 2
+)
+
+// spare returns the targets that this host leaves to others. Of each service whose
+// targets have little room it keeps those nearby and fills up by rendezvous hashing,
+// so that hosts spread over the targets.
+func (e *Entry) spare(v *relay.View) map[string]bool {
+	out := map[string]bool{}
+	for service, list := range v.Targets {
+		s := v.Routing.Service(service)
+		if s == nil || len(list) <= subset || s.Connections >= roomy*v.Hosts {
+			continue
+		}
+		ranked := slices.Clone(list)
+		slices.SortFunc(ranked, func(a, b *control.Target) int {
+			return cmp.Or(
+				cmp.Compare(e.distance(a), e.distance(b)),
+				cmp.Compare(limit.Score(e.Settings.Host, a.Name), limit.Score(e.Settings.Host, b.Name)),
+			)
+		})
+		for _, t := range ranked[subset:] {
+			out[t.Name] = true
+		}
+	}
+	return out
+}
+
+// distance is 0 for a warm target of this data centre, 1 for one of another, and 2 for
+// a cold one.
+func (e *Entry) distance(t *control.Target) int {
+	switch {
+	case t.State != control.Warm:
+		return 2
+	case t.Centre == e.Settings.Centre:
+		return 0
+	}
+	return 1
+}
+
 // warm is the number of connections that are opened ahead of use: one to each target
 // that may get work, so that a hedge does not wait for a new one.
-func (e *Entry) warm(t *control.Target) int {
-	if t.State == control.Warm {
+func (e *Entry) warm(v *relay.View, t *control.Target) int {
+	if t.State == control.Warm && !v.Spare[t.Name] {
 		return 1
 	}
 	return 0
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -194,6 +194,7 @@
 	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
 		return s.Table.Pick(now, route.Choice{
 			Service: service, Replicas: j.view.Targets[service], Exclude: exclude, NoProbe: !j.route.Idempotent,
+			Avoid: func(t *control.Target) bool { return j.view.Spare[t.Name] },
 			Allow: func(t *control.Target) bool { return !j.view.Out[t.Centre] && s.Pool.HasShare(t) && allow(t) },
 		})
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,6 +78,9 @@
 	Out map[string]bool
 	// Moves holds the running version moves by service.
 	Moves map[string]control.MoveRecord
+	// Spare holds the names of the targets that this host leaves to others while it has
+	// better ones, because they can't hold a connection of every host.
+	Spare map[string]bool
 	// Hosts is the number of hosts that share the allowances of targets.
 	Hosts int
 }
--- a/route/route.go
+++ b/route/route.go
@@ -72,6 +72,9 @@
 	// Allow reports whether a target may get the sub-request; nil allows all. It
 	// is called without any lock held and may call the methods of Table.
 	Allow func(*control.Target) bool
+	// Avoid reports whether the target is used only if all others are ejected or not
+	// allowed; nil avoids none.
+	Avoid func(*control.Target) bool
 	// NoProbe keeps the sub-request away from ejected targets that are due for a
 	// probe, for requests that can't be retried.
 	NoProbe bool
@@ -122,13 +125,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judge(now, c.Replicas)
-	var near, far, out field
+	var near, far, spare, out field
 	for _, r := range usable {
 		rec := t.record(r)
 		switch {
 		case now.Before(rec.drainingUntil):
 		case rec.ejected:
 			out.add(candidate{r, rec})
+		case c.Avoid != nil && c.Avoid(r):
+			spare.add(candidate{r, rec})
 		case r.Centre == t.Centre:
 			near.add(candidate{r, rec})
 		default:
@@ -140,12 +145,12 @@
 			return probe, true
 		}
 	}
-	return t.choose(now, &near, &far, &out)
+	return t.choose(now, &near, &far, &spare, &out)
 }
 
 // choose prefers the near replica unless a far one is clearly better, and takes
-// ejected replicas only if there is no other.
-func (t *Table) choose(now time.Time, near, far, out *field) (*control.Target, bool) {
+// avoided and ejected replicas only if there is no other, in this order.
+func (t *Table) choose(now time.Time, near, far, spare, out *field) (*control.Target, bool) {
 	best, ok := t.twoChoices(now, near)
 	other, otherOK := t.twoChoices(now, far)
 	switch {
@@ -153,6 +158,8 @@
 		best = other
 	case !ok && otherOK:
 		best, ok = other, true
+	case !ok && spare.n > 0:
+		best, ok = t.twoChoices(now, spare)
 	case !ok:
 		best, ok = t.twoChoices(now, out)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -200,8 +200,17 @@
 	}
 }
 
+// victim draws one of n targets or proxies. The first ones serve the requests that may
+// run once; they are drawn half of the time, because a second run shows nowhere else.
+func (r *Run) victim(n int) int {
+	if r.rand.IntN(2) == 0 {
+		n = replicas
+	}
+	return r.rand.IntN(n)
+}
+
 func (r *Run) breakTarget() func() {
-	t := r.targets[r.rand.IntN(len(r.targets))]
+	t := r.targets[r.victim(len(r.targets))]
 	t.SetFault(standin.Fault(1 + r.rand.IntN(int(standin.Cross))))
 	return func() { t.SetFault(standin.Healthy) }
 }
@@ -222,7 +231,7 @@
 }
 
 func (r *Run) harmLink() func() {
-	p := r.proxies[r.rand.IntN(len(r.proxies))]
+	p := r.proxies[r.victim(len(r.proxies))]
 	p.Set(Mode(1 + r.rand.IntN(int(modes)-1)))
 	return func() { p.Set(Pass) }
 }
