Send changes of the list of hosts, fetch a routing document from one control host

Cause: a third of the bytes between data centres of the grown deployments were the system's own: each control host sent the whole list of hosts with each change, and the source of each routing document to every host at the same time. Change: answers carry what has changed in the list; a host that learns of a newer document asks one control host for its source.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -22,6 +22,9 @@
 	// retryPause is the pause after a failed question; it doubles up to lastPause.
 	retryPause = 100 * time.Millisecond
 	lastPause  = time.Second
+	// fetchPause is how long a host waits for a document that it is getting from another
+	// control host: some round trips.
+	fetchPause = 20 * time.Millisecond
 	// forgetHost is after which time a control host that does not answer and that no
 	// other names is no longer asked.
 	forgetHost = 30 * time.Second
@@ -48,6 +51,8 @@
 	contacts map[netip.AddrPort]*contact
 	targets  registry.Merged
 	shared   control.Shared
+	// fetching states that a control host has been asked for a routing document.
+	fetching bool
 	started  context.Context
 	answered atomic.Bool
 }
@@ -57,8 +62,10 @@
 	client *peer.Client
 	cancel context.CancelFunc
 	// host is the last answer's sender; its name is empty before the first answer.
-	host  Host
-	list  []Host
+	host Host
+	list map[string]Host
+	// told is the newest revision of the shared state that it told of.
+	told  uint64
 	q     Question
 	heard time.Time
 	named time.Time
@@ -120,9 +127,10 @@
 func (c *Client) follow(ctx context.Context, k *contact) {
 	pause := retryPause
 	for ctx.Err() == nil {
-		err := c.ask(ctx, k, Wait)
+		err := c.ask(ctx, k, Question{Wait: Wait})
 		if err == nil {
 			pause = retryPause
+			c.fetch(ctx, k)
 			continue
 		}
 		c.noteLost(ctx, k, err)
@@ -143,14 +151,37 @@
 	}
 }
 
-// ask sends one question and takes the answer.
-func (c *Client) ask(ctx context.Context, k *contact, wait time.Duration) error {
+// fetch asks a control host for the routing document that its last answer told of. If
+// another one is being asked, it waits a moment: the host would have the same news again.
+func (c *Client) fetch(ctx context.Context, k *contact) {
 	c.mu.Lock()
-	q := k.q
-	q.From, q.Wait = c.Self(), wait
+	wanted := k.told > c.shared.Revision
+	first := wanted && !c.fetching
+	c.fetching = c.fetching || first
+	c.mu.Unlock()
+	switch {
+	case first:
+		if err := c.ask(ctx, k, Question{Document: true}); err != nil {
+			c.noteLost(ctx, k, err)
+		}
+		c.mu.Lock()
+		c.fetching = false
+		c.mu.Unlock()
+	case wanted:
+		select {
+		case <-ctx.Done():
+		case <-c.Clock.After(fetchPause):
+		}
+	}
+}
+
+// ask completes a question, sends it, and takes the answer.
+func (c *Client) ask(ctx context.Context, k *contact, q Question) error {
+	c.mu.Lock()
+	q.From, q.Run, q.Targets, q.Hosts = c.Self(), k.q.Run, k.q.Targets, k.q.Hosts
 	q.Shared, q.Routing = c.shared.Revision, c.shared.Routing.Version
 	c.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	call, cancel := context.WithTimeout(ctx, q.Wait+answerTimeout)
 	defer cancel()
 	var a Answer
 	if err := k.client.Call(call, Method, q, &a); err != nil {
@@ -167,7 +198,7 @@
 	if k.lost || k.host.Name == "" {
 		c.Log.Info().Str("control", a.From.Name).Stringer("address", k.client.Address).Msg("control host answers")
 	}
-	changed := k.lost || k.host != a.From || len(a.Changes) > 0 || a.List != nil
+	changed := k.lost || k.host != a.From || len(a.Changes) > 0 || len(a.List)+len(a.Gone) > 0 || a.Whole
 	k.host, k.heard, k.lost = a.From, now, false
 	if k.q.Run != a.From.Start {
 		k.q, k.list = Question{Run: a.From.Start}, nil
@@ -176,17 +207,24 @@
 		c.targets.Update(now, a.From.Name, uint64(a.From.Start), a.Changes, keepTargets)
 		k.q.Targets = a.Targets
 	}
-	if a.Hosts != k.q.Hosts {
-		k.list, k.q.Hosts = a.List, a.Hosts
+	if a.Whole || k.list == nil {
+		k.list = map[string]Host{}
+	}
+	for _, name := range a.Gone {
+		delete(k.list, name)
+	}
+	for i := range a.List {
+		k.list[a.List[i].Name] = a.List[i]
 	}
+	k.q.Hosts = max(k.q.Hosts, a.Hosts)
 	for i := range a.List {
 		if a.List[i].IsControl() {
 			c.add(now, a.List[i].Peer)
 		}
 	}
 	if a.Shared != nil && a.Shared.Revision > c.shared.Revision {
-		c.adopt(a.Shared)
-		changed = true
+		k.told = a.Shared.Revision
+		changed = c.adopt(a.Shared) || changed
 	}
 	c.mu.Unlock()
 	c.answered.Store(true)
@@ -198,16 +236,21 @@
 	}
 }
 
-// adopt takes a newer shared state. The client is locked.
-func (c *Client) adopt(s *control.Shared) {
+// adopt takes a newer shared state, unless the source of its routing document is
+// missing. It reports whether it did. The client is locked.
+func (c *Client) adopt(s *control.Shared) bool {
 	routing := s.Routing
-	if routing.Version <= c.shared.Routing.Version {
+	switch {
+	case routing.Version <= c.shared.Routing.Version:
 		routing = c.shared.Routing
+	case len(routing.Source) == 0:
+		return false
 	}
 	c.shared = *s
 	c.shared.Routing = routing
 	c.Log.Info().Uint64("revision", s.Revision).Uint64("routing", routing.Version).Strs("out", s.Out).Int("moves", len(s.Moves)).
 		Msg("control state followed")
+	return true
 }
 
 // Tell tells all control hosts at once about a change of this host.
@@ -221,7 +264,7 @@
 	var wg sync.WaitGroup
 	for _, k := range contacts {
 		wg.Go(func() {
-			if err := c.ask(ctx, k, 0); err != nil {
+			if err := c.ask(ctx, k, Question{}); err != nil {
 				c.Log.Debug().Err(err).Stringer("address", k.client.Address).Msg("control host not told")
 			}
 		})
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -59,6 +59,9 @@
 	// version of its routing document.
 	Shared  uint64 `json:"shared,omitempty"`
 	Routing uint64 `json:"routing,omitempty"`
+	// Document asks for the source of the routing document. Only one control host at a
+	// time is asked for it, because all of them have news of a change at the same moment.
+	Document bool `json:"document,omitempty"`
 	// Wait is how long the answer may take if there is no news.
 	Wait time.Duration `json:"wait,omitempty"`
 }
@@ -69,10 +72,14 @@
 	// Targets is the revision of the table of targets, Changes what the host lacks.
 	Targets uint64            `json:"targets"`
 	Changes []registry.Record `json:"changes,omitempty"`
-	// Hosts is the revision of the list of hosts. List is set if the host has another.
-	Hosts uint64 `json:"hosts"`
-	List  []Host `json:"list,omitempty"`
-	// Shared is set if the host has an older revision. Its routing document has no
-	// source if the host has that version.
+	// Hosts is the revision of the list of hosts, List the hosts that are new or have
+	// changed since the revision of the question, Gone the names of those that have gone.
+	Hosts uint64   `json:"hosts"`
+	List  []Host   `json:"list,omitempty"`
+	Gone  []string `json:"gone,omitempty"`
+	// Whole states that List is complete, because the question had no usable revision.
+	Whole bool `json:"whole,omitempty"`
+	// Shared is set if the host has an older revision. Its routing document has a source
+	// only if the question asked for it.
 	Shared *control.Shared `json:"shared,omitempty"`
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -138,5 +138,42 @@
 	is.True(a == nil) // no news: the question waits
 	a = ask(Question{From: newer, Run: 8, Targets: 99, Hosts: 99, Wait: time.Second})
 	is.True(a != nil) // the revisions are of another run
+	is.True(a.Whole)
 	is.Equal(len(a.List), 1)
 }
+
+// Guards against the whole list of hosts for everybody with each change: at the start of
+// many hosts that is most of the traffic.
+func TestListChanges(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clock, Log: zerolog.Nop(), Silence: time.Minute}
+	h.Init()
+	ask := func(name string, revision uint64) *Answer {
+		q := Question{From: entry(name), Run: 9, Hosts: revision}
+		a, _ := h.answer(&q, true)
+		return a
+	}
+	a := ask("e1", 0)
+	is.True(a.Whole)
+	is.Equal(len(a.List), 1)
+	known := a.Hosts
+	ask("e2", 0)
+	a = ask("e1", known)
+	is.True(!a.Whole)
+	is.Equal(len(a.List), 1)
+	is.Equal(a.List[0].Name, "e2")
+	known = a.Hosts
+	is.Equal(len(ask("e1", known).List), 0)
+	clock.Advance(Expiry / 2)
+	ask("e1", known)
+	clock.Advance(Expiry / 2)
+	h.tick()
+	a = ask("e1", known)
+	is.Equal(a.Gone, []string{"e2"})
+	is.Equal(len(a.List), 0)
+	a = ask("e2", known) // back again
+	is.Equal(len(a.Gone), 0)
+	is.Equal(a.List[0].Name, "e2")
+	is.True(ask("e1", 1000).Whole) // a revision from nowhere
+}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -1,11 +1,9 @@
 package exchange
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -35,21 +33,28 @@
 	mu      sync.Mutex
 	targets registry.Table
 	members map[string]*member
-	list    []Host
+	// version is the revision of the list of hosts, gone the revisions at which hosts
+	// left it. Questions about a revision before floor get the whole list.
 	version uint64
+	gone    map[string]uint64
+	floor   uint64
 	shared  control.Shared
 	news    chan struct{} // closed at the next change
 }
 
 type member struct {
 	Host
-	heard time.Time
+	heard    time.Time
+	revision uint64
 }
 
+// maxGone bounds the hosts that have left that are remembered.
+const maxGone = 1024
+
 // Init prepares the hub. It is called before any other use.
 func (h *Hub) Init() {
 	h.targets.Silence = h.Silence
-	h.members = map[string]*member{}
+	h.members, h.gone = map[string]*member{}, map[string]uint64{}
 	h.news = make(chan struct{})
 }
 
@@ -74,7 +79,7 @@
 	if h.targets.Tick(now) {
 		h.wake()
 	}
-	h.update(now)
+	h.expire(now)
 }
 
 // wake ends the wait of all questions. The hub is locked.
@@ -168,31 +173,46 @@
 			return
 		}
 	}
-	h.members[from.Name] = &member{*from, now}
-	h.update(now)
+	h.version++
+	h.members[from.Name] = &member{*from, now, h.version}
+	delete(h.gone, from.Name)
+	h.wake()
 }
 
-// update renews the list of hosts. The hub is locked.
-func (h *Hub) update(now time.Time) {
-	var list []Host
+// expire removes hosts that have not asked lately. The hub is locked.
+func (h *Hub) expire(now time.Time) {
 	for name, m := range h.members {
-		age := now.Sub(m.heard)
-		switch {
-		case m.IsControl() && age > forgetControl:
-			delete(h.members, name)
-		case m.IsControl(), age < Expiry:
-			list = append(list, m.Host)
-		default:
-			delete(h.members, name)
-			h.Log.Warn().Str("member", name).Dur("age", age).Msg("host not heard from, no longer named to callers")
+		age, bound := now.Sub(m.heard), Expiry
+		if m.IsControl() {
+			bound = forgetControl
 		}
-	}
-	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	if !slices.Equal(list, h.list) {
-		h.list = list
+		if age < bound {
+			continue
+		}
+		h.Log.Warn().Str("member", name).Dur("age", age).Msg("host not heard from, no longer named to callers")
+		delete(h.members, name)
 		h.version++
+		h.gone[name] = h.version
 		h.wake()
 	}
+	if len(h.gone) > maxGone {
+		h.gone, h.floor = map[string]uint64{}, h.version
+	}
+}
+
+// list fills in what a host lacks that has a revision of the list. The hub is locked.
+func (h *Hub) list(a *Answer, revision uint64) {
+	a.Whole = revision == 0 || revision < h.floor || revision > h.version
+	for _, m := range h.members {
+		if a.Whole || m.revision > revision {
+			a.List = append(a.List, m.Host)
+		}
+	}
+	for name, at := range h.gone {
+		if !a.Whole && at > revision {
+			a.Gone = append(a.Gone, name)
+		}
+	}
 }
 
 // Serve answers a question of another host.
@@ -245,12 +265,12 @@
 		news = true
 	}
 	if q.Hosts != a.Hosts {
-		a.List = h.list
+		h.list(a, q.Hosts)
 		news = true
 	}
 	if h.shared.Revision > q.Shared {
 		shared := h.shared
-		if shared.Routing.Version <= q.Routing {
+		if !q.Document || shared.Routing.Version <= q.Routing {
 			shared.Routing.Source = nil
 		}
 		a.Shared = &shared
