--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -142,6 +142,29 @@
 	is.Equal(len(a.List), 1)
 }
 
+// Guards against a document that every control host sends at the same time.
+func TestDocument(t *testing.T) {
+	is := is.New(t)
+	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Silence: time.Minute}
+	h.Init()
+	h.SetShared(control.Shared{Revision: 3, Routing: control.Routing{Version: 2, Source: []byte("two")}})
+	ask := func(q Question) *control.Shared {
+		q.From, q.Run = entry("e1"), 9
+		a, _ := h.answer(&q, true)
+		return a.Shared
+	}
+	is.Equal(len(ask(Question{}).Routing.Source), 0)
+	is.Equal(ask(Question{}).Routing.Version, uint64(2)) // told, not sent
+	is.Equal(string(ask(Question{Document: true}).Routing.Source), "two")
+	is.Equal(len(ask(Question{Document: true, Routing: 2}).Routing.Source), 0) // the host has it
+	is.True(ask(Question{Shared: 3}) == nil)
+
+	var c Client
+	c.Log = zerolog.Nop()
+	is.True(!c.adopt(&control.Shared{Revision: 3, Routing: control.Routing{Version: 2}}))
+	is.Equal(c.Shared().Revision, uint64(0)) // nothing without the source
+}
+
 // Guards against the whole list of hosts for everybody with each change: at the start of
 // many hosts that is most of the traffic.
 func TestListChanges(t *testing.T) {
