Keep hosts that stopped out of the lists of a new leader

It led the control hosts, and handed over when it stopped. The new leader counts every host as holding a lease for one lease length, and listed all of them, without knowing who drains. Change: a new leader leaves the lists as they are for 500 ms, and then names the hosts that have renewed with it. TestServingAfterElection fails without the change.

--- a/lease/table.go
+++ b/lease/table.go
@@ -100,6 +100,12 @@
 	return live
 }
 
+// Renewed returns the hosts that hold a lease that this leader has granted, in order of
+// their names.
+func (t *Table) Renewed(now time.Time) []string {
+	return slices.DeleteFunc(t.Live(now), func(host string) bool { return !t.hosts[host].acknowledged })
+}
+
 // InForce reports whether the command at the index is in force. hosts are the
 // hosts of the inventory; other hosts are included while they may hold a lease.
 func (t *Table) InForce(index uint64, now time.Time, hosts []string) Report {
--- a/quorum/leases.go
+++ b/quorum/leases.go
@@ -19,6 +19,9 @@
 	// leader refuses its lease. A host whose feed stands still loses its lease
 	// after this and one lease length at the latest.
 	lagLimit = 300 * time.Millisecond
+	// gathering is for how long a new leader leaves the lists of serving hosts as they
+	// are: long enough for every live host to renew with it.
+	gathering = 500 * time.Millisecond
 	// drainMemory is how long the leader remembers that a host drains after its
 	// last renewal said so. It exceeds the longest list of addresses by default.
 	drainMemory = 10 * time.Second
@@ -39,6 +42,8 @@
 	// serving is the list of hosts that callers may use, version its number.
 	serving []string
 	version uint64
+	// gathered is from when on this leader knows which hosts serve.
+	gathered time.Time
 }
 
 type renewal struct {
@@ -66,7 +71,7 @@
 	l.table.Elect(now, length, r.hostNames())
 	l.commits = []commit{{now, 0}}
 	l.version = uint64(now.UnixNano())
-	l.serving = nil
+	l.serving, l.gathered = nil, now.Add(gathering)
 }
 
 // lost refuses all renewals under way: leadership was lost.
@@ -135,7 +140,10 @@
 func (l *leases) grant(r *Replica, q *Renew) Lease {
 	now := r.Clock.Now()
 	reply := Lease{Commit: r.applied, Leader: r.Host, Term: r.term, Hosts: l.version}
-	if q.Hosts != l.version {
+	switch {
+	case now.Before(l.gathered):
+		reply.Hosts = q.Hosts
+	case q.Hosts != l.version:
 		reply.Serving = l.serving
 	}
 	view := r.state.View()
@@ -165,10 +173,11 @@
 	return reply
 }
 
-// updateServing renews the list of hosts that callers may use.
+// updateServing renews the list of hosts that callers may use. A host that has not
+// renewed with this leader may have drained under the one before.
 func (l *leases) updateServing(now time.Time) {
 	var serving []string
-	for _, host := range l.table.Live(now) {
+	for _, host := range l.table.Renewed(now) {
 		if _, draining := l.draining[host]; !draining {
 			serving = append(serving, host)
 		}
--- a/quorum/leases_test.go
+++ b/quorum/leases_test.go
@@ -95,6 +95,31 @@
 	is.Equal(r.leases.serving, []string{"h2"}) // h1 has not renewed for 2 s
 }
 
+// Guards against callers that are sent to a host that stopped together with its
+// leadership: the new leader does not know that it drained, and must not list it because
+// it may hold a lease.
+func TestServingAfterElection(t *testing.T) {
+	is := is.New(t)
+	r, clock := leading(t)
+	renew := func(host string, hosts uint64) Lease {
+		return r.leases.grant(r, &Renew{Host: host, Applied: 9, Digest: r.state.Digest(), Hosts: hosts})
+	}
+	r.leases.updateServing(clock.Now())
+	reply := renew("h1", 77)
+	is.Equal(reply.Hosts, uint64(77)) // the host keeps the list of the leader before
+	is.Equal(len(reply.Serving), 0)
+	clock.Advance(gathering)
+	renew("h1", 77)
+	r.leases.updateServing(clock.Now())
+	is.Equal(r.leases.serving, []string{"h1"}) // h2 has not renewed with this leader
+	reply = renew("h1", 77)
+	is.Equal(reply.Serving, []string{"h1"})
+	is.True(reply.Hosts != 77)
+	renew("h2", 77)
+	r.leases.updateServing(clock.Now())
+	is.Equal(r.leases.serving, []string{"h1", "h2"})
+}
+
 // Guards against a lease that a leader grants before its leadership is confirmed,
 // and against a request that is left without an answer when leadership is lost.
 func TestRenewalWaitsForItsRound(t *testing.T) {
