--- a/relay/gather.go
+++ b/relay/gather.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
