Remove what nobody uses from exchange, node and control, report the shared state directly

Change: control.View no longer copies the shared part with every view; a replica reports it to the only reader. Unused methods and a second copy of the draining state are removed, the count of a cold target's requests stands once, one loop takes the changes of the list of hosts. Behaviour is unchanged.

--- a/control/types.go
+++ b/control/types.go
@@ -130,8 +130,6 @@
 	Inventory *inventory.Document
 	// Targets holds the live targets by service, ordered by name.
 	Targets map[string][]*Target
-	// Shared is the part that hosts without a lease follow.
-	Shared Shared
 	// Shares holds, per service, the share of traffic of each target version
 	// that is limited by a running move. Versions without an entry share the rest.
 	Shares map[string]map[string]float64
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -54,7 +53,6 @@
 	// fetching states that a control host has been asked for a routing document.
 	fetching bool
 	started  context.Context
-	answered atomic.Bool
 }
 
 // contact is a control host that is asked.
@@ -213,21 +211,18 @@
 	for _, name := range a.Gone {
 		delete(k.list, name)
 	}
-	for i := range a.List {
-		k.list[a.List[i].Name] = a.List[i]
-	}
-	k.q.Hosts = max(k.q.Hosts, a.Hosts)
-	for i := range a.List {
-		if a.List[i].IsControl() {
-			c.add(now, a.List[i].Peer)
+	for _, h := range a.List {
+		k.list[h.Name] = h
+		if h.IsControl() {
+			c.add(now, h.Peer)
 		}
 	}
+	k.q.Hosts = max(k.q.Hosts, a.Hosts)
 	if a.Shared != nil && a.Shared.Revision > c.shared.Revision {
 		k.told = a.Shared.Revision
 		changed = c.adopt(a.Shared) || changed
 	}
 	c.mu.Unlock()
-	c.answered.Store(true)
 	if c.Found != nil {
 		c.Found(a.From)
 	}
@@ -272,9 +267,6 @@
 	wg.Wait()
 }
 
-// Answered reports whether any control host has answered yet.
-func (c *Client) Answered() bool { return c.answered.Load() }
-
 // Shared returns the newest shared state.
 func (c *Client) Shared() control.Shared {
 	c.mu.Lock()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -133,7 +133,7 @@
 	is.True(ask(Question{From: newer}) != nil)
 	is.True(h.Connected())
 	is.True(ask(Question{From: older}) != nil)
-	is.True(h.Hosts()["e1"].Draining)
+	is.True(h.members["e1"].Draining)
 	a := ask(Question{From: newer, Run: 9, Targets: 0, Hosts: h.version, Wait: time.Second})
 	is.True(a == nil) // no news: the question waits
 	a = ask(Question{From: newer, Run: 8, Targets: 99, Hosts: 99, Wait: time.Second})
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
@@ -155,13 +154,6 @@
 	h.wake()
 }
 
-// Draining reports whether this host stops.
-func (h *Hub) Draining() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.Self.Draining
-}
-
 // note records the host that asks. The hub is locked.
 func (h *Hub) note(now time.Time, from *Host) {
 	if m := h.members[from.Name]; m != nil {
@@ -282,15 +274,11 @@
 	return a, nil
 }
 
-// Hosts returns the hosts that asked lately, by name.
-func (h *Hub) Hosts() map[string]Host {
+// Members returns the number of hosts that asked lately.
+func (h *Hub) Members() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make(map[string]Host, len(h.members))
-	for name, m := range maps.All(h.members) {
-		out[name] = m.Host
-	}
-	return out
+	return len(h.members)
 }
 
 // Targets returns the number of targets that were heard here lately.
--- a/node/control.go
+++ b/node/control.go
@@ -105,7 +105,7 @@
 	c.replica = &quorum.Replica{
 		Host: c.Settings.Host, Dir: c.Settings.Data, Book: &c.book, Founders: c.founders, NoLease: true, Clock: c.Clock,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: c.Log, Inspect: c.inspect,
-		Changed: func(v *control.View) { c.hub.SetShared(v.Shared) },
+		Changed: c.hub.SetShared,
 	}
 	c.registerMetrics()
 	return c.replica.Open()
@@ -159,7 +159,7 @@
 
 // Announce implements ControlService.
 func (c *Control) Announce(a registry.Announcement) error {
-	if c.hub.Draining() {
+	if c.draining.Load() {
 		return &UnavailableError{"this control host stops"}
 	}
 	if !c.hub.Connected() {
--- a/node/process.go
+++ b/node/process.go
@@ -49,7 +49,6 @@
 	draining atomic.Bool
 	start    int64
 	events   *eventlog.Limiter
-	servers  []*http.Server
 }
 
 // Reload takes over what may change while the process runs: the seeds.
@@ -85,7 +84,6 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	server := &http.Server{Handler: handler, ConnContext: relay.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	p.servers = append(p.servers, server)
 	g.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve")
--- a/quorum/read.go
+++ b/quorum/read.go
@@ -40,21 +40,18 @@
 func (r *Replica) Read(ctx context.Context) (control.Shared, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	var q ReadRequest
-	return r.readAt(ctx, q)
+	return r.readAt(ctx, ReadRequest{})
 }
 
 func (r *Replica) readAt(ctx context.Context, q ReadRequest) (control.Shared, error) {
 	done := make(chan readOutcome, 1)
-	leader := ""
 	err := r.do(ctx, func() {
 		if r.node == nil {
 			done <- readOutcome{err: &consensus.NotLeaderError{}}
 			return
 		}
 		if r.role != consensus.Leader {
-			leader = r.node.Status().Leader
-			done <- readOutcome{err: &consensus.NotLeaderError{Leader: leader}}
+			done <- readOutcome{err: &consensus.NotLeaderError{Leader: r.node.Status().Leader}}
 			return
 		}
 		r.reads.start(r, done)
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -50,7 +50,7 @@
 	// which looks at the targets in the log.
 	Inspect func(v *control.View, service string) *move.Input
 	// Changed, if set, is called on the control goroutine after commands were applied.
-	Changed func(*control.View)
+	Changed func(control.Shared)
 	Clock   clockwork.Clock
 	Rand    *rand.Rand
 	Log     zerolog.Logger
@@ -207,10 +207,10 @@
 	r.repair.tick(r, now)
 }
 
-// changed reports the view after a change of the state.
+// changed reports the shared part of the state after a change.
 func (r *Replica) changed() {
 	if r.Changed != nil {
-		r.Changed(r.state.View())
+		r.Changed(r.state.Shared())
 	}
 }
 
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -218,5 +219,5 @@
 	if !ok {
 		return false, true
 	}
-	return s.splits.draw() < m.Share, false
+	return rand.Float64() < m.Share, false
 }
--- a/relay/split.go
+++ b/relay/split.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -50,9 +49,6 @@
 	return best
 }
 
-// draw returns a number from 0 to 1.
-func (s *splits) draw() float64 { return rand.Float64() }
-
 // coldGate keeps this host's requests to cold targets within its part of what they
 // bear. The zero value is ready.
 type coldGate struct {
@@ -75,11 +71,15 @@
 	part := int(service.ColdRate / float64(max(1, v.Hosts)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.sent[t.Name]
-	if c.second != now.Unix() {
-		c.n = 0
+	return g.count(now, t).n < part
+}
+
+// count returns the count of this second. The gate is locked.
+func (g *coldGate) count(now time.Time, t *control.Target) coldCount {
+	if c := g.sent[t.Name]; c.second == now.Unix() {
+		return c
 	}
-	return c.n < part
+	return coldCount{second: now.Unix()}
 }
 
 func (g *coldGate) take(now time.Time, t *control.Target) {
@@ -88,10 +88,7 @@
 	if g.sent == nil || len(g.sent) > maxCold {
 		g.sent = map[string]coldCount{}
 	}
-	c := g.sent[t.Name]
-	if c.second != now.Unix() {
-		c = coldCount{second: now.Unix()}
-	}
+	c := g.count(now, t)
 	c.n++
 	g.sent[t.Name] = c
 }
