Ignore a list of hosts that a later answer has overtaken

Cause: a question that a stopping host sends beside the waiting one may be answered out of order; the older answer listed hosts again that had left, until their next change. The changes of targets were already guarded by their revision. Change: the changes of hosts are guarded in the same way. TestOvertakenAnswer fails without.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -205,19 +205,9 @@
 		c.targets.Update(now, a.From.Name, uint64(a.From.Start), a.Changes, keepTargets)
 		k.q.Targets = a.Targets
 	}
-	if a.Whole || k.list == nil {
-		k.list = map[string]Host{}
+	if a.Hosts >= k.q.Hosts {
+		c.takeHosts(now, k, a)
 	}
-	for _, name := range a.Gone {
-		delete(k.list, name)
-	}
-	for _, h := range a.List {
-		k.list[h.Name] = h
-		if h.IsControl() {
-			c.add(now, h.Peer)
-		}
-	}
-	k.q.Hosts = max(k.q.Hosts, a.Hosts)
 	if a.Shared != nil && a.Shared.Revision > c.shared.Revision {
 		k.told = a.Shared.Revision
 		changed = c.adopt(a.Shared) || changed
@@ -231,6 +221,23 @@
 	}
 }
 
+// takeHosts merges the changes of the list of hosts. The client is locked.
+func (c *Client) takeHosts(now time.Time, k *contact, a *Answer) {
+	if a.Whole || k.list == nil {
+		k.list = map[string]Host{}
+	}
+	for _, name := range a.Gone {
+		delete(k.list, name)
+	}
+	for _, h := range a.List {
+		k.list[h.Name] = h
+		if h.IsControl() {
+			c.add(now, h.Peer)
+		}
+	}
+	k.q.Hosts = a.Hosts
+}
+
 // adopt takes a newer shared state, unless the source of its routing document is
 // missing. It reports whether it did. The client is locked.
 func (c *Client) adopt(s *control.Shared) bool {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -165,6 +165,22 @@
 	is.Equal(c.Shared().Revision, uint64(0)) // nothing without the source
 }
 
+// Guards against a host that left and is listed again by an answer that was overtaken.
+func TestOvertakenAnswer(t *testing.T) {
+	is := is.New(t)
+	c := Client{Self: func() Host { return entry("e1") }, Clock: clockwork.NewRealClock(), Log: zerolog.Nop()}
+	k := &contact{client: &peer.Client{}}
+	c.contacts = map[netip.AddrPort]*contact{netip.MustParseAddrPort("10.0.0.9:1"): k}
+	from := Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}
+	c.take(k, &Answer{From: from, Hosts: 5, Whole: true, List: []Host{entry("e1"), entry("e2")}})
+	c.take(k, &Answer{From: from, Hosts: 7, Gone: []string{"e2"}})
+	c.take(k, &Answer{From: from, Hosts: 6, List: []Host{entry("e2")}})
+	is.Equal(len(c.Hosts()), 1)
+	from.Start = 10 // the revisions of another run start anew
+	c.take(k, &Answer{From: from, Hosts: 1, Whole: true, List: []Host{entry("e3")}})
+	is.Equal(len(c.Hosts()), 2)
+}
+
 // Guards against the whole list of hosts for everybody with each change: at the start of
 // many hosts that is most of the traffic.
 func TestListChanges(t *testing.T) {
