Send callers to as many entry hosts as the load requires

Cause: on the grown deployments each of 56 entry hosts sees about two requests a second, and one in three seconds at each target. A target that is slow is judged after five replies, so every host takes some 15 s to see it, and the retry budget is divided into parts of 2.7 requests. Change: callers are sent to a selection of hosts, the same number in each data centre, by hashing, so that all hosts agree. Its number follows the load that hosts report, at least 12; it grows at once and falls after 30 s. Other hosts keep no connections ahead of use and a tenth of the shared allowances.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -41,6 +41,9 @@
 	Seeds func() []netip.AddrPort
 	Clock clockwork.Clock
 	Log   zerolog.Logger
+	// Load, if set, returns the share of its processor that this host uses to relay
+	// requests.
+	Load func() float64
 	// Found, if set, is called with each control host that answers.
 	Found func(Host)
 	// Changed is called after news of targets, hosts or the shared state.
@@ -62,6 +65,8 @@
 	// host is the last answer's sender; its name is empty before the first answer.
 	host Host
 	list map[string]Host
+	// active is the number of active hosts that it decided on.
+	active int
 	// told is the newest revision of the shared state that it told of.
 	told  uint64
 	q     Question
@@ -178,6 +183,9 @@
 	c.mu.Lock()
 	q.From, q.Run, q.Targets, q.Hosts = c.Self(), k.q.Run, k.q.Targets, k.q.Hosts
 	q.Shared, q.Routing = c.shared.Revision, c.shared.Routing.Version
+	if c.Load != nil {
+		q.Load = c.Load()
+	}
 	c.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, q.Wait+answerTimeout)
 	defer cancel()
@@ -196,8 +204,8 @@
 	if k.lost || k.host.Name == "" {
 		c.Log.Info().Str("control", a.From.Name).Stringer("address", k.client.Address).Msg("control host answers")
 	}
-	changed := k.lost || k.host != a.From || len(a.Changes) > 0 || len(a.List)+len(a.Gone) > 0 || a.Whole
-	k.host, k.heard, k.lost = a.From, now, false
+	changed := k.lost || k.active != a.Active || k.host != a.From || len(a.Changes) > 0 || len(a.List)+len(a.Gone) > 0 || a.Whole
+	k.host, k.heard, k.lost, k.active = a.From, now, false, a.Active
 	if k.q.Run != a.From.Start {
 		k.q, k.list = Question{Run: a.From.Start}, nil
 	}
@@ -322,6 +330,21 @@
 	return list
 }
 
+// Active returns the entry hosts that callers are sent to. Control hosts may differ for
+// a moment about their number: the largest counts.
+func (c *Client) Active() []Host {
+	hosts := c.Hosts()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, n := c.Clock.Now(), leastActive
+	for _, k := range c.contacts {
+		if now.Sub(k.heard) < Expiry {
+			n = max(n, k.active)
+		}
+	}
+	return Active(hosts, n)
+}
+
 // Control returns the control hosts that answered within age, in order of their
 // names.
 func (c *Client) Control(age time.Duration) []Host {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -50,6 +50,8 @@
 // Question is sent to a control host.
 type Question struct {
 	From Host `json:"from"`
+	// Load is the share of its processor that the host uses to relay requests.
+	Load float64 `json:"load,omitempty"`
 	// Run is the Start of the control host that the revisions belong to; 0 if none.
 	Run int64 `json:"run,omitempty"`
 	// Targets and Hosts are the revisions of the lists that the host has.
@@ -79,6 +81,8 @@
 	Gone  []string `json:"gone,omitempty"`
 	// Whole states that List is complete, because the question had no usable revision.
 	Whole bool `json:"whole,omitempty"`
+	// Active is the number of entry hosts that callers are sent to; see Active.
+	Active int `json:"active,omitempty"`
 	// Shared is set if the host has an older revision. Its routing document has a source
 	// only if the question asked for it.
 	Shared *control.Shared `json:"shared,omitempty"`
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -38,6 +38,7 @@
 	gone    map[string]uint64
 	floor   uint64
 	shared  control.Shared
+	sizing  sizing
 	news    chan struct{} // closed at the next change
 }
 
@@ -45,6 +46,7 @@
 	Host
 	heard    time.Time
 	revision uint64
+	load     float64
 }
 
 // maxGone bounds the hosts that have left that are remembered.
@@ -79,6 +81,19 @@
 		h.wake()
 	}
 	h.expire(now)
+	h.resize(now)
+}
+
+// resize adapts the number of active hosts to their load. The hub is locked.
+func (h *Hub) resize(now time.Time) {
+	load := 0.0
+	for _, m := range h.members {
+		load += m.load
+	}
+	before := h.sizing.count
+	if after := h.sizing.step(now, load); after != before {
+		h.Log.Info().Int("active", after).Int("before", before).Float64("load", load).Msg("number of active entry hosts changed")
+	}
 }
 
 // wake ends the wait of all questions. The hub is locked.
@@ -155,18 +170,18 @@
 }
 
 // note records the host that asks. The hub is locked.
-func (h *Hub) note(now time.Time, from *Host) {
+func (h *Hub) note(now time.Time, from *Host, load float64) {
 	if m := h.members[from.Name]; m != nil {
 		if from.Start < m.Start {
 			return // a question of an earlier run that was held up
 		}
-		m.heard = now
+		m.heard, m.load = now, load
 		if m.Host == *from {
 			return
 		}
 	}
 	h.version++
-	h.members[from.Name] = &member{*from, now, h.version}
+	h.members[from.Name] = &member{*from, now, h.version, load}
 	delete(h.gone, from.Name)
 	h.wake()
 }
@@ -245,12 +260,12 @@
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
 	if first {
-		h.note(now, &q.From)
+		h.note(now, &q.From, q.Load)
 	}
 	if q.Run != h.Self.Start {
 		q.Targets, q.Hosts = 0, 0
 	}
-	a := &Answer{From: h.Self, Targets: h.targets.Revision(), Hosts: h.version}
+	a := &Answer{From: h.Self, Targets: h.targets.Revision(), Hosts: h.version, Active: h.sizing.count}
 	news := q.Run != h.Self.Start || q.Wait <= 0
 	if q.Targets < a.Targets {
 		a.Changes = h.targets.Since(now, q.Targets)
--- a/node/addresses.go
+++ b/node/addresses.go
@@ -22,7 +22,7 @@
 	if !e.serving() || e.Clock.Now().UnixNano()-e.start < int64(gathering) {
 		return nil, e.Settings.Keep
 	}
-	return callers(e.client.Hosts(), centre), e.Settings.Keep
+	return callers(e.client.Active(), centre), e.Settings.Keep
 }
 
 // Callers implements AddressService.
@@ -30,7 +30,7 @@
 	if c.draining.Load() || c.Clock.Now().UnixNano()-c.start < int64(gathering) {
 		return nil, c.Settings.Keep
 	}
-	return callers(c.client.Hosts(), centre), c.Settings.Keep
+	return callers(c.client.Active(), centre), c.Settings.Keep
 }
 
 // callers returns the addresses of the hosts that serve callers, those of the data
--- a/node/entry.go
+++ b/node/entry.go
@@ -34,9 +34,12 @@
 	// before its connection is closed: less than the half second in which targets are
 	// expected to be free of it.
 	discard = 400 * time.Millisecond
-	// hostMemory is for how long a host that was heard of still has its part of what
+	// hostMemory is for how long a host that was active still has its part of what
 	// hosts share.
 	hostMemory = 15 * time.Second
+	// activePart is the part of what hosts share that is for the active ones if there are
+	// others, which get requests of callers with older lists only.
+	activePart = 0.9
 	// beliefLines bounds the log lines per second on one kind of change of what this
 	// host believes, maxNames the names in one of them.
 	beliefLines, maxNames = 20, 32
@@ -57,8 +60,10 @@
 	wake chan struct{}
 	// first is closed with the first view.
 	first chan struct{}
-	// known holds the hosts of the last time and when they were heard of.
+	// known holds the hosts that are or were lately active, and when they last were.
 	known map[string]time.Time
+	// load is what relaying takes of the processor.
+	load meter
 	// live holds the names of the targets in the view.
 	live map[string]bool
 	// tables is the table in force, refused the version of the newest document that
@@ -113,7 +118,7 @@
 	e.known = map[string]time.Time{}
 	e.moves.Store(&control.View{})
 	e.client = exchange.Client{
-		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.changed,
+		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.changed, Load: e.load.share,
 	}
 	e.pool = &limit.Pool{Clock: e.Clock, Drain: discard, Unframed: true}
 	e.table = &route.Table{Centre: e.Settings.Centre, Judged: e.judged}
@@ -160,6 +165,7 @@
 			return nil
 		case <-ticker.Chan():
 			e.pool.Sweep()
+			e.load.update(e.Clock.Now(), e.relay.Attempts(), e.Settings.Processor)
 		case <-e.wake:
 		case <-timer.Chan():
 		}
@@ -174,16 +180,16 @@
 	shared := e.client.Shared()
 	table := e.routes(&shared.Routing)
 	targets, next := e.client.Targets()
-	hosts := e.hosts()
+	d := e.divide()
 	if table == nil {
 		return next
 	}
-	v := &relay.View{Routing: table, Targets: targets, Out: map[string]bool{}, Moves: shared.Moves, Hosts: len(hosts)}
+	v := &relay.View{Routing: table, Targets: targets, Out: map[string]bool{}, Moves: shared.Moves, Part: d.part}
 	for _, centre := range shared.Out {
 		v.Out[centre] = true
 	}
-	v.Spare = e.spare(v)
-	e.pool.SetShares(e.shares(v, hosts))
+	v.Spare = e.spare(v, len(d.hosts))
+	e.pool.SetShares(e.shares(v, &d))
 	live := map[string]bool{}
 	for _, list := range targets {
 		for _, t := range list {
@@ -249,26 +255,59 @@
 	return e.tables
 }
 
-// hosts returns the names of the entry hosts that may hold connections.
-func (e *Entry) hosts() []string {
+// division is how hosts divide what they share.
+type division struct {
+	// hosts are the active hosts, those that were active lately, and this one.
+	hosts []string
+	// active states that callers are, or were lately, sent to this host.
+	active bool
+	// part is this host's part of what is divided evenly among hosts.
+	part float64
+}
+
+// divide computes the division among the hosts that are known now.
+func (e *Entry) divide() division {
 	now := e.Clock.Now()
-	for _, h := range e.client.Hosts() {
+	for _, h := range e.client.Active() {
 		e.known[h.Name] = now
 	}
-	var names []string
+	var d division
 	for name, at := range e.known {
 		if now.Sub(at) > hostMemory {
 			delete(e.known, name)
 			continue
 		}
-		names = append(names, name)
+		d.hosts = append(d.hosts, name)
+	}
+	others := 0
+	for _, h := range e.client.Hosts() {
+		if !slices.Contains(d.hosts, h.Name) {
+			others++
+		}
+	}
+	d.active = slices.Contains(d.hosts, e.Settings.Host)
+	d.part = part(len(d.hosts), others, d.active)
+	if !d.active {
+		d.hosts = append(d.hosts, e.Settings.Host)
+	}
+	slices.Sort(d.hosts)
+	return d
+}
+
+// part returns the part of one host, active or not, of what is divided among so many
+// active hosts and others.
+func part(active, others int, isActive bool) float64 {
+	switch {
+	case others == 0:
+		return 1 / float64(max(1, active))
+	case isActive:
+		return activePart / float64(active)
 	}
-	slices.Sort(names)
-	return names
+	return (1 - activePart) / float64(others)
 }
 
 // shares divides the connections of the targets among the hosts.
-func (e *Entry) shares(v *relay.View, hosts []string) map[string]limit.Share {
+func (e *Entry) shares(v *relay.View, d *division) map[string]limit.Share {
 	var all []*control.Target
 	for service, list := range v.Targets {
 		s := v.Routing.Service(service)
@@ -279,11 +318,11 @@
 			}
 		}
 	}
-	counts := limit.Shares(hosts, e.Settings.Host, all)
+	counts := limit.Shares(d.hosts, e.Settings.Host, all)
 	out := make(map[string]limit.Share, len(all))
 	for _, t := range all {
 		n := counts[t.Name]
-		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(v, t), n), Lean: true}
+		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(v, d, t), n), Lean: true}
 	}
 	return out
 }
@@ -300,11 +339,11 @@
 // spare returns the targets that this host leaves to others. Of each service whose
 // targets have little room it keeps those nearby and fills up by rendezvous hashing,
 // so that hosts spread over the targets.
-func (e *Entry) spare(v *relay.View) map[string]bool {
+func (e *Entry) spare(v *relay.View, hosts int) map[string]bool {
 	out := map[string]bool{}
 	for service, list := range v.Targets {
 		s := v.Routing.Service(service)
-		if s == nil || len(list) <= subset || s.Connections >= roomy*v.Hosts {
+		if s == nil || len(list) <= subset || s.Connections >= roomy*hosts {
 			continue
 		}
 		ranked := slices.Clone(list)
@@ -334,9 +373,10 @@
 }
 
 // warm is the number of connections that are opened ahead of use: one to each target
-// that may get work, so that a hedge does not wait for a new one.
-func (e *Entry) warm(v *relay.View, t *control.Target) int {
-	if t.State == control.Warm && !v.Spare[t.Name] {
+// that may get work, so that a hedge does not wait for a new one. A host that callers are
+// not sent to opens none.
+func (e *Entry) warm(v *relay.View, d *division, t *control.Target) int {
+	if d.active && t.State == control.Warm && !v.Spare[t.Name] {
 		return 1
 	}
 	return 0
--- /dev/null
+++ b/node/load_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a load that follows single requests, that never falls, or that is not
+// related to the processor of the host.
+func TestMeter(t *testing.T) {
+	is := is.New(t)
+	near := func(got, want float64) bool { return math.Abs(got-want) < 0.01*want+1e-6 }
+	start := time.Unix(100, 0)
+	const perSecond = 500
+	full := perSecond * attemptTime.Seconds() / 0.2
+	var m meter
+	m.update(start, 0, 0.2)
+	is.Equal(m.share(), 0.0)
+	m.update(start.Add(time.Second), perSecond, 0.2)
+	is.True(m.share() > 0.3*full && m.share() < 0.5*full)
+	for s := 2; s <= 20; s++ {
+		m.update(start.Add(time.Duration(s)*time.Second), int64(s)*perSecond, 0.2)
+	}
+	is.True(near(m.share(), full))
+	for s := 21; s <= 40; s++ {
+		m.update(start.Add(time.Duration(s)*time.Second), 20*perSecond, 0.2)
+	}
+	is.True(m.share() < 0.001*full)
+	var unknown meter
+	unknown.update(start, 0, 0)
+	unknown.update(start.Add(time.Second), perSecond, 0)
+	is.Equal(unknown.share(), 0.0) // a processor of unknown size
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -57,12 +57,12 @@
 	}
 	view := func(connections int) *relay.View {
 		d := &routing.Document{Services: []routing.Service{{Name: "s", Connections: connections}}}
-		return &relay.View{Routing: routing.NewTable(d), Targets: map[string][]*control.Target{"s": targets}, Hosts: hosts}
+		return &relay.View{Routing: routing.NewTable(d), Targets: map[string][]*control.Target{"s": targets}}
 	}
 	used := map[string]int{}
 	for i := range hosts {
 		e := entryHost(fmt.Sprintf("h%d", i), fmt.Sprintf("c%d", i%3))
-		spare := e.spare(view(roomy*hosts - 1))
+		spare := e.spare(view(roomy*hosts-1), hosts)
 		is.Equal(len(spare), len(targets)-subset)
 		is.True(!spare[fmt.Sprintf("t%d", i%3)])
 		for _, target := range targets {
@@ -70,13 +70,13 @@
 				used[target.Name]++
 			}
 		}
-		is.Equal(len(e.spare(view(roomy*hosts))), 0)
+		is.Equal(len(e.spare(view(roomy*hosts), hosts)), 0)
 	}
 	for _, n := range used {
 		is.True(n > hosts/3 && n < hosts)
 	}
 	targets[0].State = control.Cold
-	is.True(entryHost("h0", "c0").spare(view(1))["t0"]) // a cold one nearby is of no use
+	is.True(entryHost("h0", "c0").spare(view(1), hosts)["t0"]) // a cold one nearby is of no use
 }
 
 // Guards against a founding by a host that must not found, or before all seeds answer.
@@ -124,3 +124,14 @@
 	_, err = loadTargets(dir)
 	is.True(err != nil)
 }
+
+// Guards against hosts that together do more than they may, and against a small
+// deployment that leaves a part unused.
+func TestPart(t *testing.T) {
+	is := is.New(t)
+	is.Equal(part(6, 0, true), 1.0/6)
+	sum := 12*part(12, 44, true) + 44*part(12, 44, false)
+	is.True(sum <= 1+1e-9 && sum > 0.99)
+	is.True(part(12, 44, true) > 10*part(12, 44, false))
+	is.Equal(part(0, 0, false), 1.0) // nothing is known of other hosts
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -37,6 +37,8 @@
 	Found bool
 	// Memory is the memory of the process in bytes; 0 if not bounded.
 	Memory int64
+	// Processor is what the process may use of processors, in cores; 0 if not known.
+	Processor float64
 	// Heartbeat is the time between the heartbeats of a target.
 	Heartbeat time.Duration
 	// RetryShare and RetrySlack bound the extra requests of all hosts together.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -78,6 +78,7 @@
 	}
 	started := s.Clock.Now()
 	s.Table.Start(started, t)
+	s.attempts.Add(1)
 	out.response, err = s.Pool.Do(ctx, permit, s.request(j, t), y.commit)
 	now := s.Clock.Now()
 	s.classify(ctx, &out, err)
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -18,7 +18,7 @@
 	defer cancel() // The replies that are no longer needed are awaited by the pool.
 	f := fetching{Service: s, ctx: ctx, j: j, service: service, exclude: map[string]bool{}, results: make(chan result, maxUnsent+j.route.Attempts)}
 	budget := s.Table.Budget(service)
-	budget.Limit(s.RetrySlack/float64(max(1, j.view.Hosts)), j.started.Before(s.BudgetsEmpty))
+	budget.Limit(s.RetrySlack*j.view.Part, j.started.Before(s.BudgetsEmpty))
 	budget.Sent()
 	f.last = result{service: service, err: errNoTarget}
 	if !f.launch() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,8 +81,9 @@
 	// Spare holds the names of the targets that this host leaves to others while it has
 	// better ones, because they can't hold a connection of every host.
 	Spare map[string]bool
-	// Hosts is the number of hosts that share the allowances of targets.
-	Hosts int
+	// Part is the part of what all hosts together may do that this host may: extra
+	// requests, and requests to cold targets.
+	Part float64
 }
 
 // Service relays requests. Exported fields are set before use. It is safe for
@@ -110,10 +111,14 @@
 	Draining func() bool
 	Metrics  *Metrics
 
-	splits splits
-	cold   coldGate
+	splits   splits
+	cold     coldGate
+	attempts atomic.Int64
 }
 
+// Attempts returns the number of requests to targets so far.
+func (s *Service) Attempts() int64 { return s.attempts.Load() }
+
 // job is a request on its way.
 type job struct {
 	*http.Request
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -333,7 +333,7 @@
 func TestColdGate(t *testing.T) {
 	is := is.New(t)
 	var gate coldGate
-	v := &View{Hosts: 2, Routing: routing.NewTable(&routing.Document{Services: []routing.Service{{Name: "s", ColdRate: 5}}})}
+	v := &View{Part: 0.5, Routing: routing.NewTable(&routing.Document{Services: []routing.Service{{Name: "s", ColdRate: 5}}})}
 	cold := &control.Target{Name: "t", Service: "s"}
 	sent := 0
 	now := time.Unix(50, 0)
--- a/relay/split.go
+++ b/relay/split.go
@@ -68,7 +68,7 @@
 	if service == nil {
 		return false
 	}
-	part := int(service.ColdRate / float64(max(1, v.Hosts)))
+	part := int(service.ColdRate * v.Part)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.count(now, t).n < part
