Decide the fetches of a request on one goroutine, encode the request once

Half of it went into a goroutine, a timer, three contexts and a copy of all headers for each shard. Change: one goroutine takes the events of all shards, with one timer; only attempts have goroutines of their own. The request is encoded once, and each target's name and time are appended. limit.Pool sends encoded messages; Do encodes a request first. The tests of package relay are unchanged.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -43,7 +43,6 @@
 	raw    *countingConn
 	conn   net.Conn // raw, or TLS over raw
 	reader *bufio.Reader
-	writer *bufio.Writer
 	// interrupted receives a value once an interruption is complete.
 	interrupted chan struct{}
 	// response is the reply whose header was read last.
@@ -58,7 +57,7 @@
 func newConnection(raw *countingConn, conn net.Conn) *connection {
 	return &connection{
 		raw: raw, conn: conn,
-		reader: bufio.NewReaderSize(conn, readBuffer), writer: bufio.NewWriter(conn),
+		reader:      bufio.NewReaderSize(conn, readBuffer),
 		interrupted: make(chan struct{}, 1),
 	}
 }
@@ -117,15 +116,6 @@
 	}
 }
 
-// send writes the request.
-func (c *connection) send(req *http.Request) error {
-	c.writer.Reset(c.conn)
-	if err := req.Write(c.writer); err != nil {
-		return err
-	}
-	return c.writer.Flush()
-}
-
 // head reads the status line and the header of the reply. It blocks only while
 // nothing has been consumed, so it can be called again after an interruption.
 func (c *connection) head(req *http.Request) error {
--- a/limit/do.go
+++ b/limit/do.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 
@@ -20,7 +21,24 @@
 	err      error
 }
 
-// Do sends the request and reads the whole reply. The URL's host is not used to
+// Message is an encoded sub-request.
+type Message struct {
+	// Request tells what replies are valid: its method and header are used.
+	Request *http.Request
+	// Bytes is the sub-request as it is sent.
+	Bytes []byte
+}
+
+// Do encodes the request and sends it; see Send. The error is a *LostError.
+func (p *Pool) Do(ctx context.Context, permit *Permit, req *http.Request, check func() error) (*Response, error) {
+	var b bytes.Buffer
+	if err := req.Write(&b); err != nil {
+		return nil, &LostError{Err: err}
+	}
+	return p.Send(ctx, permit, &Message{Request: req, Bytes: b.Bytes()}, check)
+}
+
+// Send sends the message and reads the whole reply. The URL's host is not used to
 // connect: the connection goes to the address of the permit's share. The error is a
 // *LostError. If ctx ends while the reply is awaited, the reply is awaited in the
 // background and the connection used again, because opening a new one may take
@@ -29,7 +47,7 @@
 // check, unless it is nil, runs once the connection is open, directly before the
 // first byte is written. If it returns an error, nothing is sent, the connection
 // stays open, and the error is a *RefusedError in the *LostError.
-func (p *Pool) Do(ctx context.Context, permit *Permit, req *http.Request, check func() error) (*Response, error) {
+func (p *Pool) Send(ctx context.Context, permit *Permit, message *Message, check func() error) (*Response, error) {
 	if ended(ctx) {
 		return nil, &LostError{Err: ctx.Err()}
 	}
@@ -43,9 +61,9 @@
 			return nil, &LostError{Err: &RefusedError{Reason: Withheld, Err: err}}
 		}
 	}
-	before := c.raw.wrote
+	req, before := message.Request, c.raw.wrote
 	stop := c.watch(ctx)
-	if err := c.send(req); err != nil {
+	if _, err := c.conn.Write(message.Bytes); err != nil {
 		if stop() {
 			err = ctx.Err()
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -1,13 +1,9 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +15,8 @@
 
 // result is the end of an attempt at one target, or of all attempts for a service.
 type result struct {
+	// fetch is the one that the attempt belongs to.
+	fetch   *fetch
 	service string
 	// target is the one that replied, nil if none was asked.
 	target   *control.Target
@@ -63,10 +61,20 @@
 	return nil
 }
 
+// run makes the attempt and hands its end to the gathering.
+func (g *gathering) run(ctx context.Context, y *try) {
+	defer y.cancel()
+	r := g.attempt(ctx, g.message, y)
+	select {
+	case g.results <- r:
+	case <-g.ctx.Done(): // nobody waits for it
+	}
+}
+
 // attempt sends the request to a target and waits for the reply.
-func (s *Service) attempt(ctx context.Context, j *job, y *try) result {
-	t := y.target
-	out := result{service: t.Service, target: t}
+func (g *gathering) attempt(ctx context.Context, m *message, y *try) *result {
+	s, j, t := g.Service, g.j, y.target
+	out := &result{fetch: y.fetch, service: t.Service, target: t}
 	permit, err := s.Pool.Acquire(ctx, t)
 	if err != nil {
 		out.err, out.outcome = err, route.Shed
@@ -79,9 +87,10 @@
 	started := s.Clock.Now()
 	s.Table.Start(started, t)
 	s.attempts.Add(1)
-	out.response, err = s.Pool.Do(ctx, permit, s.request(j, t), y.commit)
+	left := max(1, j.deadline.Sub(started).Milliseconds())
+	out.response, err = s.Pool.Send(ctx, permit, m.to(t, &s.Headers, left), y.commit)
 	now := s.Clock.Now()
-	s.classify(ctx, &out, err)
+	s.classify(ctx, out, err)
 	out.withdrawn = y.state.Load() == withdrawn
 	permit.Release(permitResult(out.outcome))
 	s.Table.Done(now, t, j.route.Name, now.Sub(started), out.outcome)
@@ -89,46 +98,7 @@
 	if s.Observe != nil {
 		s.Observe(t, j.route.Name, now.Sub(started), out.outcome)
 	}
-	s.logAttempt(j, &out, now.Sub(started))
-	return out
-}
-
-// request builds the request to a target.
-func (s *Service) request(j *job, t *control.Target) *http.Request {
-	header := forwarded(j.Header)
-	left := max(1, j.deadline.Sub(s.Clock.Now()).Milliseconds())
-	header.Set(s.Headers.Timeout, strconv.FormatInt(left, 10))
-	header.Set(s.Headers.Target, t.Name)
-	if header.Get("User-Agent") == "" {
-		header.Set("User-Agent", "") // keeps the library from adding its own
-	}
-	req := &http.Request{
-		Method: j.Method, Host: j.Host, Header: header, ContentLength: int64(len(j.body)),
-		URL: &url.URL{Scheme: "http", Host: j.Host, Opaque: j.RequestURI}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	if len(j.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(j.body))
-	}
-	return req
-}
-
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-// forwarded returns a copy of the header without what concerns one connection.
-func forwarded(h http.Header) http.Header {
-	out := h.Clone()
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
+	s.logAttempt(j, out, now.Sub(started))
 	return out
 }
 
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -12,60 +12,27 @@
 
 // fetch gets the reply of one target of a service. It hedges and retries idempotent
 // requests within the attempts of the route and the budget; other requests are sent
-// again only if the one before has not run.
-func (s *Service) fetch(ctx context.Context, j *job, service string) result {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // The replies that are no longer needed are awaited by the pool.
-	f := fetching{Service: s, ctx: ctx, j: j, service: service, exclude: map[string]bool{}, results: make(chan result, maxUnsent+j.route.Attempts)}
-	budget := s.Table.Budget(service)
-	budget.Limit(s.RetrySlack*j.view.Part, j.started.Before(s.BudgetsEmpty))
-	budget.Sent()
-	f.last = result{service: service, err: errNoTarget}
-	if !f.launch() {
-		return f.last
-	}
-	timer := s.Clock.NewTimer(s.hedgeDelay(j))
-	defer timer.Stop()
-	for {
-		select {
-		case r := <-f.results:
-			if done := f.received(r, func() bool { return budget.Extra(s.RetryShare) }); done {
-				f.last.attempts = f.sent
-				return f.last
-			}
-		case <-timer.Chan():
-			switch {
-			case f.move():
-				timer.Reset(s.hedgeDelay(j))
-			case len(j.route.Shards) > 0 && f.newest.withdraw():
-				// All targets of the shard are busy. The answer does without it, or the caller
-				// is refused while there is time to come back: a longer queue helps nobody.
-			case f.newest.state.Load() == committed && j.route.Idempotent && f.sent < j.route.Attempts && budget.Extra(s.RetryShare):
-				f.launch()
-			}
-		case <-ctx.Done():
-			f.last = result{service: service, outcome: route.TimedOut, err: ctx.Err(), ran: f.sent > 0, target: f.newest.target, attempts: f.sent}
-			return f.last
-		}
-	}
-}
-
-// fetching is the state of a fetch.
-type fetching struct {
-	*Service
-	ctx     context.Context
-	j       *job
+// again only if the one before has not run. Its methods take events; they run on the
+// goroutine of the gathering that the fetch belongs to.
+type fetch struct {
+	*gathering
 	service string
-	exclude map[string]bool
-	results chan result
+	budget  *route.Budget
+	// tries are all attempts so far, the newest last.
+	tries []*try
 	// sent counts the attempts that may have reached a target, unsent the others.
 	sent, unsent, inFlight int
-	newest                 *try
-	last                   result
+	// due is when the newest attempt has taken long enough for a hedge; zero if that
+	// changes nothing any more.
+	due time.Time
+	// over states that last is the end of the fetch.
+	over bool
+	last result
 }
 
 // try is one attempt on its way to a target.
 type try struct {
+	fetch  *fetch
 	target *control.Target
 	cancel context.CancelFunc
 	state  atomic.Int32
@@ -96,9 +63,84 @@
 	return nil
 }
 
+// begin sends the first request.
+func (f *fetch) begin(now time.Time) {
+	f.budget = f.Table.Budget(f.service)
+	f.budget.Limit(f.RetrySlack*f.j.view.Part, f.j.started.Before(f.BudgetsEmpty))
+	f.budget.Sent()
+	f.last = result{service: f.service, err: errNoTarget}
+	if !f.launch() {
+		f.end()
+		return
+	}
+	f.due = now.Add(f.hedge)
+}
+
+// overdue handles that the newest attempt takes long.
+func (f *fetch) overdue(now time.Time) {
+	f.due = time.Time{}
+	newest := f.newest()
+	switch {
+	case f.move():
+		f.due = now.Add(f.hedge)
+	case len(f.j.route.Shards) > 0 && newest.withdraw():
+		// All targets of the shard are busy. The answer does without it, or the caller
+		// is refused while there is time to come back: a longer queue helps nobody.
+	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts && f.extra():
+		f.launch()
+	}
+}
+
+// received handles the end of an attempt.
+func (f *fetch) received(r *result) {
+	f.inFlight--
+	switch {
+	case r.withdrawn:
+		f.keep(r)
+	case r.outcome == route.Success:
+		f.last = *r
+		f.end()
+		return
+	default:
+		f.keep(r)
+		if !reached(r) {
+			f.sent--
+			f.unsent++
+		}
+		if f.mayRepeat(r) && (!reached(r) || f.extra()) && f.launch() {
+			return
+		}
+	}
+	if f.inFlight == 0 {
+		f.end()
+	}
+}
+
+// expired is the end of a fetch whose time is up.
+func (f *fetch) expired() {
+	f.last = result{
+		service: f.service, outcome: route.TimedOut, err: f.ctx.Err(), ran: f.sent > 0, target: f.newest().target,
+	}
+	f.end()
+}
+
+// end gives up the attempts that are still under way; the pool awaits their replies.
+func (f *fetch) end() {
+	f.over, f.due = true, time.Time{}
+	f.last.attempts = f.sent
+	for _, y := range f.tries {
+		y.cancel()
+	}
+}
+
+func (f *fetch) newest() *try { return f.tries[len(f.tries)-1] }
+
+// extra takes one more request from the budget.
+func (f *fetch) extra() bool { return f.budget.Extra(f.RetryShare) }
+
 // launch sends the request to one more target. It reports false if there is none.
-func (f *fetching) launch() bool {
-	t, ok := f.pick(f.j, f.service, f.exclude)
+func (f *fetch) launch() bool {
+	t, ok := f.pick()
 	if ok {
 		f.start(t)
 	}
@@ -107,12 +149,13 @@
 
 // move gives up the newest attempt, of which nothing has left this host, for another
 // target; that costs no budget. Without another target the attempt goes on waiting.
-func (f *fetching) move() bool {
-	if f.newest.state.Load() != waiting || f.unsent >= maxUnsent {
+func (f *fetch) move() bool {
+	newest := f.newest()
+	if newest.state.Load() != waiting || f.unsent >= maxUnsent {
 		return false
 	}
-	t, ok := f.pick(f.j, f.service, f.exclude)
-	if !ok || !f.newest.withdraw() {
+	t, ok := f.pick()
+	if !ok || !newest.withdraw() {
 		return false
 	}
 	f.sent--
@@ -122,50 +165,24 @@
 }
 
 // start sends the request to a target.
-func (f *fetching) start(t *control.Target) {
+func (f *fetch) start(t *control.Target) {
 	ctx, cancel := context.WithCancel(f.ctx)
-	y := &try{target: t, cancel: cancel}
-	f.exclude[t.Name] = true
-	f.newest = y
+	y := &try{fetch: f, target: t, cancel: cancel}
+	f.tries = append(f.tries, y)
 	f.sent++
 	f.inFlight++
-	go func() {
-		defer cancel()
-		f.results <- f.attempt(ctx, f.j, y)
-	}()
-}
-
-// received takes the end of an attempt. It reports whether the fetch is over.
-func (f *fetching) received(r result, budget func() bool) bool {
-	f.inFlight--
-	if r.withdrawn {
-		f.keep(r)
-		return f.inFlight == 0
-	}
-	if r.outcome == route.Success {
-		f.last = r
-		return true
-	}
-	f.keep(r)
-	if !reached(&r) {
-		f.sent--
-		f.unsent++
-	}
-	if f.mayRepeat(&r) && (!reached(&r) || budget()) && f.launch() {
-		return false
-	}
-	return f.inFlight == 0
+	go f.run(ctx, y)
 }
 
 // keep remembers the result that says most: what ran before what did not, and a
 // reply before its absence.
-func (f *fetching) keep(r result) {
+func (f *fetch) keep(r *result) {
 	if f.last.target == nil || r.ran && !f.last.ran || r.ran == f.last.ran && r.response != nil {
-		f.last = r
+		f.last = *r
 	}
 }
 
-func (f *fetching) mayRepeat(r *result) bool {
+func (f *fetch) mayRepeat(r *result) bool {
 	if f.ctx.Err() != nil || f.unsent >= maxUnsent {
 		return false
 	}
@@ -189,33 +206,46 @@
 }
 
 // pick chooses the target for the next attempt.
-func (s *Service) pick(j *job, service string, exclude map[string]bool) (*control.Target, bool) {
-	now := s.Clock.Now()
-	version, all := s.version(j, service)
-	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
-		return s.Table.Pick(now, route.Choice{
-			Service: service, Replicas: j.view.Targets[service], Exclude: exclude, NoProbe: !j.route.Idempotent,
-			Avoid: func(t *control.Target) bool { return j.view.Spare[t.Name] },
-			Allow: func(t *control.Target) bool { return !j.view.Out[t.Centre] && s.Pool.HasShare(t) && allow(t) },
-		})
+func (f *fetch) pick() (*control.Target, bool) {
+	now, v := f.Clock.Now(), f.j.view
+	version, all := f.version()
+	choice := route.Choice{
+		Service: f.service, Replicas: v.Targets[f.service], Exclude: f.tried(), NoProbe: !f.j.route.Idempotent,
+		Avoid: func(t *control.Target) bool { return v.Spare[t.Name] },
 	}
-	warm := func(t *control.Target) bool {
-		return t.State == control.Warm && (all || (t.Version == j.view.Moves[service].Version) == version)
+	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
+		choice.Allow = func(t *control.Target) bool { return allow(t) && !v.Out[t.Centre] && f.Pool.HasShare(t) }
+		return f.Table.Pick(now, choice)
 	}
-	if t, ok := choose(warm); ok {
+	t, ok := choose(func(t *control.Target) bool {
+		return t.State == control.Warm && (all || (t.Version == v.Moves[f.service].Version) == version)
+	})
+	if ok {
 		return t, true
 	}
-	t, ok := choose(func(t *control.Target) bool { return t.State == control.Cold && s.cold.room(now, j.view, t) })
+	t, ok = choose(func(t *control.Target) bool { return t.State == control.Cold && f.cold.room(now, v, t) })
 	if ok {
-		s.cold.take(now, t)
+		f.cold.take(now, t)
 	}
 	return t, ok
 }
 
+// tried returns the names of the targets that were tried, nil if there are none.
+func (f *fetch) tried() map[string]bool {
+	if len(f.tries) == 0 {
+		return nil
+	}
+	names := make(map[string]bool, len(f.tries))
+	for _, y := range f.tries {
+		names[y.target.Name] = true
+	}
+	return names
+}
+
 // version draws whether the request goes to the new version of a service that is
 // being moved. All versions do if there is no move.
-func (s *Service) version(j *job, service string) (wantNew, all bool) {
-	m, ok := j.view.Moves[service]
+func (f *fetch) version() (wantNew, all bool) {
+	m, ok := f.j.view.Moves[f.service]
 	if !ok {
 		return false, true
 	}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -36,33 +37,32 @@
 // not replied.
 func (s *Service) collect(ctx context.Context, j *job) (parts, failed []result) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan result, len(j.route.Shards))
-	pending := make(map[string]bool, len(j.route.Shards))
-	for _, service := range j.route.Shards {
-		pending[service] = true
-		go func() { results <- s.fetch(ctx, j, service) }()
-	}
-	timer := s.Clock.NewTimer(j.decide.Sub(s.Clock.Now()))
-	defer timer.Stop()
-	late, ended := false, false
-	for len(pending) > 0 && !ended && (!late || len(parts) < j.route.Needed()) {
-		select {
-		case r := <-results:
-			delete(pending, r.service)
-			if r.good() {
-				parts = append(parts, r)
-			} else {
-				failed = append(failed, r)
-			}
-		case <-timer.Chan():
-			late = true
-		case <-ctx.Done():
-			ended = true
+	defer cancel() // The replies that are no longer needed are awaited by the pool.
+	g := s.gathering(ctx, j, j.route.Shards)
+	defer g.stop()
+	at := j.decide
+	for pending := len(j.route.Shards); pending > 0; {
+		r, event := g.next(at)
+		switch {
+		case event == alarm:
+			at = time.Time{}
+		case event == requestEnded:
+			pending = 0
+		case r.good():
+			parts = append(parts, *r)
+			pending--
+		default:
+			failed = append(failed, *r)
+			pending--
+		}
+		if at.IsZero() && len(parts) >= j.route.Needed() {
+			break
 		}
 	}
-	for service := range pending {
-		failed = append(failed, result{service: service, outcome: route.TimedOut, ran: true, err: errPending})
+	for i := range g.fetches {
+		if f := &g.fetches[i]; !f.over {
+			failed = append(failed, result{service: f.service, outcome: route.TimedOut, ran: true, err: errPending})
+		}
 	}
 	return parts, failed
 }
@@ -107,7 +107,7 @@
 
 // forward answers a request from one target.
 func (s *Service) forward(ctx context.Context, w http.ResponseWriter, j *job) {
-	r := s.fetch(ctx, j, s.splits.pick(j.route))
+	r := s.single(ctx, j, s.splits.pick(j.route))
 	switch {
 	case r.response != nil && r.ran && r.err == nil:
 		s.reply(w, j, r.response)
@@ -125,6 +125,20 @@
 	}
 }
 
+// single fetches from one service.
+func (s *Service) single(ctx context.Context, j *job, service string) result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g := s.gathering(ctx, j, []string{service})
+	defer g.stop()
+	if r, event := g.next(time.Time{}); event == fetchEnded {
+		return *r
+	}
+	f := &g.fetches[0]
+	f.expired()
+	return f.last
+}
+
 // reply passes on the reply of a target.
 func (s *Service) reply(w http.ResponseWriter, j *job, res *limit.Response) {
 	h := w.Header()
