Collect the changes of targets for 200 ms, renew views at most every 50 ms

Each change ended the questions of all 56 hosts at all 6 control hosts after 20 ms, and every answer made an entry host compute its view. Change: control hosts collect changes for 200 ms, entry hosts compute at most 20 views a second. The delay is small beside the 3 s and more within which changes have to be in force.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -26,8 +26,11 @@
 	// Expiry is after which time without a question a host counts as dead. It exceeds
 	// Wait and answerTimeout by the time for one more attempt.
 	Expiry = 2500 * time.Millisecond
-	// settleTime collects changes that come together into one answer.
-	settleTime = 20 * time.Millisecond
+	// settleTime collects changes that come together into one answer. Entry hosts follow
+	// every control host, and while the targets of many services start at once, each
+	// answer costs all of them processor time. It is a small part of the seconds within
+	// which a change has to be in force.
+	settleTime = 200 * time.Millisecond
 )
 
 // Host is what a host tells about itself.
--- a/node/entry.go
+++ b/node/entry.go
@@ -25,6 +25,9 @@
 	// sweepInterval is how often idle connections are looked after and what has ended
 	// by time alone is noticed.
 	sweepInterval = time.Second
+	// renewInterval is the least time between two views: what several control hosts tell
+	// at the same time becomes one.
+	renewInterval = 50 * time.Millisecond
 	// lingering is the part of a planned stop during which the host still accepts
 	// requests of callers that have an older list of addresses.
 	lingering = 0.65
@@ -62,6 +65,8 @@
 	first chan struct{}
 	// known holds the hosts that are or were lately active, and when they last were.
 	known map[string]time.Time
+	// renewed is when the view was last computed.
+	renewed time.Time
 	// load is what relaying takes of the processor.
 	load meter
 	// live holds the names of the targets in the view.
@@ -169,8 +174,14 @@
 		case <-e.wake:
 		case <-timer.Chan():
 		}
-		if next := e.renew(); !next.IsZero() {
-			timer.Reset(max(0, next.Sub(e.Clock.Now())))
+		if rest := e.renewed.Add(renewInterval).Sub(e.Clock.Now()); rest > 0 {
+			timer.Reset(rest)
+			continue
+		}
+		next := e.renew()
+		e.renewed = e.Clock.Now()
+		if !next.IsZero() {
+			timer.Reset(max(0, next.Sub(e.renewed)))
 		}
 	}
 }
