Send callers to 20 hosts at least, change their number rarely

Change: at least 20 hosts; the number grows to 1.5 times what is needed. The time of a request to a target follows the last benchmark, 30 us.

--- a/exchange/active.go
+++ b/exchange/active.go
@@ -12,12 +12,15 @@
 const (
 	// leastActive is the least number of entry hosts that callers are sent to. Deployments
 	// of today's size use all of theirs; in larger ones the loss of one host ends the
-	// requests of a twelfth of the callers at most.
-	leastActive = 12
+	// requests of a twentieth of the callers at most.
+	leastActive = 20
 	// activeLoad is the share of an active host's processor that relaying may take. A
 	// request to all shards occupies a small host for some 10 ms, and more load than this
 	// makes such requests wait for each other; see docs/PLATFORM.md for the measurement.
-	activeLoad = 0.08
+	activeLoad = 0.1
+	// growFactor is how many more hosts are made active than are needed when the number
+	// grows: each change of the selection costs connections.
+	growFactor = 1.5
 	// shrinkFactor is how many times too many hosts must be active, and shrinkAfter for
 	// how long, before the number falls: callers that move need new connections.
 	shrinkFactor = 1.5
@@ -56,15 +59,16 @@
 // It grows at once and falls slowly.
 func (s *sizing) step(now time.Time, load float64) int {
 	needed := max(leastActive, int(math.Ceil(load/activeLoad)))
+	enough := max(leastActive, int(math.Ceil(growFactor*load/activeLoad)))
 	switch {
-	case needed >= s.count:
-		s.count, s.excess = needed, time.Time{}
-	case float64(s.count) < shrinkFactor*float64(needed):
+	case needed > s.count:
+		s.count, s.excess = enough, time.Time{}
+	case float64(s.count) <= shrinkFactor*float64(enough):
 		s.excess = time.Time{}
 	case s.excess.IsZero():
 		s.excess = now
 	case now.Sub(s.excess) >= shrinkAfter:
-		s.count, s.excess = needed, time.Time{}
+		s.count, s.excess = enough, time.Time{}
 	}
 	return s.count
 }
--- a/node/load.go
+++ b/node/load.go
@@ -9,7 +9,7 @@
 const (
 	// attemptTime is the processor time of one request to a target, with its part of the
 	// request to all shards that it belongs to; see BenchmarkGather of package relay.
-	attemptTime = 60 * time.Microsecond
+	attemptTime = 30 * time.Microsecond
 	// loadMemory is the time constant with which the load follows the requests.
 	loadMemory = 2 * time.Second
 )
