--- a/consensus/election.go
+++ b/consensus/election.go
@@ -29,6 +29,9 @@
 	if role == Candidate {
 		kind = Vote
 		n.hard = HardState{Term: term, Vote: n.ID}
+		if n.fresh {
+			n.settle() // votes wait for disks
+		}
 	}
 	n.role, n.leader = role, ""
 	n.votes = map[string]bool{n.ID: true}
@@ -77,7 +80,7 @@
 	grant := free && n.mayVote(position{m.Index, m.Prior})
 	if grant {
 		n.hard.Vote = m.From
-		n.resetDeadline()
+		n.settle()
 	}
 	n.send(Message{Kind: AckVote, To: m.From, Reject: !grant})
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -10,6 +10,10 @@
 	// may end behind the leader's when it is promoted.
 	PromoteDistance = 64
 
+	// freshFraction is the part of the election timeout after which a fresh node asks for
+	// pre-votes: some round trips, and less than the spread of the starts of processes.
+	freshFraction = 4
+
 	defaultBatch    = 64
 	defaultInflight = 8
 	// defaultTrailing is the interval at which a control replica takes snapshots.
@@ -28,8 +32,8 @@
 	// leader's heartbeats, at most half of Election.
 	Election, Heartbeat time.Duration
 	// NoLease states that nothing relies on a leader's lease. A member may then vote
-	// directly after its start, and stand for election within one Election: after the
-	// loss of all members there is no leader to protect.
+	// directly after its start, and asks for pre-votes soon: after the loss of all members
+	// there is no leader to protect.
 	NoLease bool
 	// MaxBatch limits the entries in one message (64 if zero), MaxInflight the
 	// unacknowledged Append messages per member (8 if zero).
@@ -54,6 +58,9 @@
 	deadline time.Time
 	// heard is when the node last heard from the leader, for stickiness.
 	heard time.Time
+	// fresh states that the node has started without a lease to protect and has neither
+	// voted nor heard from a leader since.
+	fresh bool
 	votes map[string]bool
 
 	leading
@@ -85,11 +92,10 @@
 	// A member that restarts within a leader's term must not help to replace
 	// that leader, so it behaves as if it had just heard from it.
 	n.heard = now
-	n.resetDeadline()
 	if n.NoLease {
-		n.heard = time.Time{}
-		n.deadline = now.Add(n.Election/2 + time.Duration(n.Rand.Int64N(int64(n.Election/2))))
+		n.heard, n.fresh = time.Time{}, true
 	}
+	n.resetDeadline()
 	return nil
 }
 
@@ -223,8 +229,20 @@
 
 func (n *Node) voter() bool { return n.members().Voter(n.ID) }
 
+// resetDeadline starts the election timeout. A fresh node asks more often: its peers may
+// start a moment later, and pre-votes harm nobody.
 func (n *Node) resetDeadline() {
-	n.deadline = n.now.Add(n.Election + time.Duration(n.Rand.Int64N(int64(n.Election))))
+	timeout := n.Election
+	if n.fresh {
+		timeout /= freshFraction
+	}
+	n.deadline = n.now.Add(timeout + time.Duration(n.Rand.Int64N(int64(timeout))))
+}
+
+// settle ends the short timeouts of a fresh node.
+func (n *Node) settle() {
+	n.fresh = false
+	n.resetDeadline()
 }
 
 func (n *Node) send(m Message) {
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -325,3 +325,30 @@
 		is.Equal(granted, tt.grants)
 	}
 }
+
+// Guards against members of a group without leases that stay without a leader for a
+// whole election timeout because a peer starts a little later than the others.
+func TestFreshNodeAsksAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	n := &Node{
+		ID: "h1", Rand: rand.New(rand.NewPCG(1, 1)), Election: election, Heartbeat: heartbeat, NoLease: true,
+	}
+	is.NoErr(n.Start(now, Found([]string{"h1", "h2", "h3"})))
+	asked := 0
+	for now.Sub(time.Unix(0, 0)) < 2*election {
+		now = now.Add(step)
+		for _, m := range n.Tick(now).Messages {
+			is.Equal(m.Kind, PreVote) // nobody answers, so no term begins
+			asked++
+		}
+	}
+	is.True(asked >= 2*2*freshRounds) // two peers, two election timeouts
+
+	// Once it has voted, it leaves the candidate the time that its disk needs.
+	n.Step(now, Message{Kind: Vote, From: "h2", To: "h1", Term: 2, Index: 1, Prior: 1})
+	is.True(n.Next().Sub(now) >= election)
+}
+
+// freshRounds is the least number of rounds of pre-votes in an election timeout.
+const freshRounds = 2
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -73,7 +73,7 @@
 		n.follow(n.hard.Term, m.From)
 	}
 	n.heard = n.now
-	n.resetDeadline()
+	n.settle()
 	switch m.Kind {
 	case Append:
 		n.stepAppend(m)
