Leave half of a target's connections free, prefer targets with room

Change: hosts use half of a target's connections, but one each if there are as many; a request goes to a target that has room for it before one where it would wait for others of this host. TestRoomElsewhere fails without.

--- a/limit/pool.go
+++ b/limit/pool.go
@@ -148,6 +148,20 @@
 	return m.share.Connections > 0
 }
 
+// HasRoom reports whether a sub-request to the target's incarnation would not wait for
+// others of this host.
+func (p *Pool) HasRoom(target *control.Target) bool {
+	p.mu.RLock()
+	m, ok := p.members[target.Name]
+	p.mu.RUnlock()
+	if !ok || m.incarnation != target.Incarnation {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.room() && m.queue.Len() == 0
+}
+
 // Sweep replaces idle connections that targets have closed. Called every second or
 // so, it keeps connections open ahead of use.
 func (p *Pool) Sweep() {
--- a/node/entry.go
+++ b/node/entry.go
@@ -324,7 +324,7 @@
 		s := v.Routing.Service(service)
 		for _, t := range list {
 			if s != nil {
-				t.Connections = s.Connections
+				t.Connections = usable(s.Connections, len(d.hosts))
 				all = append(all, t)
 			}
 		}
@@ -338,6 +338,16 @@
 	return out
 }
 
+// usedPart is the part of a target's connections that hosts use. Connections of hosts
+// that lost power stay open at the target, beside the new ones.
+const usedPart = 0.5
+
+// usable returns how many connections all hosts together open to a target that accepts
+// so many: a part of them, but one for each host if it has as many.
+func usable(connections, hosts int) int {
+	return max(int(usedPart*float64(connections)), min(connections, hosts))
+}
+
 const (
 	// roomy is how many connections per host a target must accept for every host to use
 	// it: connections of hosts that lost power stay open at it beside the new ones.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -135,3 +135,18 @@
 	is.True(part(12, 44, true) > 10*part(12, 44, false))
 	is.Equal(part(0, 0, false), 1.0) // nothing is known of other hosts
 }
+
+// Guards against hosts that fill a target with connections, so that it resets the ones
+// that they open after a loss of power, and against hosts that get none.
+func TestUsable(t *testing.T) {
+	for _, tt := range []struct{ connections, hosts, want int }{
+		{60, 20, 30},
+		{60, 56, 56},
+		{26, 7, 13},
+		{26, 20, 20},
+		{10, 20, 10},
+		{0, 20, 0},
+	} {
+		is.New(t).Equal(usable(tt.connections, tt.hosts), tt.want)
+	}
+}
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -211,7 +211,7 @@
 	version, all := f.version()
 	choice := route.Choice{
 		Service: f.service, Replicas: v.Targets[f.service], Exclude: f.tried(), NoProbe: !f.j.route.Idempotent,
-		Avoid: func(t *control.Target) bool { return v.Spare[t.Name] },
+		Avoid: func(t *control.Target) bool { return v.Spare[t.Name] || !f.Pool.HasRoom(t) },
 	}
 	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
 		choice.Allow = func(t *control.Target) bool { return allow(t) && !v.Out[t.Centre] && f.Pool.HasShare(t) }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -197,6 +197,36 @@
 	is.Equal(a.asked.Load(), int64(3))
 }
 
+// Guards against requests that wait for a busy target nearby while another has room.
+func TestRoomElsewhere(t *testing.T) {
+	is := is.New(t)
+	r := backend(true, 1)
+	r.Objective = time.Second
+	near, far := target("near", "s1").records("x"), target("far", "s1").records("x")
+	near.reply = func(w http.ResponseWriter, _ *http.Request) {
+		near.ran.Add(1)
+		time.Sleep(300 * time.Millisecond)
+		w.Header().Set(headers.Signature, "sign")
+	}
+	g := newRig(t, r, near, far)
+	list := g.view.Targets["s1"]
+	list[1].Centre = "elsewhere"
+	g.service.Pool.SetShares(map[string]limit.Share{
+		"near": {Incarnation: "1", Address: list[0].Address, Connections: 1, Slots: 1},
+		"far":  {Incarnation: "1", Address: list[1].Address, Connections: 1, Slots: 1},
+	})
+	first := make(chan struct{})
+	go func() { defer close(first); g.get(t, nil) }()
+	for near.ran.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	started := time.Now()
+	g.get(t, nil)
+	is.True(time.Since(started) < 100*time.Millisecond)
+	is.Equal(far.ran.Load(), int64(1))
+	<-first
+}
+
 // Guards against more extra requests than the budget has room for.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
