Leave targets room after a loss of power: no early or lasting connections of hosts without callers

Hosts that restart together know few others at first, so that all 56 count themselves as active and open connections to all targets; hosts without callers keep connections that probes needed. A reset after the request was sent counts as run, and a request that may run once fails then. Change: no connections ahead of use in the first 1.5 s; hosts without callers close connections after use; a new connection is checked 1 ms after its opening, before a request is sent on it.

--- a/limit/member.go
+++ b/limit/member.go
@@ -92,7 +92,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.share = s
-	for len(m.idle) > 0 && m.open > s.Connections {
+	for len(m.idle) > 0 && (s.Brief || m.open > s.Connections) {
 		m.drop(m.idle[0])
 		m.idle = m.idle[1:]
 	}
--- a/limit/open.go
+++ b/limit/open.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -98,6 +100,10 @@
 		w <- delivery{connection: c}
 		return
 	}
+	if m.share.Brief {
+		m.drop(c)
+		return
+	}
 	m.idle = append(m.idle, c)
 }
 
@@ -138,6 +144,9 @@
 // connection, so that one that gives up does not waste it.
 func (m *member) dial() {
 	c, err := m.pool.connect(m.address)
+	if err == nil {
+		err = m.accepted(c)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.opening--
@@ -159,6 +168,22 @@
 	m.fill()
 }
 
+// errNotAccepted is the cause if a target closes a new connection at once.
+var errNotAccepted = errors.New("the target closed the new connection")
+
+// accepted closes the connection and returns an error if the target has closed it.
+func (m *member) accepted(c *connection) error {
+	if m.pool.Accept <= 0 {
+		return nil
+	}
+	m.pool.clock().Sleep(m.pool.Accept)
+	if c.usable() {
+		return nil
+	}
+	c.close()
+	return errNotAccepted
+}
+
 // postpone stops opening connections ahead for a while that doubles.
 func (m *member) postpone() {
 	clock := m.pool.clock()
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -41,6 +41,9 @@
 	Slots int
 	// Warm is the number of connections that are opened ahead of use.
 	Warm int
+	// Brief states that connections are closed after use: the host has no regular work for
+	// the target and leaves its connections to others.
+	Brief bool
 	// Lean states that no more than Warm connections are opened ahead, also while
 	// others are in use.
 	Lean bool
@@ -62,6 +65,11 @@
 	// Connect bounds how long opening a connection may take, 1 s if 0.
 	Connect time.Duration
 
+	// Accept is how long after its opening a connection is checked before its first use; 0
+	// stands for no check. A target without room for it accepts and resets it at once, and
+	// a request that has been sent by then may have run as far as this host can tell.
+	Accept time.Duration
+
 	// Valid, if set, reports why a whole reply is not the reply to the request. The
 	// connection is closed then, because what follows on it can't be trusted either.
 	Valid func(req *http.Request, res *Response) error
--- a/node/entry.go
+++ b/node/entry.go
@@ -25,6 +25,10 @@
 	// sweepInterval is how often idle connections are looked after and what has ended
 	// by time alone is noticed.
 	sweepInterval = time.Second
+	// settling is for how long after its start a host opens no connections ahead of use:
+	// control hosts may not have heard of the others yet, and too many would count as
+	// active.
+	settling = 1500 * time.Millisecond
 	// renewInterval is the least time between two views: what several control hosts tell
 	// at the same time becomes one.
 	renewInterval = 50 * time.Millisecond
@@ -37,6 +41,9 @@
 	// before its connection is closed: less than the half second in which targets are
 	// expected to be free of it.
 	discard = 400 * time.Millisecond
+	// acceptTime is how long after its opening a connection is checked before its first
+	// use: the reset of a target nearby has arrived by then.
+	acceptTime = time.Millisecond
 	// hostMemory is for how long a host that was active still has its part of what
 	// hosts share.
 	hostMemory = 15 * time.Second
@@ -125,7 +132,7 @@
 	e.client = exchange.Client{
 		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.changed, Load: e.load.share,
 	}
-	e.pool = &limit.Pool{Clock: e.Clock, Drain: discard, Unframed: true}
+	e.pool = &limit.Pool{Clock: e.Clock, Drain: discard, Accept: acceptTime, Unframed: true}
 	e.table = &route.Table{Centre: e.Settings.Centre, Judged: e.judged}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
@@ -333,7 +340,7 @@
 	out := make(map[string]limit.Share, len(all))
 	for _, t := range all {
 		n := counts[t.Name]
-		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(v, d, t), n), Lean: true}
+		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(v, d, t), n), Brief: !d.active, Lean: true}
 	}
 	return out
 }
@@ -397,7 +404,8 @@
 // that may get work, so that a hedge does not wait for a new one. A host that callers are
 // not sent to opens none.
 func (e *Entry) warm(v *relay.View, d *division, t *control.Target) int {
-	if d.active && t.State == control.Warm && !v.Spare[t.Name] {
+	settled := e.Clock.Now().UnixNano()-e.start >= int64(settling)
+	if settled && d.active && t.State == control.Warm && !v.Spare[t.Name] {
 		return 1
 	}
 	return 0
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -150,3 +150,19 @@
 		is.New(t).Equal(usable(tt.connections, tt.hosts), tt.want)
 	}
 }
+
+// Guards against hosts that all open connections ahead of use after a common restart,
+// before they know of each other, and against hosts that never do.
+func TestWarm(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	e := entryHost("h0", "c0")
+	e.Clock, e.start = clock, clock.Now().UnixNano()
+	v := &relay.View{}
+	target := &control.Target{Name: "t0", State: control.Warm}
+	is.Equal(e.warm(v, &division{active: true}, target), 0)
+	clock.Advance(settling)
+	is.Equal(e.warm(v, &division{active: true}, target), 1)
+	is.Equal(e.warm(v, &division{}, target), 0)
+	is.Equal(e.warm(&relay.View{Spare: map[string]bool{"t0": true}}, &division{active: true}, target), 0)
+}
