--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -296,6 +296,14 @@
 	return len(h.members)
 }
 
+// Active returns the number of entry hosts that callers are to be sent to, 0 directly
+// after the start.
+func (h *Hub) Active() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sizing.count
+}
+
 // Targets returns the number of targets that were heard here lately.
 func (h *Hub) Targets() int {
 	h.mu.Lock()
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -128,10 +128,8 @@
 // are served in the order of the deadlines of their contexts. The error is a
 // *RefusedError; nothing was sent then. The permit must be released.
 func (p *Pool) Acquire(ctx context.Context, target *control.Target) (*Permit, error) {
-	p.mu.RLock()
-	m, ok := p.members[target.Name]
-	p.mu.RUnlock()
-	if !ok || m.incarnation != target.Incarnation {
+	m := p.member(target)
+	if m == nil {
 		return nil, &RefusedError{Target: target.Name, Reason: NoShare}
 	}
 	permit, err := m.acquire(ctx)
@@ -142,13 +140,21 @@
 	return permit, nil
 }
 
+// member returns the state of the target's incarnation, nil if this host has no share.
+func (p *Pool) member(target *control.Target) *member {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if m, ok := p.members[target.Name]; ok && m.incarnation == target.Incarnation {
+		return m
+	}
+	return nil
+}
+
 // HasShare reports whether this host may open connections to the target's
 // incarnation. With fewer connections than hosts, some hosts have none.
 func (p *Pool) HasShare(target *control.Target) bool {
-	p.mu.RLock()
-	m, ok := p.members[target.Name]
-	p.mu.RUnlock()
-	if !ok || m.incarnation != target.Incarnation {
+	m := p.member(target)
+	if m == nil {
 		return false
 	}
 	m.mu.Lock()
@@ -159,10 +165,8 @@
 // HasRoom reports whether a sub-request to the target's incarnation would not wait for
 // others of this host.
 func (p *Pool) HasRoom(target *control.Target) bool {
-	p.mu.RLock()
-	m, ok := p.members[target.Name]
-	p.mu.RUnlock()
-	if !ok || m.incarnation != target.Incarnation {
+	m := p.member(target)
+	if m == nil {
 		return false
 	}
 	m.mu.Lock()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -35,6 +35,7 @@
 	gauge("applied", "Index of the last command in the state.", local(func(l quorum.Local) float64 { return float64(l.Applied) }))
 	gauge("routing", "Version of the routing document.", func() float64 { return float64(c.hub.Shared().Routing.Version) })
 	gauge("hosts", "Hosts that asked lately.", func() float64 { return float64(c.hub.Members()) })
+	gauge("active", "Entry hosts that callers are sent to.", func() float64 { return float64(c.hub.Active()) })
 	gauge("targets", "Targets that were heard here lately.", func() float64 { return float64(c.hub.Targets()) })
 }
 
