--- a/exchange/active.go
+++ b/exchange/active.go
@@ -31,19 +31,25 @@
 // the same number in each data centre. Every host that knows the same hosts selects the
 // same ones, and a host that leaves is replaced by one more of its data centre.
 func Active(hosts []Host, n int) []Host {
-	centres := map[string][]Host{}
+	type candidate struct {
+		Host
+		rank uint64
+	}
+	centres := map[string][]candidate{}
 	for _, h := range hosts {
 		if h.Caller.IsValid() && !h.Draining {
-			centres[h.Centre] = append(centres[h.Centre], h)
+			centres[h.Centre] = append(centres[h.Centre], candidate{h, xxhash.Sum64String(h.Name)})
 		}
 	}
 	var active []Host
 	for _, list := range centres {
-		slices.SortFunc(list, func(a, b Host) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+		slices.SortFunc(list, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Name, b.Name))
 		})
 		share := (n + len(centres) - 1) / len(centres)
-		active = append(active, list[:min(len(list), share)]...)
+		for _, c := range list[:min(len(list), share)] {
+			active = append(active, c.Host)
+		}
 	}
 	return active
 }
