Ask another control host after one that gave no answer

A call begins with the control host that answered last, and a time-out ends the call, because it may not be repeated; the order changed only with a success, so every later call began with the silent host again. Change: after a call without an answer the next call begins with another control host. The failed call is still not repeated.

--- a/host/control.go
+++ b/host/control.go
@@ -22,7 +22,8 @@
 	retryPause = 50 * time.Millisecond
 )
 
-// Control calls the control hosts: the one that answered last, then the others.
+// Control calls the control hosts: the one that answered last, then the others. One that
+// gave no answer is not the first to be asked again.
 // Exported fields are set before use. It is safe for concurrent use.
 type Control struct {
 	// Clients holds a client per control host, in the order of preference.
@@ -45,11 +46,12 @@
 		err := c.Clients[n].Call(attempt, method, params, result)
 		cancel()
 		if err == nil {
-			c.mu.Lock()
-			c.preferred = n
-			c.mu.Unlock()
+			c.prefer(n)
 			return nil
 		}
+		// A host that is cut off silently fails only by its time-out, after which the call
+		// may not be repeated. The next call has to begin with another host.
+		c.prefer((n + 1) % len(c.Clients))
 		last = err
 		if ctx.Err() != nil || !safe(err) {
 			break
@@ -58,6 +60,13 @@
 	return last
 }
 
+// prefer sets the control host that the next call asks first.
+func (c *Control) prefer(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.preferred = n
+}
+
 // safe reports whether a request that failed in this way had no effect.
 func safe(err error) bool {
 	var connect *peer.ConnectError
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -98,6 +98,25 @@
 		is.Equal(d.Executed, problem.Unknown)
 		is.Equal(calls.Load(), int32(1))
 	})
+	t.Run("silent host", func(t *testing.T) {
+		is := is.New(t)
+		silent := map[string]peer.Handler{quorum.MethodPropose: func(ctx context.Context, _ *peer.Conn, _ json.RawMessage) (any, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+		c := &Control{Clients: []*peer.Client{serve(t, silent), serve(t, accept)}}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := c.Propose(ctx, control.Command{})
+		var d *problem.Details
+		is.True(errors.As(err, &d))
+		is.Equal(d.Executed, problem.Unknown)
+		next, end := context.WithTimeout(t.Context(), time.Second)
+		defer end()
+		result, err := c.Propose(next, control.Command{}) // another host is asked
+		is.NoErr(err)
+		is.Equal(result.Index, uint64(7))
+	})
 	t.Run("nobody leads", func(t *testing.T) {
 		is := is.New(t)
 		var calls atomic.Int32
