--- a/exchange/client.go
+++ b/exchange/client.go
@@ -330,10 +330,11 @@
 	return list
 }
 
-// Active returns the entry hosts that callers are sent to. Control hosts may differ for
-// a moment about their number: the largest counts.
-func (c *Client) Active() []Host {
-	hosts := c.Hosts()
+// Active returns the entry hosts that callers are sent to, and all entry hosts as Hosts
+// does. Control hosts may differ for a moment about the number of active ones: the
+// largest counts.
+func (c *Client) Active() (active, all []Host) {
+	all = c.Hosts()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, n := c.Clock.Now(), leastActive
@@ -342,7 +343,7 @@
 			n = max(n, k.active)
 		}
 	}
-	return Active(hosts, n)
+	return Active(all, n), all
 }
 
 // Control returns the control hosts that answered within age, in order of their
--- a/node/division.go
+++ b/node/division.go
@@ -45,7 +45,8 @@
 // divide computes the division among the hosts that are known now.
 func (e *Entry) divide() division {
 	now := e.Clock.Now()
-	for _, h := range e.client.Active() {
+	active, all := e.client.Active()
+	for _, h := range active {
 		e.known[h.Name] = now
 	}
 	var d division
@@ -57,7 +58,7 @@
 		d.hosts = append(d.hosts, name)
 	}
 	others := 0
-	for _, h := range e.client.Hosts() {
+	for _, h := range all {
 		if !slices.Contains(d.hosts, h.Name) {
 			others++
 		}
@@ -150,8 +151,7 @@
 // that may get work, so that a hedge does not wait for a new one. A host that callers are
 // not sent to opens none.
 func (e *Entry) warm(v *relay.View, d *division, t *control.Target) int {
-	settled := e.Clock.Now().UnixNano()-e.start >= int64(settling)
-	if settled && d.active && t.State == control.Warm && !v.Spare[t.Name] {
+	if e.age() >= settling && d.active && t.State == control.Warm && !v.Spare[t.Name] {
 		return 1
 	}
 	return 0
--- a/node/process.go
+++ b/node/process.go
@@ -70,6 +70,9 @@
 	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
 
+// age is how long the process has run.
+func (p *Process) age() time.Duration { return time.Duration(p.Clock.Now().UnixNano() - p.start) }
+
 func (p *Process) seedAddresses() []netip.AddrPort { return *p.seeds.Load() }
 
 // serve opens an HTTP listener and serves it in g. An address that is not valid is
