Bound requests to cold targets in every second, wherever it begins

Cause: the gate counted by the seconds of the clock. A host could send its part at the end of one second and again at the beginning of the next, and all hosts together twice what a cold target bears. A step of the time of day began a new second as well. Change: the gate keeps the times of the requests of the last second. Before: TestColdGateSlides fails on the fifth request. After: it passes.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -378,6 +378,27 @@
 	is.True(!gate.room(now, v, &control.Target{Name: "u", Service: "unknown"}))
 }
 
+// Guards against twice the permitted requests within a second that begins in one second
+// of the clock and ends in the next.
+func TestColdGateSlides(t *testing.T) {
+	is := is.New(t)
+	var gate coldGate
+	v := &View{Part: 0.5, Routing: routing.NewTable(&routing.Document{Services: []routing.Service{{Name: "s", ColdRate: 8}}})}
+	cold := &control.Target{Name: "t", Service: "s"}
+	var sent []time.Time
+	start := time.Unix(50, 0)
+	for after := 900 * time.Millisecond; after < 4*time.Second; after += 10 * time.Millisecond {
+		if now := start.Add(after); gate.room(now, v, cold) {
+			gate.take(now, cold)
+			sent = append(sent, now)
+		}
+	}
+	is.True(len(sent) >= 12)
+	for i := 4; i < len(sent); i++ {
+		is.True(sent[i].Sub(sent[i-4]) >= time.Second)
+	}
+}
+
 // Guards against records that are lost or made up by the merge.
 func TestMerge(t *testing.T) {
 	body := func(texts ...string) []byte {
--- a/relay/split.go
+++ b/relay/split.go
@@ -52,17 +52,20 @@
 // coldGate keeps this host's requests to cold targets within its part of what they
 // bear. The zero value is ready.
 type coldGate struct {
-	mu   sync.Mutex
-	sent map[string]coldCount
+	mu sync.Mutex
+	// sent holds the times of the requests of the last second, the oldest first.
+	sent map[string][]time.Time
 }
 
-type coldCount struct {
-	second int64
-	n      int
-}
+// coldWindow is the span of time that the bound on requests to a cold target holds for,
+// wherever it begins.
+const coldWindow = time.Second
+
+// maxCold bounds the targets that times are kept for.
+const maxCold = 4096
 
-// room reports whether the cold target bears one more request of this host in this
-// second. A target that bears less than a request per host and second gets none.
+// room reports whether the cold target bears one more request of this host now. A
+// target that bears less than a request per host and second gets none.
 func (g *coldGate) room(now time.Time, v *View, t *control.Target) bool {
 	service := v.Routing.Service(t.Service)
 	if service == nil {
@@ -71,27 +74,23 @@
 	part := int(service.ColdRate * v.Part)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.count(now, t).n < part
+	return len(g.recent(now, t)) < part
 }
 
-// count returns the count of this second. The gate is locked.
-func (g *coldGate) count(now time.Time, t *control.Target) coldCount {
-	if c := g.sent[t.Name]; c.second == now.Unix() {
-		return c
+// recent returns the times of the requests within the window. The gate is locked.
+func (g *coldGate) recent(now time.Time, t *control.Target) []time.Time {
+	sent := g.sent[t.Name]
+	for len(sent) > 0 && now.Sub(sent[0]) >= coldWindow {
+		sent = sent[1:]
 	}
-	return coldCount{second: now.Unix()}
+	return sent
 }
 
 func (g *coldGate) take(now time.Time, t *control.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.sent == nil || len(g.sent) > maxCold {
-		g.sent = map[string]coldCount{}
+		g.sent = map[string][]time.Time{}
 	}
-	c := g.count(now, t)
-	c.n++
-	g.sent[t.Name] = c
+	g.sent[t.Name] = append(g.recent(now, t), now)
 }
-
-// maxCold bounds the targets that counts are kept for.
-const maxCold = 4096
