Take a host for a later run once the one with the later start is silent

Cause: runs of a host are ordered by the time of day at their start. A host whose clock was ahead and was set back before a restart looked like an earlier run. Control hosts ignored it until the list forgot the old run, after 2.5 s for an entry host and 30 s for a control host. Change: an earlier start counts as a late question only while the later run asks. Before: TestEarlierStart fails. After: it passes.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -216,3 +216,20 @@
 	is.Equal(a.List[0].Name, "e2")
 	is.True(ask("e1", 1000).Whole) // a revision from nowhere
 }
+
+// Guards against a host that restarts after its clock was ahead and is taken for an
+// earlier run until the list forgets it, which takes 30 s for a control host.
+func TestEarlierStart(t *testing.T) {
+	is := is.New(t)
+	h := &Hub{Self: Host{Name: "a", Start: 1}, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Silence: time.Minute}
+	h.Init()
+	now := h.Clock.Now()
+	known := Host{Name: "b", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.2:80")}
+	h.note(now, &known, 0)
+	held := known
+	held.Start = 5
+	h.note(now.Add(time.Second), &held, 0)
+	is.Equal(h.members["b"].Start, int64(9)) // the later run asks at least this often
+	h.note(now.Add(Wait+answerTimeout), &held, 0)
+	is.Equal(h.members["b"].Start, int64(5))
+}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -172,8 +172,10 @@
 // note records the host that asks. The hub is locked.
 func (h *Hub) note(now time.Time, from *Host, load float64) {
 	if m := h.members[from.Name]; m != nil {
-		if from.Start < m.Start {
-			return // a question of an earlier run that was held up
+		if from.Start < m.Start && now.Sub(m.heard) < Wait+answerTimeout {
+			// A question of an earlier run that was held up. A run that is silent has
+			// ended; its clock may have been ahead.
+			return
 		}
 		m.heard, m.load = now, load
 		if m.Host == *from {
