Treat damaged control state as lost on hosts without an operator, tell ages from the monotonic clock

A flipped bit in the list of founders made the host a member of a group of its own, and one in the identity file could pass unnoticed, as neither file had a checksum. The age of a process was told from the time of day, which may be set. Change: the node moves damaged state into a folder beside it, keeps the newest of these, and joins under a new identity as after a lost disk. wasabirelayd goes on refusing to start, because an operator is there. Both files and the saved targets end with a checksum. Ages use the monotonic reading. Not detectable: whole records that are cut off at the end of the log, which look like a write that was not synced.

--- a/journal/file.go
+++ b/journal/file.go
@@ -1,9 +1,13 @@
 package journal
 
 import (
+	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -18,6 +22,41 @@
 	return replaceFile(name, data, folder, (*os.File).Sync)
 }
 
+// sumPrefix begins the last line of a file with a checksum, which holds the xxhash of
+// all lines before it.
+const sumPrefix = "xxhash "
+
+// WriteChecked is WriteFile for a text file with a checksum in its last line.
+func WriteChecked(name string, text []byte) error { return WriteFile(name, withSum(text)) }
+
+func withSum(text []byte) []byte {
+	return fmt.Appendf(slices.Clip(text), "%s%016x\n", sumPrefix, xxhash.Sum64(text))
+}
+
+// ReadChecked reads a file that WriteChecked has written. The errors are those of the
+// file system and a *CorruptError.
+func ReadChecked(name string) ([]byte, error) {
+	all, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	at := bytes.LastIndex(all, []byte(sumPrefix))
+	if at < 0 || !bytes.Equal(withSum(all[:at]), all) {
+		return nil, &CorruptError{File: name, Reason: "the checksum is missing or does not match"}
+	}
+	return all[:at], nil
+}
+
+// SyncFolder makes the names in a folder durable.
+func SyncFolder(dir string) error {
+	folder, err := os.Open(dir)
+	if err != nil {
+		return errors.Wrap(err, "open folder")
+	}
+	defer folder.Close()
+	return errors.Wrap(folder.Sync(), "sync folder")
+}
+
 // replaceFile writes a file under a temporary name and renames it, so that after a
 // crash it is either complete or as before.
 func replaceFile(path string, content []byte, folder *os.File, sync func(*os.File) error) error {
--- a/journal/identity.go
+++ b/journal/identity.go
@@ -30,8 +30,8 @@
 // ok is false if there is none. The error may be a *CorruptError.
 func ReadIdentity(dir string) (identity Identity, ok bool, err error) {
 	path := filepath.Join(dir, identityFile)
-	text, err := os.ReadFile(path)
-	if os.IsNotExist(err) {
+	text, err := ReadChecked(path)
+	if errors.Is(err, os.ErrNotExist) {
 		return Identity{}, false, nil
 	}
 	if err != nil {
@@ -64,7 +64,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode identity")
 	}
-	if err := j.place(identityFile, append(text, '\n')); err != nil {
+	if err := j.place(identityFile, withSum(append(text, '\n'))); err != nil {
 		return err
 	}
 	j.identity = identity
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -212,6 +212,7 @@
 		"snapshot missing":       {file: snap, damage: removed, want: snap},
 		"identity missing":       {file: identityFile, damage: removed, want: identityFile},
 		"identity damaged":       {file: identityFile, damage: cut(5), want: identityFile},
+		"identity flip":          {file: identityFile, damage: flip(15, 1), want: identityFile},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/node/control.go
+++ b/node/control.go
@@ -8,10 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"wasabirelay/control"
 	"wasabirelay/exchange"
+	"wasabirelay/journal"
 	"wasabirelay/move"
 	"wasabirelay/quorum"
 	"wasabirelay/registry"
@@ -44,7 +46,7 @@
 	replica *quorum.Replica
 	hub     exchange.Hub
 	client  exchange.Client
-	// found is when the last unknown control host appeared, as Unix nanoseconds.
+	// found is the age of this process at which the last unknown control host appeared.
 	found atomic.Int64
 }
 
@@ -90,7 +92,6 @@
 
 func (c *Control) prepare() error {
 	self := exchange.Host{Name: c.Settings.Host, Centre: c.Settings.Centre, Start: c.start, Peer: c.Settings.Peer}
-	c.found.Store(c.start)
 	c.book.Self, c.book.Dial = c.Settings.Host, exchange.DialTimeout
 	c.book.Set(c.Settings.Host, c.Settings.Peer)
 	c.hub = exchange.Hub{
@@ -108,13 +109,29 @@
 		Changed: c.hub.SetShared,
 	}
 	c.registerMetrics()
+	return c.open()
+}
+
+// open opens the control state. State that is damaged counts as lost: nothing that it
+// promised to the group may be relied on, and the host joins under a new identity.
+func (c *Control) open() error {
+	err := c.replica.Open()
+	var damaged *journal.CorruptError
+	if !errors.As(err, &damaged) {
+		return err
+	}
+	aside, asideErr := setAside(c.Settings.Data, c.start)
+	if asideErr != nil {
+		return errors.Wrapf(asideErr, "set damaged control state aside (%v)", err)
+	}
+	c.Log.Error().Err(err).Str("aside", aside).Msg("control state is damaged, joining again without it")
 	return c.replica.Open()
 }
 
 // heard notes a control host.
 func (c *Control) heard(h exchange.Host) {
 	if c.book.Set(h.Name, h.Peer) {
-		c.found.Store(c.Clock.Now().UnixNano())
+		c.found.Store(int64(c.age()))
 		c.Log.Info().Str("control", h.Name).Stringer("peer", h.Peer).Msg("control host found")
 	}
 }
@@ -128,7 +145,7 @@
 	if !c.Settings.Found || len(seeds) == 0 || seeds[0] != c.Settings.Peer {
 		return nil
 	}
-	if c.Clock.Now().UnixNano()-c.found.Load() < int64(foundingQuiet) {
+	if c.age()-time.Duration(c.found.Load()) < foundingQuiet {
 		return nil
 	}
 	known := map[netip.AddrPort]bool{}
--- /dev/null
+++ b/node/damage_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"wasabirelay/consensus"
+	"wasabirelay/journal"
+)
+
+// Guards against a control host that ends again and again because its control state is
+// damaged, against one that goes on under its old identity, and against old folders that
+// fill the disk.
+func TestDamagedState(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	clock := clockwork.NewFakeClock()
+	identities := map[string]bool{}
+	for range 3 {
+		c := &Control{Process: &Process{
+			Settings: Settings{Host: "a", Peer: netip.MustParseAddrPort("10.0.0.1:1"), Data: dir, Heartbeat: time.Second},
+			Clock:    clock, Log: zerolog.Nop(), Registry: prometheus.NewRegistry(),
+		}}
+		c.init()
+		is.NoErr(c.prepare())
+		id, ok, err := journal.ReadIdentity(dir)
+		is.NoErr(err)
+		is.True(ok)
+		is.True(!identities[id.Incarnation])
+		identities[id.Incarnation] = true
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.NoErr(c.replica.Run(ended)) // it closes the folder
+		damage(t, dir)
+		clock.Advance(time.Second)
+	}
+	asides, err := filepath.Glob(filepath.Join(dir, asidePrefix+"*", "log-1"))
+	is.NoErr(err)
+	is.Equal(len(asides), 1)
+}
+
+// damage leaves a log in the folder that has entries and no founders.
+func damage(t *testing.T, dir string) {
+	t.Helper()
+	is := is.New(t)
+	j, _, err := journal.Open(dir)
+	is.NoErr(err)
+	is.NoErr(j.Save(&consensus.HardState{Term: 1}, []consensus.Entry{{Index: 1, Term: 1, Data: []byte("lost")}}))
+	is.NoErr(j.Close())
+}
--- a/node/division_test.go
+++ b/node/division_test.go
@@ -78,7 +78,7 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	e := entryHost("h0", "c0")
-	e.Clock, e.start = clock, clock.Now().UnixNano()
+	e.Clock, e.started = clock, clock.Now()
 	v := &relay.View{}
 	target := &control.Target{Name: "t0", State: control.Warm}
 	is.Equal(e.warm(v, &division{active: true}, target), 0)
--- a/node/process.go
+++ b/node/process.go
@@ -47,7 +47,10 @@
 	// seeds may change while the process runs.
 	seeds    atomic.Pointer[[]netip.AddrPort]
 	draining atomic.Bool
+	// start identifies this run to other hosts. started is the same moment; the time of
+	// day may be set meanwhile, so ages are told from its monotonic reading.
 	start    int64
+	started  time.Time
 	events   *eventlog.Limiter
 }
 
@@ -62,7 +65,8 @@
 
 func (p *Process) init() {
 	p.seeds.CompareAndSwap(nil, &p.Settings.Seeds)
-	p.start = p.Clock.Now().UnixNano()
+	p.started = p.Clock.Now()
+	p.start = p.started.UnixNano()
 	p.events = &eventlog.Limiter{Clock: p.Clock}
 	if p.Settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.Memory)))
@@ -71,7 +75,7 @@
 }
 
 // age is how long the process has run.
-func (p *Process) age() time.Duration { return time.Duration(p.Clock.Now().UnixNano() - p.start) }
+func (p *Process) age() time.Duration { return p.Clock.Since(p.started) }
 
 func (p *Process) seedAddresses() []netip.AddrPort { return *p.seeds.Load() }
 
--- a/node/targets.go
+++ b/node/targets.go
@@ -39,7 +39,7 @@
 
 // loadTargets reads the saved table; it is empty if there is none.
 func loadTargets(dir string) ([]registry.Record, error) {
-	text, err := os.ReadFile(filepath.Join(dir, targetsFile))
+	text, err := journal.ReadChecked(filepath.Join(dir, targetsFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -56,7 +56,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode targets")
 	}
-	return journal.WriteFile(filepath.Join(dir, targetsFile), text)
+	return journal.WriteChecked(filepath.Join(dir, targetsFile), append(text, '\n'))
 }
 
 // saveTargets saves the table of targets when it has changed.
--- a/quorum/group.go
+++ b/quorum/group.go
@@ -26,7 +26,7 @@
 
 // readFounders returns the founders of the group, or nil before there is one.
 func readFounders(dir string) ([]string, error) {
-	text, err := os.ReadFile(filepath.Join(dir, groupFile))
+	text, err := journal.ReadChecked(filepath.Join(dir, groupFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -37,5 +37,5 @@
 // entry of the log, so that a log without them is known to be damaged.
 func writeFounders(dir string, founders []string) error {
 	text := strings.Join(founders, "\n") + "\n"
-	return errors.Wrap(journal.WriteFile(filepath.Join(dir, groupFile), []byte(text)), "write group")
+	return errors.Wrap(journal.WriteChecked(filepath.Join(dir, groupFile), []byte(text)), "write group")
 }
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -88,8 +89,9 @@
 }
 
 // Open opens the journal. It is called before Run, so that a damaged journal is
-// reported before anything starts.
-func (r *Replica) Open() error {
+// reported before anything starts. The error may be a *journal.CorruptError; after that
+// the folder is no longer in use.
+func (r *Replica) Open() (err error) {
 	if r.Election == 0 {
 		r.Election = DefaultElection
 	}
@@ -106,6 +108,11 @@
 		return errors.Wrap(err, "open journal")
 	}
 	r.journal = j
+	defer func() {
+		if err != nil {
+			j.Close() // the first error is the one to report
+		}
+	}()
 	id, ok := j.Identity()
 	if !ok {
 		id = journal.NewIdentity(r.Host)
@@ -126,7 +133,7 @@
 	}
 	r.setFounders(founders)
 	if len(founders) == 0 {
-		return errors.Errorf("data folder %s has a log and no file %s: it is damaged", r.Dir, groupFile)
+		return &journal.CorruptError{File: filepath.Join(r.Dir, groupFile), Reason: "the file is missing, but the log is not empty"}
 	}
 	return r.start(saved)
 }
