Soak: harm links between hosts and disks, and check cold targets, budgets, leaving targets and evacuations

Cause: the soak harmed only processes, targets and the links to targets, and judged answers and single runs. Promises over all hosts together had no check. Checked are requests to cold targets in each second, the retry budget of all hosts in each window, targets that must get nothing, documents that go back, and documents in force at the end. The numbers of hosts are arguments.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -20,6 +20,8 @@
 	First   uint64        `help:"First seed." default:"1"`
 	Seeds   int           `help:"Number of seeds." default:"1"`
 	Length  time.Duration `help:"How long faults are injected per seed." default:"20s"`
+	Control int           `help:"Number of control hosts." default:"3"`
+	Entry   int           `help:"Number of entry hosts." default:"3"`
 	Jobs    int           `help:"Seeds that run at the same time." default:"1"`
 	Dir     string        `help:"Folder for data and logs; those of seeds without a violation are removed." default:"tmp/soak"`
 	Verbose bool          `help:"Print the faults."`
@@ -66,7 +68,7 @@
 }
 
 func play(ctx context.Context, o *options, seed uint64) (text string, ok bool) {
-	r := &soak.Run{Seed: seed, Length: o.Length, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
+	r := &soak.Run{Seed: seed, Length: o.Length, Control: o.Control, Entry: o.Entry, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		}
--- a/cmd/wasabirelay-node/main.go
+++ b/cmd/wasabirelay-node/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -23,13 +24,21 @@
 // signal.
 const reloadInterval = 2 * time.Second
 
+type options struct {
+	PeerListen netip.AddrPort `help:"Address to listen at for other hosts, if they reach this host through a forwarder."`
+}
+
 func main() {
-	kong.Parse(&struct{}{}, kong.Description("Daemon of wasabirelay on the users' platform. It reads the settings file of the platform."))
+	var o options
+	kong.Parse(&o, kong.Description("Daemon of wasabirelay on the users' platform. It reads the settings file of the platform."))
+	// A write beyond a limit on the size of files is an error of that write.
+	signal.Ignore(syscall.SIGXFSZ)
 	s, err := platform.Load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
+	s.PeerListen = o.PeerListen
 	os.Exit(run(s))
 }
 
--- a/node/process.go
+++ b/node/process.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -49,9 +50,9 @@
 	draining atomic.Bool
 	// start identifies this run to other hosts. started is the same moment; the time of
 	// day may be set meanwhile, so ages are told from its monotonic reading.
-	start    int64
-	started  time.Time
-	events   *eventlog.Limiter
+	start   int64
+	started time.Time
+	events  *eventlog.Limiter
 }
 
 // Reload takes over what may change while the process runs: the seeds.
@@ -103,7 +104,8 @@
 
 // servePeers opens the listener for other hosts and serves it in g.
 func (p *Process) servePeers(ctx context.Context, g *errgroup.Group, handlers map[string]peer.Handler) error {
-	server := &peer.Server{Address: p.Settings.Peer, Handlers: handlers, Log: p.Log}
+	address := cmp.Or(p.Settings.PeerListen, p.Settings.Peer)
+	server := &peer.Server{Address: address, Handlers: handlers, Log: p.Log}
 	l, err := server.Listen(ctx)
 	if err != nil {
 		return err
--- a/node/settings.go
+++ b/node/settings.go
@@ -22,6 +22,9 @@
 	Centre string
 	// Peer is the address for other hosts of the system.
 	Peer netip.AddrPort
+	// PeerListen is the address to listen at for other hosts, if it is not Peer because
+	// they reach this host through a forwarder.
+	PeerListen netip.AddrPort
 	// Caller, Ready, Operator and Addresses are the listeners for callers, for health
 	// checks, for targets and operators, and for callers that ask where to connect. One
 	// that is not valid is not opened.
--- a/soak/check.go
+++ b/soak/check.go
@@ -35,7 +35,7 @@
 }
 
 // ran notes that a target began to run a request.
-func (c *checker) ran(request string) {
+func (c *checker) ran(_ *standin.Target, request string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[request]++
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -38,38 +39,38 @@
 		want string
 	}{
 		{"correct", func(c *checker) {
-			c.ran("r1")
+			c.ran(nil, "r1")
 			c.answered("r1", false, whole("r1"))
 			c.once("r2")
-			c.ran("r2")
+			c.ran(nil, "r2")
 			c.answered("r2", true, &standin.Answer{Status: http.StatusBadGateway})
 			c.once("r3")
 			c.answered("r3", true, &standin.Answer{Status: http.StatusServiceUnavailable})
 		}, ""},
 		{"part of another request", func(c *checker) {
-			c.ran("r1")
+			c.ran(nil, "r1")
 			a := whole("r1")
 			a.Parts[0] = standin.Signature(shards[0], "r9")
 			c.answered("r1", false, a)
 		}, "another request"},
 		{"coverage too high", func(c *checker) {
-			c.ran("r1")
+			c.ran(nil, "r1")
 			a := whole("r1")
 			a.Parts = a.Parts[1:]
 			c.answered("r1", false, a)
 		}, "missing of"},
 		{"wrong records", func(c *checker) {
-			c.ran("r1")
+			c.ran(nil, "r1")
 			a := whole("r1")
 			a.Body = a.Body[16:]
 			c.answered("r1", false, a)
 		}, "greatest records"},
 		{"answered by nobody", func(c *checker) { c.answered("r1", false, whole("r1")) }, "no target ran it"},
-		{"ran twice", func(c *checker) { c.once("r1"); c.ran("r1"); c.ran("r1") }, "ran 2 times"},
+		{"ran twice", func(c *checker) { c.once("r1"); c.ran(nil, "r1"); c.ran(nil, "r1") }, "ran 2 times"},
 		{"refused and ran later", func(c *checker) {
 			c.once("r1")
 			c.answered("r1", true, &standin.Answer{Status: http.StatusServiceUnavailable})
-			c.ran("r1")
+			c.ran(nil, "r1")
 		}, "has not run, and ran"},
 		{"route lost", func(c *checker) { c.answered("r1", false, &standin.Answer{Status: http.StatusNotFound}) }, "404"},
 	} {
@@ -89,6 +90,57 @@
 	}
 }
 
+// Guards against a soak that does not see what arrives where or when it must not.
+func TestTraffic(t *testing.T) {
+	is := is.New(t)
+	started := func(id string, cold time.Duration) *standin.Target {
+		t := &standin.Target{ID: id, Service: "s", Cold: cold, Control: func() []netip.AddrPort { return nil }}
+		is.NoErr(t.Start())
+		return t
+	}
+	cold, warm := started("cold", time.Minute), started("warm", 0)
+	defer cold.Crash()
+	defer warm.Crash()
+	for _, tt := range []struct {
+		name                string
+		to                  *standin.Target
+		asked, first, again int
+		forbidden           string
+		want                string
+	}{
+		{"correct", warm, 300, 300, 100, "", ""},
+		{"cold", cold, 14, 14, 0, "", ""},
+		{"cold and too many", cold, 15, 15, 0, "", "cold target cold got 15"},
+		{"too many again", warm, 300, 300, 111, "", "111 further arrivals for 300"},
+		{"leaving", warm, 300, 100, 0, "warm", ""},
+		{"leaving and asked", warm, 300, 101, 0, "warm", "r101 arrived at warm, which leaves"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var c traffic
+			c.init()
+			c.forbid(map[string]string{tt.forbidden: "leaves"}, 100)
+			for range tt.asked {
+				c.asked([]string{"s"})
+			}
+			for i := range tt.first {
+				c.arrived(tt.to, fmt.Sprint("r", i+1))
+			}
+			for range tt.again {
+				c.arrived(tt.to, "r1")
+			}
+			var to checker
+			c.report(&to)
+			if tt.want == "" {
+				is.Equal(len(to.violations), 0)
+				return
+			}
+			is.Equal(len(to.violations), 1)
+			is.True(strings.Contains(to.violations[0], tt.want))
+		})
+	}
+}
+
 // Guards against a proxy that does not harm the link as it says.
 func TestProxy(t *testing.T) {
 	is := is.New(t)
@@ -104,15 +156,25 @@
 			go func() { _, _ = io.Copy(c, c) }()
 		}
 	}()
-	p, err := NewProxy(netip.MustParseAddrPort(l.Addr().String()))
+	p, err := NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(l.Addr().String()))
 	is.NoErr(err)
 	defer p.Close()
 	for _, tt := range []struct {
 		mode  Mode
+		half  bool
 		bytes int
 		least time.Duration
-	}{{Pass, 4, 0}, {Delay, 4, delay}, {Silence, 0, 0}, {Deaf, 0, 0}, {Reset, 0, 0}, {Pass, 4, 0}} {
-		p.Set(tt.mode)
+	}{
+		{Pass, false, 4, 0},
+		{Delay, false, 4, delay},
+		{Silence, false, 0, 0},
+		{Deaf, false, 0, 0},
+		{Reset, false, 0, 0},
+		{Pass, false, 4, 0},
+		{Silence, true, 4, 0},
+		{Silence, true, 0, 0}, // the seventh connection is spared
+	} {
+		p.Set(tt.mode, tt.half)
 		started := time.Now()
 		c, err := net.Dial("tcp", p.Address.String()) //nolint:noctx // loopback
 		is.NoErr(err)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -36,6 +37,11 @@
 	{"break a target", 4, (*Run).breakTarget},
 	{"crash a target", 2, (*Run).crashTarget},
 	{"harm the link of a target", 4, (*Run).harmLink},
+	{"harm the link of a host", 4, (*Run).harmHost},
+	{"a target leaves", 2, (*Run).drainTarget},
+	{"evacuate a data centre", 1, (*Run).evacuate},
+	{"damage the disk of a control host", 1, (*Run).damageControl},
+	{"fill the disk of a control host", 1, (*Run).fillControl},
 }
 
 // inject begins faults until the length of the run has passed. Machines have one
@@ -78,22 +84,30 @@
 	}
 }
 
-// heal ends all faults of links and targets.
-func (r *Run) heal() {
-	for _, p := range r.proxies {
-		p.Set(Pass)
+// heal ends all faults of links and targets. In half of the runs a data centre that is
+// out of service stays so.
+func (r *Run) heal(ctx context.Context) {
+	for _, p := range append(r.proxies, r.links...) {
+		p.Set(Pass, false)
 	}
-	for _, t := range r.targets {
+	for _, t := range append(r.targets, r.left...) {
 		t.SetFault(standin.Healthy)
 	}
+	if centre := r.evacuated; centre != "" && (r.out == "" || r.rand.IntN(2) == 0) {
+		r.out = ""
+		r.order(ctx, centre, false)
+	}
 }
 
-// machine returns a machine without a fault, from first to last, and takes it.
-func (r *Run) machine(first, last int) *standin.Machine {
+// take returns a machine without a fault, from first to last, and takes it.
+func (r *Run) take(first, last int) *standin.Machine {
 	m := r.deployment.Machines()[first+r.rand.IntN(last-first)]
 	if !m.Take() {
 		return nil
 	}
+	if m.Wait(0) {
+		r.check.violate("%s has ended by itself", m.Name)
+	}
 	return m
 }
 
@@ -106,7 +120,7 @@
 }
 
 func (r *Run) kill(first, last int) func() {
-	m := r.machine(first, last)
+	m := r.take(first, last)
 	if m == nil {
 		return nil
 	}
@@ -115,7 +129,7 @@
 }
 
 func (r *Run) pause(first, last int) func() {
-	m := r.machine(first, last)
+	m := r.take(first, last)
 	if m == nil {
 		return nil
 	}
@@ -126,14 +140,14 @@
 	}
 }
 
-func (r *Run) killControl() func()  { return r.kill(0, controls) }
-func (r *Run) killEntry() func()    { return r.kill(controls, controls+entries) }
-func (r *Run) pauseControl() func() { return r.pause(0, controls) }
-func (r *Run) pauseEntry() func()   { return r.pause(controls, controls+entries) }
+func (r *Run) killControl() func()  { return r.kill(0, r.Control) }
+func (r *Run) killEntry() func()    { return r.kill(r.Control, r.Control+r.Entry) }
+func (r *Run) pauseControl() func() { return r.pause(0, r.Control) }
+func (r *Run) pauseEntry() func()   { return r.pause(r.Control, r.Control+r.Entry) }
 
 func (r *Run) killAllControl() func() {
 	var taken []*standin.Machine
-	for _, m := range r.deployment.Machines()[:controls] {
+	for _, m := range r.deployment.Machines()[:r.Control] {
 		if m.Take() {
 			m.Kill()
 			taken = append(taken, m)
@@ -146,47 +160,8 @@
 	}
 }
 
-// wipeControl takes all control hosts, because no other may be away while the
-// group repairs itself.
-func (r *Run) wipeControl() func() {
-	machines := r.deployment.Machines()[:controls]
-	for i, m := range machines {
-		if !m.Take() {
-			for _, taken := range machines[:i] {
-				taken.Release()
-			}
-			return nil
-		}
-	}
-	lost := machines[r.rand.IntN(controls)]
-	lost.Kill()
-	if err := lost.Wipe(); err != nil {
-		r.check.violate("wipe: %v", err)
-	}
-	if err := lost.Start(); err != nil {
-		r.check.violate("%s does not start: %v", lost.Name, err)
-	}
-	return func() {
-		r.awaitRepair(lost)
-		for _, m := range machines {
-			m.Release()
-		}
-	}
-}
-
-// awaitRepair waits until the group is whole again: a second loss before that may
-// cost the majority of the disks that hold a document.
-func (r *Run) awaitRepair(m *standin.Machine) {
-	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(operatePause) {
-		if m.Voter() {
-			return
-		}
-	}
-	r.check.violate("%s has lost its disk and is no voter again after %s", m.Name, settleTime)
-}
-
 func (r *Run) stopEntry() func() {
-	m := r.machine(controls, controls+entries)
+	m := r.take(r.Control, r.Control+r.Entry)
 	if m == nil {
 		return nil
 	}
@@ -215,23 +190,76 @@
 	return func() { t.SetFault(standin.Healthy) }
 }
 
+// replace puts a new target in the place of one, cold in half of the cases.
+func (r *Run) replace(i int) {
+	old := r.targets[i]
+	if err := r.addTarget(old.Service, old.Centre, time.Duration(r.rand.IntN(2))*coldTime); err != nil {
+		r.check.violate("target: %v", err)
+		return
+	}
+	last := len(r.targets) - 1
+	r.targets[i], r.targets = r.targets[last], r.targets[:last]
+}
+
 // crashTarget replaces a target by a new one of the service.
 func (r *Run) crashTarget() func() {
 	i := r.rand.IntN(len(r.targets))
-	old := r.targets[i]
-	old.Crash()
+	if r.crashed[i] {
+		return nil
+	}
+	r.crashed[i] = true
+	r.targets[i].Crash()
 	return func() {
-		if err := r.addTarget(old.Service); err != nil {
-			r.check.violate("target: %v", err)
-			return
-		}
-		last := len(r.targets) - 1
-		r.targets[i], r.targets = r.targets[last], r.targets[:last]
+		r.crashed[i] = false
+		r.replace(i)
+	}
+}
+
+// drainTarget lets a target leave that serves on, as long as anybody asks it.
+func (r *Run) drainTarget() func() {
+	i := r.rand.IntN(len(r.targets))
+	old := r.targets[i]
+	if r.crashed[i] || !old.Drain() { // no control host answers
+		return nil
 	}
+	r.left = append(r.left, old)
+	r.replace(i)
+	return func() {}
 }
 
 func (r *Run) harmLink() func() {
-	p := r.proxies[r.victim(len(r.proxies))]
-	p.Set(Mode(1 + r.rand.IntN(int(modes)-1)))
-	return func() { p.Set(Pass) }
+	return r.harm(r.proxies[r.victim(len(r.proxies))])
+}
+
+func (r *Run) harmHost() func() {
+	return r.harm(r.links[r.rand.IntN(len(r.links))])
+}
+
+func (r *Run) harm(p *Proxy) func() {
+	p.Set(Mode(1+r.rand.IntN(int(modes)-1)), r.rand.IntN(2) == 0)
+	return func() { p.Set(Pass, false) }
+}
+
+// evacuate takes a data centre out of service. At most one is out.
+func (r *Run) evacuate() func() {
+	if r.evacuated != "" {
+		return nil
+	}
+	r.evacuated = fmt.Sprintf("zone-%d", r.rand.IntN(replicas))
+	ctx, cancel := context.WithTimeout(context.Background(), faultLength)
+	defer cancel()
+	if standin.Evacuate(ctx, r.deployment.Operators(), r.evacuated, true) == nil {
+		r.out = r.evacuated
+	} // without an acknowledgement it may be in force or not
+	return func() {}
+}
+
+// order takes a data centre out of service or back into it, in the time that the
+// operator gives it.
+func (r *Run) order(ctx context.Context, centre string, out bool) {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	if err := standin.Evacuate(ctx, r.deployment.Operators(), centre, out); err != nil {
+		r.check.violate("order on %s not acknowledged within %s: %v", centre, settleTime, err)
+	}
 }
--- /dev/null
+++ b/soak/load.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wasabirelay/platform/standin"
+)
+
+// call sends requests of both kinds until ctx ends.
+func (r *Run) call(ctx context.Context, caller int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		id := r.nextID()
+		path, method, services := "/all/x", http.MethodGet, shards
+		if i%2 == 1 {
+			path, method, services = "/one/x", http.MethodPost, single
+			r.check.once(id)
+		}
+		r.traffic.asked(services)
+		to := r.machine(r.Control + (caller+i)%r.Entry).Caller()
+		a, err := standin.Ask(ctx, to, method, path, id, callerTime)
+		if err == nil { // otherwise the caller sees nothing but a closed connection
+			r.check.answered(id, path == "/one/x", a)
+		}
+		time.Sleep(callPause)
+	}
+}
+
+// single is the service of the requests that may run once.
+var single = []string{"one"}
+
+// operatePause separates the documents of the operator.
+const operatePause = 300 * time.Millisecond
+
+// operate sends one document after the other until ctx ends.
+func (r *Run) operate(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, settleTime)
+		_ = r.put(call) // without an acknowledgement nothing is promised
+		cancel()
+		time.Sleep(operatePause)
+	}
+}
+
+// put sends the next document until it is acknowledged.
+func (r *Run) put(ctx context.Context) error {
+	version := r.version.Add(1)
+	if err := standin.Put(ctx, r.deployment.Operators(), standin.Config(version, shards, "one")); err != nil {
+		return err
+	}
+	r.acked.Store(version)
+	return nil
+}
+
+// read checks that no control host shows a document older than an acknowledged one.
+func (r *Run) read(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		acked := r.acked.Load()
+		at := r.deployment.Operators()[i%r.Control]
+		if version, err := standin.GetAt(ctx, at); err == nil && version < acked {
+			r.check.violate("control host %s shows document %d after %d was acknowledged", at, version, acked)
+		}
+		time.Sleep(operatePause / 10)
+	}
+}
+
+// watch checks that an entry host never returns to an older document while its process
+// runs.
+func (r *Run) watch(ctx context.Context, m *standin.Machine) {
+	var seen uint64
+	var run int64
+	for ctx.Err() == nil {
+		if starts := m.Starts(); starts != run {
+			seen, run = 0, starts
+		}
+		if v := r.version.Load(); r.shows(ctx, m, v) && m.Starts() == run {
+			seen = max(seen, v)
+		}
+		if seen > 1 && r.shows(ctx, m, seen-1) && m.Starts() == run {
+			r.check.violate("%s showed document %d and then an older one", m.Name, seen)
+		}
+		time.Sleep(operatePause / 10)
+	}
+}
+
+// shows reports whether the document of a version is in force on an entry host: each
+// has a route of its own.
+func (r *Run) shows(ctx context.Context, m *standin.Machine, version uint64) bool {
+	r.traffic.asked(single)
+	a, err := standin.Ask(ctx, m.Caller(), http.MethodGet, fmt.Sprintf("/v%d/x", version), r.nextID(), callerTime)
+	return err == nil && a.Status == http.StatusOK
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -41,16 +41,20 @@
 	Address netip.AddrPort
 	server  netip.AddrPort
 	mode    atomic.Int32
-	l       net.Listener
+	// half states that every other connection is harmed.
+	half atomic.Bool
+	l    net.Listener
 
-	mu    sync.Mutex
+	mu       sync.Mutex
+	accepted int
+	// conns holds for both ends of each connection whether it is harmed by halves too.
 	conns map[net.Conn]bool
 }
 
-// NewProxy starts a proxy before a server.
-func NewProxy(server netip.AddrPort) (*Proxy, error) {
+// NewProxy starts a proxy before a server, at an address of which the port may be 0.
+func NewProxy(at, server netip.AddrPort) (*Proxy, error) {
 	var lc net.ListenConfig
-	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := lc.Listen(context.Background(), "tcp", at.String())
 	if err != nil {
 		return nil, err
 	}
@@ -59,8 +63,9 @@
 	return p, nil
 }
 
-// Set changes the mode.
-func (p *Proxy) Set(m Mode) {
+// Set changes the mode, for all connections or every other one.
+func (p *Proxy) Set(m Mode, half bool) {
+	p.half.Store(half)
 	p.mode.Store(int32(m))
 	if m == Reset {
 		p.reset()
@@ -70,13 +75,25 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.l.Close()
+	p.half.Store(false)
 	p.reset()
 }
 
+// modeOf returns the mode for a connection.
+func (p *Proxy) modeOf(even bool) Mode {
+	if p.half.Load() && !even {
+		return Pass
+	}
+	return Mode(p.mode.Load())
+}
+
 func (p *Proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
+	for c, even := range p.conns {
+		if p.half.Load() && !even {
+			continue
+		}
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0) // the connection may have ended
 		}
@@ -101,10 +118,10 @@
 		client.Close()
 		return
 	}
-	p.track(client, server)
+	even := p.track(client, server)
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(server, client, true) })
-	wg.Go(func() { p.copy(client, server, false) })
+	wg.Go(func() { p.copy(server, client, even, true) })
+	wg.Go(func() { p.copy(client, server, even, false) })
 	wg.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,31 +129,35 @@
 	delete(p.conns, server)
 }
 
-func (p *Proxy) track(conns ...net.Conn) {
+// track notes a connection. It reports whether it is harmed by halves too.
+func (p *Proxy) track(conns ...net.Conn) (even bool) {
 	p.mu.Lock()
+	p.accepted++
+	even = p.accepted%2 == 0
 	for _, c := range conns {
-		p.conns[c] = true
+		p.conns[c] = even
 	}
 	p.mu.Unlock()
-	if Mode(p.mode.Load()) == Reset {
+	if p.modeOf(even) == Reset {
 		p.reset()
 	}
+	return even
 }
 
 // copy passes data on until one side ends, which ends the other.
-func (p *Proxy) copy(to, from net.Conn, toServer bool) {
+func (p *Proxy) copy(to, from net.Conn, even, toServer bool) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && p.passes(toServer) {
+		if n > 0 && passes(p.modeOf(even), toServer) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && Mode(p.mode.Load()) == Silence {
+			if errors.Is(err, io.EOF) && p.modeOf(even) == Silence {
 				time.Sleep(delay) // the end is held up like all else
 			}
 			return
@@ -144,8 +165,8 @@
 	}
 }
 
-func (p *Proxy) passes(toServer bool) bool {
-	switch Mode(p.mode.Load()) {
+func passes(m Mode, toServer bool) bool {
+	switch m {
 	case Delay:
 		time.Sleep(delay)
 	case Silence:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	controls, entries = 3, 3
 	// replicas is the number of targets of each service.
 	replicas = 3
 	// callers is the number of callers that send requests one after the other.
@@ -33,6 +32,12 @@
 	// settleTime is how long the system may take to serve all requests whole after
 	// the last fault: the platform's bound for a recovery.
 	settleTime = 12 * time.Second
+	// touchTime is how long after the last fault the promises with a time bound hold
+	// again, and calmTime how long they are checked then.
+	touchTime = 5 * time.Second
+	calmTime  = 2 * time.Second
+	// forceTime is how long an acknowledged document may take to be in force.
+	forceTime = 4 * time.Second
 	// ready bounds the start.
 	ready = 20 * time.Second
 )
@@ -44,6 +49,8 @@
 	Seed uint64
 	// Length is how long faults are injected.
 	Length time.Duration
+	// Control and Entry are the numbers of hosts.
+	Control, Entry int
 	// Program is the path of the daemon, Dir a folder for data and logs.
 	Program, Dir string
 	// Logf reports faults as they are injected.
@@ -52,11 +59,20 @@
 	rand       *rand.Rand
 	deployment *standin.Deployment
 	targets    []*standin.Target
-	proxies    []*Proxy
-	check      checker
-	requests   atomic.Int64
-	version    atomic.Uint64
-	acked      atomic.Uint64
+	// crashed holds the indexes of targets that have crashed and are to be replaced.
+	crashed map[int]bool
+	// left are the targets that have said that they leave; they serve on.
+	left []*standin.Target
+	// proxies are the links to targets, links those to hosts.
+	proxies, links []*Proxy
+	// evacuated is the data centre that an order has named, out the same if the order
+	// was acknowledged.
+	evacuated, out string
+	check          checker
+	traffic        traffic
+	requests       atomic.Int64
+	version        atomic.Uint64
+	acked          atomic.Uint64
 }
 
 // Report is the outcome of a run.
@@ -82,7 +98,9 @@
 // report.
 func (r *Run) Do(ctx context.Context) (*Report, error) {
 	r.rand = rand.New(rand.NewPCG(r.Seed, 1))
+	r.crashed = map[int]bool{}
 	r.check.init()
+	r.traffic.init()
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return nil, err
@@ -92,29 +110,33 @@
 	for i := range callers {
 		wg.Go(func() { r.call(load, i) })
 	}
+	for i := range r.Entry {
+		wg.Go(func() { r.watch(load, r.machine(r.Control+i)) })
+	}
 	wg.Go(func() { r.operate(load) })
 	wg.Go(func() { r.read(load) })
 	r.inject(ctx)
-	r.heal()
-	err := r.settle(ctx)
-	stop()
-	wg.Wait()
-	if err != nil {
+	r.heal(ctx)
+	if err := r.settle(ctx); err != nil {
 		r.check.violate("not served whole %s after the last fault: %v", settleTime, err)
 	}
+	r.calm(ctx)
+	stop()
+	wg.Wait()
 	r.readBack(ctx)
+	r.traffic.report(&r.check)
 	return r.check.report(r), nil
 }
 
 // start starts all processes and targets and waits until requests are served whole.
 func (r *Run) start(ctx context.Context) error {
-	r.deployment = &standin.Deployment{Program: r.Program, Dir: r.Folder(), Control: controls, Entry: entries}
+	r.deployment = &standin.Deployment{Program: r.Program, Dir: r.Folder(), Control: r.Control, Entry: r.Entry, Forward: r.forward}
 	if err := r.deployment.Start(); err != nil {
 		return err
 	}
 	for _, service := range append([]string{"one"}, shards...) {
-		for range replicas {
-			if err := r.addTarget(service); err != nil {
+		for i := range replicas {
+			if err := r.addTarget(service, fmt.Sprintf("zone-%d", i), 0); err != nil {
 				return err
 			}
 		}
@@ -127,13 +149,23 @@
 	return errors.Wrap(r.settle(ctx), "start")
 }
 
-func (r *Run) addTarget(service string) error {
+// forward opens the link to a host.
+func (r *Run) forward(public, own netip.AddrPort) error {
+	p, err := NewProxy(public, own)
+	if err != nil {
+		return err
+	}
+	r.links = append(r.links, p)
+	return nil
+}
+
+func (r *Run) addTarget(service, centre string, cold time.Duration) error {
 	var failed error
 	t := &standin.Target{
-		ID: fmt.Sprintf("%s-%d", service, len(r.targets)), Service: service, Centre: fmt.Sprintf("zone-%d", len(r.targets)%3),
-		Control: r.deployment.Operators, Ran: func(_, request string) { r.check.ran(request) },
+		ID: fmt.Sprintf("%s-%d", service, len(r.proxies)), Service: service, Centre: centre, Cold: cold,
+		Control: r.deployment.Operators, Arrived: r.traffic.arrived, Ran: r.check.ran,
 		Via: func(own netip.AddrPort) netip.AddrPort {
-			p, err := NewProxy(own)
+			p, err := NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), own)
 			if err != nil {
 				failed = err
 				return own
@@ -150,10 +182,10 @@
 }
 
 func (r *Run) close() {
-	for _, t := range r.targets {
+	for _, t := range append(r.targets, r.left...) {
 		t.Crash()
 	}
-	for _, p := range r.proxies {
+	for _, p := range append(r.proxies, r.links...) {
 		p.Close()
 	}
 	if r.deployment != nil {
@@ -161,70 +193,59 @@
 	}
 }
 
-// entry returns the entry hosts' addresses for callers.
-func (r *Run) entry(i int) netip.AddrPort {
-	return r.deployment.Machines()[controls+i%entries].Caller()
-}
-
-// call sends requests of both kinds until ctx ends.
-func (r *Run) call(ctx context.Context, caller int) {
-	for i := 0; ctx.Err() == nil; i++ {
-		id := fmt.Sprintf("r%d", r.requests.Add(1))
-		path, method := "/all/x", "GET"
-		if i%2 == 1 {
-			path, method = "/one/x", "POST"
-			r.check.once(id)
-		}
-		a, err := standin.Ask(ctx, r.entry(caller+i), method, path, id, callerTime)
-		if err == nil { // otherwise the caller sees nothing but a closed connection
-			r.check.answered(id, path == "/one/x", a)
-		}
-		time.Sleep(callPause)
-	}
-}
+func (r *Run) machine(i int) *standin.Machine { return r.deployment.Machines()[i] }
 
-// operatePause separates the documents of the operator.
-const operatePause = 300 * time.Millisecond
+// nextID returns the identity of a new request. Later ones have greater numbers.
+func (r *Run) nextID() string { return fmt.Sprintf("r%d", r.requests.Add(1)) }
 
-// operate sends one document after the other until ctx ends.
-func (r *Run) operate(ctx context.Context) {
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, settleTime)
-		_ = r.put(call) // without an acknowledgement nothing is promised
-		cancel()
-		time.Sleep(operatePause)
+// calm waits until all hosts are in touch again and then lets the load go on for a
+// while, in which targets that leave and a data centre that is out of service must get
+// nothing.
+func (r *Run) calm(ctx context.Context) {
+	if !sleep(ctx, touchTime) {
+		return
 	}
-}
-
-// put sends the next document until it is acknowledged.
-func (r *Run) put(ctx context.Context) error {
-	version := r.version.Add(1)
-	if err := standin.Put(ctx, r.deployment.Operators(), standin.Config(version, shards, "one")); err != nil {
-		return err
+	forbidden := map[string]string{}
+	for _, t := range r.left {
+		forbidden[t.ID] = "has said that it leaves"
 	}
-	r.acked.Store(version)
-	return nil
+	for _, t := range r.targets {
+		if r.out != "" && t.Centre == r.out {
+			forbidden[t.ID] = "is in a data centre that is out of service"
+		}
+	}
+	r.traffic.forbid(forbidden, r.requests.Load())
+	sleep(ctx, calmTime)
 }
 
-// read checks that no control host shows a document older than an acknowledged one.
-func (r *Run) read(ctx context.Context) {
-	for i := 0; ctx.Err() == nil; i++ {
-		acked := r.acked.Load()
-		at := r.deployment.Operators()[i%controls]
-		if version, err := standin.GetAt(ctx, at); err == nil && version < acked {
-			r.check.violate("control host %s shows document %d after %d was acknowledged", at, version, acked)
-		}
-		time.Sleep(operatePause / 10)
+// sleep waits. It reports false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
 }
 
-// readBack checks that the newest acknowledged document is still there.
+// readBack checks that the newest acknowledged document is still there, and in force on
+// all entry hosts.
 func (r *Run) readBack(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	version, err := standin.Get(ctx, r.deployment.Operators())
 	if acked := r.acked.Load(); err != nil || version < acked {
 		r.check.violate("document %d was acknowledged; at the end %d is there: %v", acked, version, err)
+		return
+	}
+	for i := range r.Entry {
+		m := r.machine(r.Control + i)
+		for end := time.Now().Add(forceTime); !r.shows(ctx, m, version); time.Sleep(operatePause / 10) {
+			if time.Now().After(end) {
+				r.check.violate("document %d is not in force on %s after %s", version, m.Name, forceTime)
+				break
+			}
+		}
 	}
 }
 
@@ -232,10 +253,11 @@
 func (r *Run) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	for i := range entries {
+	for i := range r.Entry {
 		for {
-			id := fmt.Sprintf("r%d", r.requests.Add(1))
-			a, err := standin.Ask(ctx, r.entry(i), "GET", "/all/x", id, callerTime)
+			id := r.nextID()
+			r.traffic.asked(shards)
+			a, err := standin.Ask(ctx, r.machine(r.Control+i).Caller(), "GET", "/all/x", id, callerTime)
 			if err == nil {
 				r.check.answered(id, false, a)
 				if a.Status == 200 && a.Missing == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,7 +28,7 @@
 		seeds = append(seeds, r.seed)
 	}
 	for _, seed := range seeds {
-		r := &Run{Seed: seed, Length: length, Program: program, Dir: t.TempDir(), Logf: t.Logf}
+		r := &Run{Seed: seed, Length: length, Control: 3, Entry: 3, Program: program, Dir: t.TempDir(), Logf: t.Logf}
 		report, err := r.Do(t.Context())
 		if err != nil {
 			t.Fatal(err)
