Tell entry hosts of the selected hosts only, encode answers once, and wait for whole lists

Three causes show on a site with 285 entry hosts: - Until control hosts have heard of all entry hosts, every entry host finds itself in the short list, counts as active, and stays so for 15 s. All of them opened connections ahead of use: 28128 resets before the first request. - Each control host told all entry hosts of each change of each entry host, and of all of them after a restart, which grows with the square of their number. - Each answer was encoded for each host. Change: an answer says that its control host is young, for 1.5 s after its start; what it knew before counts meanwhile, and nothing is opened ahead of use or remembered before one host has answered that is not young. Entry hosts get the hosts that the control host selects and the number of all. An encoded answer is kept for 100 ms for other hosts that lack the same, compressed from 2 KB on.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -55,7 +55,9 @@
 	shared   control.Shared
 	// fetching states that a control host has been asked for a routing document.
 	fetching bool
-	started  context.Context
+	// settled states that a control host that is no longer young has answered.
+	settled bool
+	started context.Context
 }
 
 // contact is a control host that is asked.
@@ -65,8 +67,9 @@
 	// host is the last answer's sender; its name is empty before the first answer.
 	host Host
 	list map[string]Host
-	// active is the number of active hosts that it decided on.
-	active int
+	// active is the number of active hosts that it decided on, entries that of all entry
+	// hosts.
+	active, entries int
 	// told is the newest revision of the shared state that it told of.
 	told  uint64
 	q     Question
@@ -193,6 +196,9 @@
 	if err := k.client.Call(call, Method, q, &a); err != nil {
 		return err
 	}
+	if err := a.unpack(); err != nil {
+		return err
+	}
 	c.take(k, &a)
 	return nil
 }
@@ -204,10 +210,11 @@
 	if k.lost || k.host.Name == "" {
 		c.Log.Info().Str("control", a.From.Name).Stringer("address", k.client.Address).Msg("control host answers")
 	}
-	changed := k.lost || k.active != a.Active || k.host != a.From || len(a.Changes) > 0 || len(a.List)+len(a.Gone) > 0 || a.Whole
-	k.host, k.heard, k.lost, k.active = a.From, now, false, a.Active
+	changed := k.lost || k.active != a.Active || k.entries != a.Entries || k.host != a.From || len(a.Changes) > 0 || len(a.List)+len(a.Gone) > 0 || a.Whole
+	k.host, k.heard, k.lost, k.active, k.entries = a.From, now, false, a.Active, a.Entries
+	c.settled = c.settled || !a.Young
 	if k.q.Run != a.From.Start {
-		k.q, k.list = Question{Run: a.From.Start}, nil
+		k.q = Question{Run: a.From.Start}
 	}
 	if a.Targets >= k.q.Targets {
 		c.targets.Update(now, a.From.Name, uint64(a.From.Start), a.Changes, keepTargets)
@@ -229,9 +236,10 @@
 	}
 }
 
-// takeHosts merges the changes of the list of hosts. The client is locked.
+// takeHosts merges the changes of the list of hosts. What a control host knew before its
+// restart counts until it has heard of all hosts again. The client is locked.
 func (c *Client) takeHosts(now time.Time, k *contact, a *Answer) {
-	if a.Whole || k.list == nil {
+	if a.Whole && !a.Young || k.list == nil {
 		k.list = map[string]Host{}
 	}
 	for _, name := range a.Gone {
@@ -296,21 +304,31 @@
 	return c.targets.Targets(c.Clock.Now())
 }
 
-// Hosts returns the entry hosts that a control host that answers has heard from,
-// this one included. While no control host answers, the last lists count.
-func (c *Client) Hosts() []Host {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// current returns the contacts that count: those that answer, or all while none does.
+// The client is locked.
+func (c *Client) current() []*contact {
 	now := c.Clock.Now()
-	current := false
+	var list, all []*contact
 	for _, k := range c.contacts {
-		current = current || now.Sub(k.heard) < Expiry
+		all = append(all, k)
+		if now.Sub(k.heard) < Expiry {
+			list = append(list, k)
+		}
+	}
+	if len(list) == 0 {
+		return all
 	}
+	return list
+}
+
+// Hosts returns the entry hosts that a control host that answers has heard from, this
+// one included; on an entry host, those among them that callers are sent to, and this
+// one. While no control host answers, the last lists count.
+func (c *Client) Hosts() []Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	known := map[string]Host{}
-	for _, k := range c.contacts {
-		if current && now.Sub(k.heard) >= Expiry {
-			continue
-		}
+	for _, k := range c.current() {
 		for _, h := range k.list {
 			old, ok := known[h.Name]
 			if h.IsControl() || ok && (h.Start < old.Start || h.Start == old.Start && old.Draining) {
@@ -330,20 +348,36 @@
 	return list
 }
 
-// Active returns the entry hosts that callers are sent to, and all entry hosts as Hosts
-// does. Control hosts may differ for a moment about the number of active ones: the
-// largest counts.
-func (c *Client) Active() (active, all []Host) {
-	all = c.Hosts()
+// Active returns the entry hosts that callers are sent to. Control hosts may differ for a
+// moment about their number: the largest counts.
+func (c *Client) Active() []Host {
+	hosts := c.Hosts()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, n := c.Clock.Now(), leastActive
-	for _, k := range c.contacts {
-		if now.Sub(k.heard) < Expiry {
-			n = max(n, k.active)
-		}
+	n := leastActive
+	for _, k := range c.current() {
+		n = max(n, k.active)
+	}
+	return Active(hosts, n)
+}
+
+// Entries returns the number of entry hosts, 0 if no control host has answered.
+func (c *Client) Entries() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, k := range c.current() {
+		n = max(n, k.entries)
 	}
-	return Active(all, n), all
+	return n
+}
+
+// Settled reports whether a control host that had heard of all hosts has ever answered.
+// Before that, too few hosts are known.
+func (c *Client) Settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled
 }
 
 // Control returns the control hosts that answered within age, in order of their
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -26,6 +26,9 @@
 	// Expiry is after which time without a question a host counts as dead. It exceeds
 	// Wait and answerTimeout by the time for one more attempt.
 	Expiry = 2500 * time.Millisecond
+	// youngTime is how long after its start a control host may lack hosts: those that
+	// lost it ask again after lastPause and half as much.
+	youngTime = 3 * lastPause / 2
 	// settleTime collects changes that come together into one answer. Entry hosts follow
 	// every control host, and while the targets of many services start at once, each
 	// answer costs all of them processor time. It is a small part of the seconds within
@@ -79,14 +82,23 @@
 	Changes []registry.Record `json:"changes,omitempty"`
 	// Hosts is the revision of the list of hosts, List the hosts that are new or have
 	// changed since the revision of the question, Gone the names of those that have gone.
+	// Control hosts are told of all hosts, entry hosts of control hosts and of the entry
+	// hosts that callers are sent to.
 	Hosts uint64   `json:"hosts"`
 	List  []Host   `json:"list,omitempty"`
 	Gone  []string `json:"gone,omitempty"`
 	// Whole states that List is complete, because the question had no usable revision.
 	Whole bool `json:"whole,omitempty"`
-	// Active is the number of entry hosts that callers are sent to; see Active.
-	Active int `json:"active,omitempty"`
+	// Active is the number of entry hosts that callers are sent to; see Active. Entries is
+	// the number of entry hosts.
+	Active  int `json:"active,omitempty"`
+	Entries int `json:"entries,omitempty"`
+	// Young states that the control host has just started: hosts that it has not heard of
+	// yet are missing from the list.
+	Young bool `json:"young,omitempty"`
 	// Shared is set if the host has an older revision. Its routing document has a source
 	// only if the question asked for it.
 	Shared *control.Shared `json:"shared,omitempty"`
+	// Packed, if set, is the whole answer, compressed. Nothing else but From is set then.
+	Packed []byte `json:"packed,omitempty"`
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -16,6 +18,35 @@
 	"wasabirelay/registry"
 )
 
+// ask returns the answer of the hub to the question, nil if it has no news.
+func ask(t *testing.T, h *Hub, q Question) *Answer {
+	t.Helper()
+	text, _, err := h.answer(&q, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text == nil {
+		return nil
+	}
+	var a Answer
+	if err := json.Unmarshal(text, &a); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.unpack(); err != nil {
+		t.Fatal(err)
+	}
+	return &a
+}
+
+// grown returns a hub that has heard of all hosts.
+func grown(clock clockwork.Clock) *Hub {
+	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clock, Log: zerolog.Nop(), Silence: time.Minute}
+	h.Init()
+	h.started = h.started.Add(-youngTime)
+	h.tick()
+	return h
+}
+
 // patience bounds the wait for a state that must come.
 const patience = 10 * time.Second
 
@@ -102,13 +133,16 @@
 		Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
 	}
 	go func() { _ = c.Run(ctx) }()
-	await(t, "both hosts", func() bool { return len(other.Hosts()) == 2 })
+	control := follow(ctx, Host{Name: "b", Start: 1, Peer: netip.MustParseAddrPort("127.0.0.1:1")}, address)
+	await(t, "both hosts", func() bool { return len(other.Active()) == 2 && len(control.Active()) == 2 })
 	c.mu.Lock()
 	self.Draining = true
 	c.mu.Unlock()
 	c.Tell(ctx)
-	await(t, "the notice", func() bool {
-		for _, h := range other.Hosts() {
+	// Entry hosts are told that it is gone, control hosts that it stops.
+	await(t, "the notice", func() bool { return !names(other.Active())["e2"] && !names(control.Active())["e2"] })
+	await(t, "the state", func() bool {
+		for _, h := range control.Hosts() {
 			if h.Name == "e2" && h.Draining {
 				return true
 			}
@@ -121,37 +155,34 @@
 // and against a wait without end.
 func TestHub(t *testing.T) {
 	is := is.New(t)
-	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Silence: time.Minute}
-	h.Init()
+	h := grown(clockwork.NewRealClock())
 	is.True(!h.Connected())
-	ask := func(q Question) *Answer {
-		a, _ := h.answer(&q, true)
-		return a
-	}
+	ask := func(q Question) *Answer { return ask(t, h, q) }
 	newer, older := entry("e1"), entry("e1")
 	newer.Start, newer.Draining = 5, true
 	is.True(ask(Question{From: newer}) != nil)
 	is.True(h.Connected())
 	is.True(ask(Question{From: older}) != nil)
 	is.True(h.members["e1"].Draining)
-	a := ask(Question{From: newer, Run: 9, Targets: 0, Hosts: h.version, Wait: time.Second})
+	a := ask(Question{From: newer, Run: 9, Targets: 0, Hosts: h.selected.version, Wait: time.Second})
 	is.True(a == nil) // no news: the question waits
 	a = ask(Question{From: newer, Run: 8, Targets: 99, Hosts: 99, Wait: time.Second})
 	is.True(a != nil) // the revisions are of another run
 	is.True(a.Whole)
-	is.Equal(len(a.List), 1)
+	is.Equal(len(a.List), 0) // the only entry host stops
+	is.Equal(a.Entries, 1)
+	a = ask(Question{From: Host{Name: "b", Peer: netip.MustParseAddrPort("10.0.0.8:1")}})
+	is.Equal(len(a.List), 2) // a control host is told of all
 }
 
 // Guards against a document that every control host sends at the same time.
 func TestDocument(t *testing.T) {
 	is := is.New(t)
-	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Silence: time.Minute}
-	h.Init()
+	h := grown(clockwork.NewRealClock())
 	h.SetShared(control.Shared{Revision: 3, Routing: control.Routing{Version: 2, Source: []byte("two")}})
 	ask := func(q Question) *control.Shared {
 		q.From, q.Run = entry("e1"), 9
-		a, _ := h.answer(&q, true)
-		return a.Shared
+		return ask(t, h, q).Shared
 	}
 	is.Equal(len(ask(Question{}).Routing.Source), 0)
 	is.Equal(ask(Question{}).Routing.Version, uint64(2)) // told, not sent
@@ -181,17 +212,106 @@
 	is.Equal(len(c.Hosts()), 2)
 }
 
+// Guards against hosts that all take themselves for active after control hosts have
+// started, because the lists are short, and against lists that stay so.
+func TestYoung(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	c := Client{Self: func() Host { return entry("e1") }, Clock: clock, Log: zerolog.Nop()}
+	k := &contact{client: &peer.Client{}}
+	c.contacts = map[netip.AddrPort]*contact{netip.MustParseAddrPort("10.0.0.9:1"): k}
+	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clock, Log: zerolog.Nop(), Silence: time.Minute}
+	h.Init()
+	follow := func() { c.take(k, ask(t, h, Question{From: entry("e1"), Run: k.q.Run, Hosts: k.q.Hosts})) }
+	follow()
+	is.True(!c.Settled())
+	ask(t, h, Question{From: entry("e2")})
+	clock.Advance(youngTime)
+	h.tick()
+	follow()
+	is.True(c.Settled())
+	is.Equal(len(c.Hosts()), 2)
+
+	h.Self.Start = 10 // it restarts, and e2 has not asked again yet
+	h.Init()
+	follow()
+	is.Equal(len(c.Hosts()), 2)
+	clock.Advance(youngTime)
+	h.tick()
+	follow()
+	is.Equal(len(c.Hosts()), 1) // e2 has gone meanwhile
+}
+
+// Guards against lists of all hosts for all entry hosts, which grow with the square of
+// their number, and against entry hosts that select others than control hosts do.
+func TestSelectedList(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	h := grown(clock)
+	all := entries(100, "c0", "c1", "c2")
+	for _, e := range all {
+		ask(t, h, Question{From: e})
+	}
+	k := &contact{client: &peer.Client{}}
+	self := all[0]
+	c := Client{
+		Self: func() Host { return self }, Clock: clock, Log: zerolog.Nop(),
+		contacts: map[netip.AddrPort]*contact{h.Self.Peer: k},
+	}
+	for i, e := range all {
+		a := ask(t, h, Question{From: e})
+		is.True(len(a.List) <= leastActive+2)
+		if i%10 == 0 {
+			self, k.list = e, nil
+			c.take(k, a)
+			is.Equal(names(c.Active()), names(Active(all, leastActive)))
+		}
+	}
+	is.Equal(c.Entries(), len(all))
+	before := h.selected.version
+	spare := entry("spare")
+	spare.Centre = "c0"
+	for names(Active(append(all, spare), leastActive))["spare"] {
+		spare.Name += "x"
+	}
+	ask(t, h, Question{From: spare})
+	is.Equal(h.selected.version, before) // hosts that get no callers concern nobody
+}
+
+// Guards against large answers that are encoded for each host, or sent as they are.
+func TestReplies(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	h := grown(clock)
+	for i := range 200 {
+		h.Announce(registry.Announcement{
+			Target: fmt.Sprint("t", i), Born: 1, Service: "s", State: registry.Ready, Address: netip.MustParseAddrPort("10.0.0.1:80"), Cold: time.Second,
+		})
+	}
+	is.Equal(len(ask(t, h, Question{From: entry("e1")}).Changes), 200)
+	first, _, err := h.answer(&Question{From: entry("e1")}, true)
+	is.NoErr(err)
+	second, _, err := h.answer(&Question{From: entry("e1"), Wait: time.Second}, true)
+	is.NoErr(err)
+	is.True(&first[0] == &second[0])
+	plain, err := json.Marshal(h.build(clock.Now(), &Question{}, &h.selected))
+	is.NoErr(err)
+	is.True(len(first) < len(plain)/4)
+	clock.Advance(replyTime + time.Millisecond)
+	is.Equal(ask(t, h, Question{From: entry("e1")}).Changes[0].Cold, time.Second-replyTime-time.Millisecond)
+	h.Announce(registry.Announcement{Target: "t0", Born: 1, Sequence: 1, State: registry.Gone})
+	is.True(ask(t, h, Question{From: entry("e1")}).Targets > 200)
+	is.True((&Answer{Packed: []byte("no")}).unpack() != nil)
+}
+
 // Guards against the whole list of hosts for everybody with each change: at the start of
 // many hosts that is most of the traffic.
 func TestListChanges(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clock, Log: zerolog.Nop(), Silence: time.Minute}
-	h.Init()
+	h := grown(clock)
 	ask := func(name string, revision uint64) *Answer {
-		q := Question{From: entry(name), Run: 9, Hosts: revision}
-		a, _ := h.answer(&q, true)
-		return a
+		return ask(t, h, Question{From: entry(name), Run: 9, Hosts: revision})
 	}
 	a := ask("e1", 0)
 	is.True(a.Whole)
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -30,33 +30,33 @@
 	Heard func(Host)
 
 	mu      sync.Mutex
+	started time.Time
+	young   bool
 	targets registry.Table
 	members map[string]*member
-	// version is the revision of the list of hosts, gone the revisions at which hosts
-	// left it. Questions about a revision before floor get the whole list.
-	version uint64
-	gone    map[string]uint64
-	floor   uint64
-	shared  control.Shared
-	sizing  sizing
-	news    chan struct{} // closed at the next change
+	// all is the list for control hosts, selected the one for entry hosts.
+	all, selected hostList
+	entries       int
+	shared        control.Shared
+	sizing        sizing
+	replies       replies
+	// news is closed at the next change, listNews also at a change that concerns only
+	// control hosts.
+	news, listNews chan struct{}
 }
 
 type member struct {
 	Host
-	heard    time.Time
-	revision uint64
-	load     float64
+	heard time.Time
+	load  float64
 }
 
-// maxGone bounds the hosts that have left that are remembered.
-const maxGone = 1024
-
 // Init prepares the hub. It is called before any other use.
 func (h *Hub) Init() {
 	h.targets.Silence = h.Silence
-	h.members, h.gone = map[string]*member{}, map[string]uint64{}
-	h.news = make(chan struct{})
+	h.started, h.young = h.Clock.Now(), true
+	h.members = map[string]*member{}
+	h.news, h.listNews = make(chan struct{}), make(chan struct{})
 }
 
 // Run looks after the age of targets and hosts until ctx ends.
@@ -82,6 +82,12 @@
 	}
 	h.expire(now)
 	h.resize(now)
+	if h.young && now.Sub(h.started) >= youngTime {
+		h.young = false
+		h.all.renew()
+		h.selected.renew()
+		h.wake()
+	}
 }
 
 // resize adapts the number of active hosts to their load. The hub is locked.
@@ -93,6 +99,7 @@
 	before := h.sizing.count
 	if after := h.sizing.step(now, load); after != before {
 		h.Log.Info().Int("active", after).Int("before", before).Float64("load", load).Msg("number of active entry hosts changed")
+		h.selectHosts()
 	}
 }
 
@@ -100,6 +107,30 @@
 func (h *Hub) wake() {
 	close(h.news)
 	h.news = make(chan struct{})
+	h.wakeControl()
+}
+
+// wakeControl ends the wait of the questions of control hosts. The hub is locked.
+func (h *Hub) wakeControl() {
+	close(h.listNews)
+	h.listNews = make(chan struct{})
+}
+
+// selectHosts computes the list for entry hosts. With the lists of other control hosts
+// they select the same hosts as Active would among all. The hub is locked.
+func (h *Hub) selectHosts() {
+	var control, entries []Host
+	for _, m := range h.members {
+		if m.IsControl() {
+			control = append(control, m.Host)
+		} else {
+			entries = append(entries, m.Host)
+		}
+	}
+	h.entries = len(entries)
+	if h.selected.replace(append(control, Active(entries, max(leastActive, h.sizing.count))...)) {
+		h.wake()
+	}
 }
 
 // Announce takes an announcement of a target.
@@ -165,7 +196,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.Self.Draining = true
-	h.version++
+	h.all.version++
+	h.selected.version++
 	h.wake()
 }
 
@@ -182,14 +214,15 @@
 			return
 		}
 	}
-	h.version++
-	h.members[from.Name] = &member{*from, now, h.version, load}
-	delete(h.gone, from.Name)
-	h.wake()
+	h.members[from.Name] = &member{*from, now, load}
+	h.all.set(*from)
+	h.wakeControl()
+	h.selectHosts()
 }
 
 // expire removes hosts that have not asked lately. The hub is locked.
 func (h *Hub) expire(now time.Time) {
+	before := len(h.members)
 	for name, m := range h.members {
 		age, bound := now.Sub(m.heard), Expiry
 		if m.IsControl() {
@@ -200,27 +233,11 @@
 		}
 		h.Log.Warn().Str("member", name).Dur("age", age).Msg("host not heard from, no longer named to callers")
 		delete(h.members, name)
-		h.version++
-		h.gone[name] = h.version
-		h.wake()
+		h.all.remove(name)
 	}
-	if len(h.gone) > maxGone {
-		h.gone, h.floor = map[string]uint64{}, h.version
-	}
-}
-
-// list fills in what a host lacks that has a revision of the list. The hub is locked.
-func (h *Hub) list(a *Answer, revision uint64) {
-	a.Whole = revision == 0 || revision < h.floor || revision > h.version
-	for _, m := range h.members {
-		if a.Whole || m.revision > revision {
-			a.List = append(a.List, m.Host)
-		}
-	}
-	for name, at := range h.gone {
-		if !a.Whole && at > revision {
-			a.Gone = append(a.Gone, name)
-		}
+	if len(h.members) < before {
+		h.wakeControl()
+		h.selectHosts()
 	}
 }
 
@@ -240,9 +257,9 @@
 	defer timer.Stop()
 	first := true
 	for {
-		a, news := h.answer(&q, first)
-		if a != nil {
-			return a, nil
+		reply, news, err := h.answer(&q, first)
+		if reply != nil || err != nil {
+			return reply, err
 		}
 		first = false
 		select {
@@ -256,26 +273,46 @@
 	}
 }
 
-// answer returns the answer, or nil and a channel that is closed at the next change.
-func (h *Hub) answer(q *Question, first bool) (*Answer, chan struct{}) {
+// answer returns the encoded answer, or nil and a channel that is closed at the next
+// change.
+func (h *Hub) answer(q *Question, first bool) (json.RawMessage, chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
 	if first {
 		h.note(now, &q.From, q.Load)
 	}
+	list, news := &h.selected, h.news
+	if q.From.IsControl() {
+		list, news = &h.all, h.listNews
+	}
 	if q.Run != h.Self.Start {
 		q.Targets, q.Hosts = 0, 0
 	}
-	a := &Answer{From: h.Self, Targets: h.targets.Revision(), Hosts: h.version, Active: h.sizing.count}
-	news := q.Run != h.Self.Start || q.Wait <= 0
+	if q.Run == h.Self.Start && q.Wait > 0 && q.Targets >= h.targets.Revision() && q.Hosts == list.version && q.Shared >= h.shared.Revision {
+		return nil, news, nil
+	}
+	state := replyState{
+		targets: h.targets.Revision(), all: h.all.version, selected: h.selected.version, shared: h.shared.Revision,
+		active: h.sizing.count, entries: h.entries, draining: h.Self.Draining, young: h.young,
+	}
+	key := replyKey{
+		control: q.From.IsControl(), document: q.Document, targets: q.Targets, hosts: q.Hosts, shared: q.Shared, routing: q.Routing,
+	}
+	reply, err := h.replies.get(now, state, key, func() *Answer { return h.build(now, q, list) })
+	return reply, nil, err
+}
+
+// build computes an answer. The hub is locked.
+func (h *Hub) build(now time.Time, q *Question, list *hostList) *Answer {
+	a := &Answer{
+		From: h.Self, Targets: h.targets.Revision(), Hosts: list.version, Active: h.sizing.count, Entries: h.entries, Young: h.young,
+	}
 	if q.Targets < a.Targets {
 		a.Changes = h.targets.Since(now, q.Targets)
-		news = true
 	}
 	if q.Hosts != a.Hosts {
-		h.list(a, q.Hosts)
-		news = true
+		list.tell(a, q.Hosts)
 	}
 	if h.shared.Revision > q.Shared {
 		shared := h.shared
@@ -283,12 +320,8 @@
 			shared.Routing.Source = nil
 		}
 		a.Shared = &shared
-		news = true
-	}
-	if !news {
-		return nil, h.news
 	}
-	return a, nil
+	return a
 }
 
 // Members returns the number of hosts that asked lately.
--- a/node/addresses.go
+++ b/node/addresses.go
@@ -22,8 +22,7 @@
 	if !e.serving() || e.age() < gathering {
 		return nil, e.Settings.Keep
 	}
-	active, _ := e.client.Active()
-	return callers(active, centre), e.Settings.Keep
+	return callers(e.client.Active(), centre), e.Settings.Keep
 }
 
 // Callers implements AddressService.
@@ -31,8 +30,7 @@
 	if c.draining.Load() || c.age() < gathering {
 		return nil, c.Settings.Keep
 	}
-	active, _ := c.client.Active()
-	return callers(active, centre), c.Settings.Keep
+	return callers(c.client.Active(), centre), c.Settings.Keep
 }
 
 // callers returns the addresses of the hosts that serve callers, those of the data
--- a/node/division.go
+++ b/node/division.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"wasabirelay/control"
+	"wasabirelay/exchange"
 	"wasabirelay/limit"
 	"wasabirelay/relay"
 )
@@ -17,10 +19,6 @@
 	// activePart is the part of what hosts share that is for the active ones if there are
 	// others, which get requests of callers with older lists only.
 	activePart = 0.9
-	// settling is for how long after its start a host opens no connections ahead of use:
-	// control hosts may not have heard of the others yet, and too many would count as
-	// active.
-	settling = 1500 * time.Millisecond
 	// usedPart is the part of a target's connections that hosts use. Connections of hosts
 	// that lost power stay open at the target, beside the new ones.
 	usedPart = 0.5
@@ -36,7 +34,8 @@
 type division struct {
 	// hosts are the active hosts, those that were active lately, and this one.
 	hosts []string
-	// active states that callers are, or were lately, sent to this host.
+	// active states that callers are, or were lately, sent to this host. Before it is
+	// settled, too few hosts are known, and each would count as active.
 	active bool
 	// part is this host's part of what is divided evenly among hosts.
 	part float64
@@ -44,32 +43,41 @@
 
 // divide computes the division among the hosts that are known now.
 func (e *Entry) divide() division {
+	active := e.client.Active()
+	settled := e.client.Settled()
+	names := e.remember(active, settled)
+	self := slices.Contains(names, e.Settings.Host)
+	others := max(0, e.client.Entries()-len(active))
+	if !self {
+		names, others = append(names, e.Settings.Host), max(1, others)
+	}
+	slices.Sort(names)
+	count := len(names)
+	if !self {
+		count--
+	}
+	return division{hosts: names, active: self && settled, part: part(count, others, self)}
+}
+
+// remember returns the names of the active hosts and of those that were active lately.
+// Lists count for later only if they are settled.
+func (e *Entry) remember(active []exchange.Host, settled bool) []string {
 	now := e.Clock.Now()
-	active, all := e.client.Active()
+	names := map[string]bool{}
 	for _, h := range active {
-		e.known[h.Name] = now
+		names[h.Name] = true
+		if settled {
+			e.known[h.Name] = now
+		}
 	}
-	var d division
 	for name, at := range e.known {
 		if now.Sub(at) > hostMemory {
 			delete(e.known, name)
 			continue
 		}
-		d.hosts = append(d.hosts, name)
-	}
-	others := 0
-	for _, h := range all {
-		if !slices.Contains(d.hosts, h.Name) {
-			others++
-		}
-	}
-	d.active = slices.Contains(d.hosts, e.Settings.Host)
-	d.part = part(len(d.hosts), others, d.active)
-	if !d.active {
-		d.hosts = append(d.hosts, e.Settings.Host)
+		names[name] = true
 	}
-	slices.Sort(d.hosts)
-	return d
+	return slices.Collect(maps.Keys(names))
 }
 
 // part returns the part of one host, active or not, of what is divided among so many
@@ -151,7 +159,7 @@
 // that may get work, so that a hedge does not wait for a new one. A host that callers are
 // not sent to opens none.
 func (e *Entry) warm(v *relay.View, d *division, t *control.Target) int {
-	if e.age() >= settling && d.active && t.State == control.Warm && !v.Spare[t.Name] {
+	if d.active && t.State == control.Warm && !v.Spare[t.Name] {
 		return 1
 	}
 	return 0
--- a/node/division_test.go
+++ b/node/division_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"wasabirelay/control"
+	"wasabirelay/exchange"
 	"wasabirelay/relay"
 	"wasabirelay/routing"
 )
@@ -72,18 +74,30 @@
 	}
 }
 
-// Guards against hosts that all open connections ahead of use after a common restart,
-// before they know of each other, and against hosts that never do.
+// Guards against hosts that open connections ahead of use to targets that they hardly
+// use, and against hosts that never do.
 func TestWarm(t *testing.T) {
 	is := is.New(t)
-	clock := clockwork.NewFakeClock()
 	e := entryHost("h0", "c0")
-	e.Clock, e.started = clock, clock.Now()
 	v := &relay.View{}
 	target := &control.Target{Name: "t0", State: control.Warm}
-	is.Equal(e.warm(v, &division{active: true}, target), 0)
-	clock.Advance(settling)
 	is.Equal(e.warm(v, &division{active: true}, target), 1)
 	is.Equal(e.warm(v, &division{}, target), 0)
 	is.Equal(e.warm(&relay.View{Spare: map[string]bool{"t0": true}}, &division{active: true}, target), 0)
 }
+
+// Guards against hosts that all take themselves for active, because the lists are not
+// settled yet, and remember that.
+func TestRemember(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	e := entryHost("h0", "c0")
+	e.Clock, e.known = clock, map[string]time.Time{}
+	a, b := exchange.Host{Name: "a"}, exchange.Host{Name: "b"}
+	is.Equal(e.remember([]exchange.Host{a}, false), []string{"a"})
+	is.Equal(e.remember([]exchange.Host{b}, true), []string{"b"})
+	clock.Advance(hostMemory)
+	is.Equal(len(e.remember([]exchange.Host{a}, true)), 2) // b was active lately
+	clock.Advance(time.Second)
+	is.Equal(e.remember([]exchange.Host{a}, true), []string{"a"})
+}
