Tell a log that was cut off from one whose last record was not written

A control host's log was cut off between two records. It looked like a log whose end had not been synced, so that the host kept its identity and voted. Together with a host whose disk had been full and that was behind, it was a majority without the acknowledged documents. Change: the file of a segment is filled up with zeros to a multiple of 64 KiB. A file of another size is damaged, which counts as a lost disk on the platform, and is refused by wasabirelayd. A record of which only the end of the checksum is missing counts as written. The rows 'torn' of the tests clear bytes instead of cutting the file, which a crash no longer does; cut files are rows of their own. Before: the rows 'cut off' fail.

--- a/journal/journal.go
+++ b/journal/journal.go
@@ -19,17 +19,27 @@
 
 	folderMode = 0o750
 	fileMode   = 0o600
+
+	// block is the unit of the size of segments in bytes. A segment is filled up with
+	// zeros, so that one that was cut off does not look like one whose last record was
+	// not written; it is a small part of the disks at hand, which have 128 MB.
+	block = 64 << 10
 )
 
+// filled returns the size of a segment whose records end at end.
+func filled(end int64) int64 { return (end + block - 1) / block * block }
+
 // Journal is an open journal. It is not safe for concurrent use. After a failed
 // write every later write returns the same error, because the state of the file
 // is unknown until the journal is opened again.
 type Journal struct {
-	dir      string
-	folder   *os.File
-	file     *os.File
-	identity Identity
-	hard     consensus.HardState
+	dir    string
+	folder *os.File
+	file   *os.File
+	// end is where the next record goes in the segment, size the size of its file.
+	end, size int64
+	identity  Identity
+	hard      consensus.HardState
 	// after is the index of the snapshot; entries are those that follow it.
 	after    uint64
 	entries  []consensus.Entry
@@ -82,13 +92,28 @@
 	if err != nil {
 		return err
 	}
-	if _, err := j.file.Write(b); err != nil {
+	if err := j.append(b); err != nil {
+		return err
+	}
+	j.apply(save{Hard: hard, Entries: entries})
+	return nil
+}
+
+// append makes a record durable at the end of the segment.
+func (j *Journal) append(b []byte) error {
+	if size := filled(j.end + int64(len(b))); size > j.size {
+		if err := j.file.Truncate(size); err != nil {
+			return j.fail(err, "extend log")
+		}
+		j.size = size
+	}
+	if _, err := j.file.WriteAt(b, j.end); err != nil {
 		return j.fail(err, "write log")
 	}
 	if err := j.sync(j.file); err != nil {
 		return j.fail(err, "sync log")
 	}
-	j.apply(save{Hard: hard, Entries: entries})
+	j.end += int64(len(b))
 	return nil
 }
 
@@ -152,22 +177,23 @@
 	if err != nil {
 		return err
 	}
-	name := segmentName(j.after)
-	if err := j.place(name, b); err != nil {
+	name, end := segmentName(j.after), int64(len(b))
+	if err := j.place(name, append(b, make([]byte, filled(end)-end)...)); err != nil {
 		return err
 	}
-	return j.openSegment(name)
+	return j.openSegment(name, end)
 }
 
-func (j *Journal) openSegment(name string) error {
-	file, err := os.OpenFile(filepath.Join(j.dir, name), os.O_WRONLY|os.O_APPEND, fileMode)
+// openSegment opens a segment whose records end at end.
+func (j *Journal) openSegment(name string, end int64) error {
+	file, err := os.OpenFile(filepath.Join(j.dir, name), os.O_WRONLY, fileMode)
 	if err != nil {
 		return j.fail(err, "open segment")
 	}
 	if j.file != nil {
 		j.file.Close()
 	}
-	j.file = file
+	j.file, j.end, j.size = file, end, filled(end)
 	return nil
 }
 
--- a/journal/open.go
+++ b/journal/open.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -189,9 +190,13 @@
 	if err != nil {
 		return err
 	}
-	offset := 0
+	offset, mended := 0, -1
 	for offset < len(b) {
 		r, ok := decode(b[offset:])
+		if !ok && mended < 0 && mend(b[offset:]) {
+			mended = offset
+			continue
+		}
 		if !ok {
 			break
 		}
@@ -204,15 +209,23 @@
 	switch {
 	case offset == 0:
 		return j.corrupt(name, 0, "the first record is incomplete or its checksum does not match")
+	case len(b)%block != 0:
+		return j.corrupt(name, len(b), "the file is cut off")
 	case j.after != after:
 		return j.corrupt(name, 0, "the index in the file differs from its name")
-	case offset < len(b) && !torn(b[offset:]):
+	case !torn(b[offset:]):
 		return j.corrupt(name, offset, "the checksum of the record does not match")
 	}
-	if err := j.openSegment(name); err != nil {
+	if err := j.openSegment(name, int64(offset)); err != nil {
 		return err
 	}
-	return j.cut(int64(offset), int64(len(b)))
+	j.size = int64(len(b))
+	if mended >= 0 {
+		if _, err := j.file.WriteAt(b[mended:offset], int64(mended)); err != nil {
+			return errors.Wrap(err, "complete the last record")
+		}
+	}
+	return j.erase(len(bytes.TrimRight(b[offset:], "\x00")))
 }
 
 // replay applies one record of a segment.
@@ -243,14 +256,14 @@
 	return nil
 }
 
-// cut removes a torn record from the end of the open segment.
-func (j *Journal) cut(end, size int64) error {
-	j.recovery.Torn = size - end
-	if end == size {
+// erase removes a torn record of so many bytes after the end of the open segment.
+func (j *Journal) erase(size int) error {
+	j.recovery.Torn = int64(size)
+	if size == 0 {
 		return nil
 	}
-	if err := j.file.Truncate(end); err != nil {
-		return errors.Wrap(err, "truncate log")
+	if _, err := j.file.WriteAt(make([]byte, size), j.end); err != nil {
+		return errors.Wrap(err, "erase torn record")
 	}
 	return errors.Wrap(j.sync(j.file), "sync log")
 }
--- a/journal/record.go
+++ b/journal/record.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"math"
@@ -79,28 +80,53 @@
 	return record{kind: recordType(b[4]), payload: b[headSize:end], size: int(end) + sumSize}, true
 }
 
-// torn reports whether b, which does not begin with a valid record, can be what
-// a crash leaves of the last write: an incomplete record, or one that ends in
-// the zeros of blocks that were allocated but not written. A complete record
-// with a damaged length also looks incomplete; it is recognised by the records
-// after it, or by a checksum at the end of b that fits another length.
+// torn reports whether b, which does not begin with a valid record and ends in zeros, can
+// be what a crash leaves of the last write: nothing, or a record of which the end is
+// missing. A complete record with a damaged length also looks incomplete; it is
+// recognised by the records after it, or by a checksum that fits another length.
 func torn(b []byte) bool {
-	if len(b) < overhead {
+	written := len(bytes.TrimRight(b, "\x00"))
+	if written <= headSize {
 		return true
 	}
-	if fitsOtherLength(b) || laterRecord(b) {
+	most := min(written+sumSize, len(b)) // a checksum may end in zeros
+	if fitsOtherLength(b[:most], written) || laterRecord(b[:most]) {
 		return false
 	}
 	end := headSize + uint64(binary.LittleEndian.Uint32(b)) + sumSize
-	return end > uint64(len(b)) || binary.LittleEndian.Uint64(b[len(b)-sumSize:]) == 0
+	return end > uint64(most) || end >= overhead && !slices.ContainsFunc(b[end-sumSize:end], func(c byte) bool { return c != 0 })
+}
+
+// mend completes the record at the beginning of b if only the end of its checksum is
+// missing, and at least half of it is there. It reports whether it did.
+func mend(b []byte) bool {
+	if len(b) < overhead {
+		return false
+	}
+	end := headSize + uint64(binary.LittleEndian.Uint32(b))
+	if end+sumSize > uint64(len(b)) {
+		return false
+	}
+	got := bytes.TrimRight(b[end:end+sumSize], "\x00")
+	sum := binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(b[:end]))
+	if len(got) < sumSize/2 || !bytes.HasPrefix(sum, got) {
+		return false
+	}
+	copy(b[end:], sum)
+	return true
 }
 
-// fitsOtherLength reports whether b is one whole record except for its length.
-func fitsOtherLength(b []byte) bool {
-	end := len(b) - sumSize
-	whole := slices.Clone(b[:end])
-	binary.LittleEndian.PutUint32(whole, uint32(end-headSize))
-	return xxhash.Sum64(whole) == binary.LittleEndian.Uint64(b[end:])
+// fitsOtherLength reports whether b is one whole record except for its length, which ends
+// after the bytes that were written or some zeros later.
+func fitsOtherLength(b []byte, written int) bool {
+	for end := max(overhead, written); end <= len(b); end++ {
+		whole := slices.Clone(b[:end-sumSize])
+		binary.LittleEndian.PutUint32(whole, uint32(len(whole)-headSize))
+		if xxhash.Sum64(whole) == binary.LittleEndian.Uint64(b[end-sumSize:end]) {
+			return true
+		}
+	}
+	return false
 }
 
 // laterRecord reports whether a valid record begins within b.
