Keep encoded answers while spare hosts restart

Cause: after 270 of 285 entry hosts were killed, a host waited up to 1.4 s for its first routing document. Each host that came back changed the list of all hosts, so that control hosts encoded and compressed the whole answer for each entry host again, and computed the selection anew. Change: encoded answers are kept per list, and a restart does not compute the selection.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -276,6 +277,18 @@
 	}
 	ask(t, h, Question{From: spare})
 	is.Equal(h.selected.version, before) // hosts that get no callers concern nobody
+
+	first, _, err := h.answer(&Question{From: all[0]}, true)
+	is.NoErr(err)
+	spare.Start++
+	ask(t, h, Question{From: spare})
+	second, _, err := h.answer(&Question{From: all[1]}, true)
+	is.NoErr(err)
+	is.True(&first[0] == &second[0]) // nor do their restarts, for which answers would be encoded anew
+	chosen := Active(all, leastActive)[0]
+	chosen.Start++
+	a := ask(t, h, Question{From: chosen})
+	is.True(slices.Contains(a.List, chosen))
 }
 
 // Guards against large answers that are encoded for each host, or sent as they are.
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -39,7 +39,8 @@
 	entries       int
 	shared        control.Shared
 	sizing        sizing
-	replies       replies
+	// allReplies and selectedReplies are encoded answers with these lists.
+	allReplies, selectedReplies replies
 	// news is closed at the next change, listNews also at a change that concerns only
 	// control hosts.
 	news, listNews chan struct{}
@@ -203,7 +204,8 @@
 
 // note records the host that asks. The hub is locked.
 func (h *Hub) note(now time.Time, from *Host, load float64) {
-	if m := h.members[from.Name]; m != nil {
+	m := h.members[from.Name]
+	if m != nil {
 		if from.Start < m.Start && now.Sub(m.heard) < Wait+answerTimeout {
 			// A question of an earlier run that was held up. A run that is silent has
 			// ended; its clock may have been ahead.
@@ -217,9 +219,23 @@
 	h.members[from.Name] = &member{*from, now, load}
 	h.all.set(*from)
 	h.wakeControl()
+	if m != nil && m.restarted(from) {
+		// The selection stays the same. After a loss of power, all hosts come at once.
+		if h.selected.has(from.Name) && h.selected.set(*from) {
+			h.wake()
+		}
+		return
+	}
 	h.selectHosts()
 }
 
+// restarted reports whether the host differs from what was known in its run only.
+func (m *member) restarted(from *Host) bool {
+	known := m.Host
+	known.Start = from.Start
+	return known == *from
+}
+
 // expire removes hosts that have not asked lately. The hub is locked.
 func (h *Hub) expire(now time.Time) {
 	before := len(h.members)
@@ -282,9 +298,9 @@
 	if first {
 		h.note(now, &q.From, q.Load)
 	}
-	list, news := &h.selected, h.news
+	list, replies, news := &h.selected, &h.selectedReplies, h.news
 	if q.From.IsControl() {
-		list, news = &h.all, h.listNews
+		list, replies, news = &h.all, &h.allReplies, h.listNews
 	}
 	if q.Run != h.Self.Start {
 		q.Targets, q.Hosts = 0, 0
@@ -293,13 +309,11 @@
 		return nil, news, nil
 	}
 	state := replyState{
-		targets: h.targets.Revision(), all: h.all.version, selected: h.selected.version, shared: h.shared.Revision,
-		active: h.sizing.count, entries: h.entries, draining: h.Self.Draining, young: h.young,
-	}
-	key := replyKey{
-		control: q.From.IsControl(), document: q.Document, targets: q.Targets, hosts: q.Hosts, shared: q.Shared, routing: q.Routing,
+		targets: h.targets.Revision(), hosts: list.version, shared: h.shared.Revision, active: h.sizing.count,
+		entries: h.entries, draining: h.Self.Draining, young: h.young,
 	}
-	reply, err := h.replies.get(now, state, key, func() *Answer { return h.build(now, q, list) })
+	key := replyKey{document: q.Document, targets: q.Targets, hosts: q.Hosts, shared: q.Shared, routing: q.Routing}
+	reply, err := replies.get(now, state, key, func() *Answer { return h.build(now, q, list) })
 	return reply, nil, err
 }
 
--- a/exchange/list.go
+++ b/exchange/list.go
@@ -19,6 +19,12 @@
 	revision uint64
 }
 
+// has reports whether the host is in the list.
+func (l *hostList) has(name string) bool {
+	_, ok := l.hosts[name]
+	return ok
+}
+
 // set adds a host, or replaces what is known of it. It reports whether that changed
 // anything.
 func (l *hostList) set(h Host) bool {
@@ -36,7 +42,7 @@
 
 // remove removes a host. It reports whether it was there.
 func (l *hostList) remove(name string) bool {
-	if _, ok := l.hosts[name]; !ok {
+	if !l.has(name) {
 		return false
 	}
 	delete(l.hosts, name)
--- a/exchange/reply.go
+++ b/exchange/reply.go
@@ -24,12 +24,12 @@
 
 // replyKey is what the content of an answer depends on besides the state of the hub.
 type replyKey struct {
-	control, document               bool
+	document                        bool
 	targets, hosts, shared, routing uint64
 }
 
-// replies keeps encoded answers: after a change, all hosts lack the same. The zero value
-// is ready.
+// replies keeps encoded answers for hosts that are told of the same list: after a change,
+// all of them lack the same. The zero value is ready.
 type replies struct {
 	known map[replyKey]json.RawMessage
 	state replyState
@@ -38,9 +38,9 @@
 
 // replyState identifies the state of the hub that answers tell of.
 type replyState struct {
-	targets, all, selected, shared uint64
-	active, entries                int
-	draining, young                bool
+	targets, hosts, shared uint64
+	active, entries        int
+	draining, young        bool
 }
 
 // get returns the encoded answer, which build computes if it is not known.
