Probe an ejected target after 1.5 s instead of 0.5 s

Cause: while half of the targets lose two fifths of their replies, each of 20 entry hosts ejects them, and six of ten probes bring them back within a second; the requests that fail then use up the retry budget. Change: the first probe comes three times as late, and so do the next ones, up to the same 30 s.

Conclusion: a target that is back after a crash waits longer for work, which costs less than the failures.

--- a/route/health.go
+++ b/route/health.go
@@ -24,8 +24,9 @@
 	// slowSamples is the number of samples that a latency verdict needs.
 	slowSamples = 5
 	// firstInterval and lastInterval bound the time to the first and later probes
-	// of an ejected target. It doubles with each probe that fails.
-	firstInterval = 500 * time.Millisecond
+	// of an ejected target. It doubles with each probe that fails. A target that loses a
+	// part of its replies passes many probes, and each time fails requests again.
+	firstInterval = 1500 * time.Millisecond
 	lastInterval  = 30 * time.Second
 	// intervalJitter spreads the probes of different hosts.
 	intervalJitter = 0.2
