--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -37,12 +37,12 @@
 		}
 	}
 	v.Routing = routing.NewTable(d)
-	div := division{active: true}
+	div := division{chosen: true}
 	for i := range hosts {
 		div.hosts = append(div.hosts, fmt.Sprintf("h%02d", i))
 	}
 	for b.Loop() {
-		v.Spare = e.spare(v, len(div.hosts))
+		v.Spare = e.spare(v, &div)
 		e.shares(v, &div)
 	}
 }
