Take back the division of requests to many shards among hosts

What it needs first: portions that are sent as they grow, and a number of active hosts that is right from the start.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -42,12 +42,10 @@
 	Centre string `json:"centre"`
 	// Start identifies the run of the process; a later run has a larger one.
 	Start int64 `json:"start"`
-	// Peer is the address for questions of other hosts. It is set on control hosts.
+	// Peer is the address for other hosts. It is set on control hosts.
 	Peer netip.AddrPort `json:"peer,omitzero"`
-	// Caller is the address for callers, Helper that for other entry hosts, which divide
-	// large requests. They are set on entry hosts.
+	// Caller is the address for callers. It is set on entry hosts.
 	Caller netip.AddrPort `json:"caller,omitzero"`
-	Helper netip.AddrPort `json:"helper,omitzero"`
 	// Draining states that the host stops soon and must not be named to callers.
 	Draining bool `json:"draining,omitempty"`
 }
--- a/node/division.go
+++ b/node/division.go
@@ -32,23 +32,13 @@
 
 // division is how hosts divide what they share.
 type division struct {
-	// active are the hosts that callers are sent to, hosts the names of those, of the ones
-	// that were active lately, and of this one.
-	active []exchange.Host
-	hosts  []string
-	// chosen states that callers are, or were lately, sent to this host. Before the lists
-	// of hosts are settled, too few are known, and each would count as chosen.
-	chosen bool
+	// hosts are the active hosts, those that were active lately, and this one.
+	hosts []string
+	// active states that callers are, or were lately, sent to this host. Before it is
+	// settled, too few hosts are known, and each would count as active.
+	active bool
 	// part is this host's part of what is divided evenly among hosts.
 	part float64
-	// askers are the hosts that ask a service, if not all do.
-	askers map[string][]string
-}
-
-// asks reports whether this host asks a service itself.
-func (d *division) asks(self, service string) bool {
-	hosts, few := d.askers[service]
-	return !few || slices.Contains(hosts, self)
 }
 
 // divide computes the division among the hosts that are known now.
@@ -66,7 +56,7 @@
 	if !self {
 		count--
 	}
-	return division{active: active, hosts: names, chosen: self && settled, part: part(count, others, self)}
+	return division{hosts: names, active: self && settled, part: part(count, others, self)}
 }
 
 // remember returns the names of the active hosts and of those that were active lately.
@@ -102,33 +92,24 @@
 	return (1 - activePart) / float64(others)
 }
 
-// shares divides the connections of the targets among the hosts that ask them.
+// shares divides the connections of the targets among the hosts.
 func (e *Entry) shares(v *relay.View, d *division) map[string]limit.Share {
-	out := map[string]limit.Share{}
+	var all []*control.Target
 	for service, list := range v.Targets {
 		s := v.Routing.Service(service)
-		if s == nil {
-			continue
-		}
-		hosts, asks := d.hosts, d.asks(e.Settings.Host, service)
-		if few := d.askers[service]; len(few) > 0 {
-			hosts = few
-		}
-		for _, t := range list {
-			t.Connections = usable(s.Connections, len(hosts))
-		}
-		counts := limit.Shares(hosts, e.Settings.Host, list)
 		for _, t := range list {
-			n := counts[t.Name]
-			if !asks {
-				n = min(1, t.Connections) // for portions that no other host collects
-			}
-			out[t.Name] = limit.Share{
-				Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(v, d, t), n),
-				Brief: !d.chosen || !asks, Lean: true,
+			if s != nil {
+				t.Connections = usable(s.Connections, len(d.hosts))
+				all = append(all, t)
 			}
 		}
 	}
+	counts := limit.Shares(d.hosts, e.Settings.Host, all)
+	out := make(map[string]limit.Share, len(all))
+	for _, t := range all {
+		n := counts[t.Name]
+		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warm(v, d, t), n), Brief: !d.active, Lean: true}
+	}
 	return out
 }
 
@@ -141,13 +122,10 @@
 // spare returns the targets that this host leaves to others. Of each service whose
 // targets have little room it keeps those nearby and fills up by rendezvous hashing,
 // so that hosts spread over the targets.
-func (e *Entry) spare(v *relay.View, d *division) map[string]bool {
+func (e *Entry) spare(v *relay.View, hosts int) map[string]bool {
 	out := map[string]bool{}
 	for service, list := range v.Targets {
-		s, hosts := v.Routing.Service(service), len(d.hosts)
-		if few := d.askers[service]; len(few) > 0 {
-			hosts = len(few)
-		}
+		s := v.Routing.Service(service)
 		if s == nil || len(list) <= subset || s.Connections >= roomy*hosts {
 			continue
 		}
@@ -165,18 +143,6 @@
 	return out
 }
 
-// centres returns the names of the hosts by data centre, in order.
-func centres(hosts []exchange.Host) map[string][]string {
-	out := map[string][]string{}
-	for _, h := range hosts {
-		out[h.Centre] = append(out[h.Centre], h.Name)
-	}
-	for _, names := range out {
-		slices.Sort(names)
-	}
-	return out
-}
-
 // distance is 0 for a warm target of this data centre, 1 for one of another, and 2 for
 // a cold one.
 func (e *Entry) distance(t *control.Target) int {
@@ -191,9 +157,9 @@
 
 // warm is the number of connections that are opened ahead of use: one to each target
 // that may get work, so that a hedge does not wait for a new one. A host that callers are
-// not sent to opens none, and none is opened to targets that other hosts ask.
+// not sent to opens none.
 func (e *Entry) warm(v *relay.View, d *division, t *control.Target) int {
-	if d.chosen && d.asks(e.Settings.Host, t.Service) && t.State == control.Warm && !v.Spare[t.Name] {
+	if d.active && t.State == control.Warm && !v.Spare[t.Name] {
 		return 1
 	}
 	return 0
--- a/node/entry.go
+++ b/node/entry.go
@@ -14,7 +14,6 @@
 	"wasabirelay/exchange"
 	"wasabirelay/limit"
 	"wasabirelay/move"
-	"wasabirelay/peer"
 	"wasabirelay/quorum"
 	"wasabirelay/relay"
 	"wasabirelay/route"
@@ -56,7 +55,6 @@
 	view     atomic.Pointer[relay.View]
 	moves    atomic.Pointer[control.View]
 	evidence move.Collector
-	helpers  helpers
 	// wake asks for a new view.
 	wake chan struct{}
 	// first is closed with the first view.
@@ -101,11 +99,6 @@
 			*l.server = server
 		}
 	}
-	if e.Settings.Peer.IsValid() {
-		if err := e.servePeers(ctx, g, map[string]peer.Handler{methodPortion: e.servePortion}); err != nil {
-			return err
-		}
-	}
 	g.Go(func() error { return e.client.Run(ctx) })
 	g.Go(func() error { return e.follow(ctx) })
 	g.Go(func() error { return e.report(ctx) })
@@ -128,13 +121,12 @@
 	e.client = exchange.Client{
 		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.changed, Load: e.load.share,
 	}
-	e.helpers.Clock = e.Clock
 	e.pool = &limit.Pool{Clock: e.Clock, Drain: discard, Accept: acceptTime, Unframed: true}
 	e.table = &route.Table{Centre: e.Settings.Centre, Judged: e.judged}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
 		View: e.view.Load, Known: e.first, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack,
-		Self: e.Settings.Host, Ask: e.helpers.ask, Draining: e.draining.Load, Metrics: relay.NewMetrics(e.Registry),
+		Draining: e.draining.Load, Metrics: relay.NewMetrics(e.Registry),
 		Observe: func(t *control.Target, name string, latency time.Duration, o route.Outcome) {
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
@@ -148,8 +140,7 @@
 // self is what this host tells the control hosts.
 func (e *Entry) self() exchange.Host {
 	return exchange.Host{
-		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start, Caller: e.Settings.Caller, Helper: e.Settings.Peer,
-		Draining: e.draining.Load(),
+		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start, Caller: e.Settings.Caller, Draining: e.draining.Load(),
 	}
 }
 
@@ -204,9 +195,7 @@
 	for _, centre := range shared.Out {
 		v.Out[centre] = true
 	}
-	v.Helpers = e.helpers.set(e.near(d.active))
-	d.askers = v.Askers(centres(d.active))
-	v.Spare = e.spare(v, &d)
+	v.Spare = e.spare(v, len(d.hosts))
 	e.pool.SetShares(e.shares(v, &d))
 	live := map[string]bool{}
 	for _, list := range targets {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -16,7 +16,6 @@
 	missing  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	replies  prometheus.Histogram
-	portions *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds and follow the objectives of 40 to 400 ms.
@@ -44,10 +43,7 @@
 			Name: "wasabirelay_relay_attempt_seconds", Help: "Time of successful requests to targets.", Buckets: latencyBuckets,
 		}),
 	}
-	m.portions = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "wasabirelay_relay_portions_total", Help: "Portions collected for other hosts, and those that no other host collected, by outcome.",
-	}, []string{"outcome"})
-	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions)
+	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies)
 	return m
 }
 
@@ -73,9 +69,3 @@
 		m.replies.Observe(took.Seconds())
 	}
 }
-
-func (m *Metrics) portion(outcome string) {
-	if m != nil {
-		m.portions.WithLabelValues(outcome).Inc()
-	}
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,9 +81,6 @@
 	// Spare holds the names of the targets that this host leaves to others while it has
 	// better ones, because they can't hold a connection of every host.
 	Spare map[string]bool
-	// Helpers are the hosts of this data centre that callers are sent to, in order of their
-	// names. They share requests to many shards.
-	Helpers []string
 	// Part is the part of what all hosts together may do that this host may: extra
 	// requests, and requests to cold targets.
 	Part float64
@@ -110,11 +107,6 @@
 	BudgetsEmpty time.Time
 	// Observe, if set, is called with the outcome of each request to a target.
 	Observe func(t *control.Target, route string, latency time.Duration, o route.Outcome)
-	// Self is the name of this host.
-	Self string
-	// Ask, if set, lets one of some hosts collect a portion. The error is a *NotAskedError
-	// if none has worked on it.
-	Ask func(ctx context.Context, hosts []string, q *PortionRequest) (*PortionReply, error)
 	// Draining reports whether callers are told to leave.
 	Draining func() bool
 	Metrics  *Metrics
