Restore the control state in force and the hosts with the targets after a restart

Meanwhile, as control hosts heard of entry hosts one by one, all of them were named to callers, and each opened its connections. Change: each second, if anything has changed, a control host saves the control state in force, the entry hosts and the targets; it starts with them. Reads and orders still need the quorum. Restored hosts are gone after 2.5 s unless they ask, and do not count as a reason to acknowledge targets. Before: TestKnown does not compile.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -366,3 +366,39 @@
 	h.note(now.Add(Wait+answerTimeout), &held, 0)
 	is.Equal(h.members["b"].Start, int64(5))
 }
+
+// Guards against hosts that wait for a leader, or select other hosts than before, after all
+// hosts have restarted, and against hosts of before that are named on.
+func TestKnown(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	before := grown(clock)
+	all := entries(60, "c0", "c1", "c2")
+	for _, e := range all {
+		ask(t, before, Question{From: e})
+	}
+	ask(t, before, Question{From: Host{Name: "b", Peer: netip.MustParseAddrPort("10.0.0.8:1")}})
+	before.Announce(registry.Announcement{Target: "t", Born: 1, Service: "s", State: registry.Ready, Address: netip.MustParseAddrPort("10.0.0.1:80")})
+	before.SetShared(control.Shared{Revision: 4, Routing: control.Routing{Version: 2, Source: []byte("two")}})
+	is.True(before.Changed([3]uint64{}))
+	known, revision := before.Known()
+	is.True(!before.Changed(revision))
+	is.Equal(len(known.Hosts), len(all))
+
+	after := &Hub{Self: Host{Name: "a", Start: 20}, Clock: clock, Log: zerolog.Nop(), Silence: time.Minute}
+	after.Init()
+	after.Restore(known, time.Second)
+	is.True(!after.Connected()) // nobody would hear of a target
+	first := all[0]
+	first.Start++
+	a := ask(t, after, Question{From: first, Document: true})
+	is.True(!a.Young)
+	is.Equal(names(a.List), names(Active(all, leastActive)))
+	is.Equal(len(a.Changes), 1)
+	is.Equal(string(a.Shared.Routing.Source), "two")
+	after.SetShared(control.Shared{Revision: 3}) // the log is read from its beginning
+	is.Equal(after.Shared().Revision, uint64(4))
+	clock.Advance(Expiry)
+	after.tick()
+	is.Equal(after.Members(), 0)
+}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -50,6 +50,8 @@
 	Host
 	heard time.Time
 	load  float64
+	// restored states that the host has not asked this run yet.
+	restored bool
 }
 
 // Init prepares the hub. It is called before any other use.
@@ -145,20 +147,55 @@
 	}
 }
 
-// Restore takes the targets that an earlier run knew. They count as silent after
-// length unless they announce themselves.
-func (h *Hub) Restore(records []registry.Record, length time.Duration) {
+// Known is what a control host keeps over a restart, so that hosts that restart at the
+// same time can serve before a leader is elected and before targets and hosts are heard.
+type Known struct {
+	Targets []registry.Record `json:"targets"`
+	// Hosts are the entry hosts, Shared is the control state that was in force.
+	Hosts  []Host         `json:"hosts"`
+	Shared control.Shared `json:"shared"`
+}
+
+// Restore takes what an earlier run knew. Targets count as silent after length unless
+// they announce themselves, hosts are gone after Expiry unless they ask.
+func (h *Hub) Restore(k *Known, length time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.targets.Restore(h.Clock.Now(), records, length)
+	now := h.Clock.Now()
+	h.targets.Restore(now, k.Targets, length)
+	for _, host := range k.Hosts {
+		h.members[host.Name] = &member{Host: host, heard: now, restored: true}
+		h.all.set(host)
+	}
+	h.young = len(k.Hosts) == 0
+	h.shared = k.Shared
+	h.selectHosts()
 	h.wake()
 }
 
-// Records returns all known targets and the revision of the table.
-func (h *Hub) Records() ([]registry.Record, uint64) {
+// Known returns what is worth keeping, and a number that changes with it.
+func (h *Hub) Known() (k *Known, revision [3]uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	k = &Known{Targets: h.targets.Since(h.Clock.Now(), 0), Shared: h.shared}
+	for _, m := range h.members {
+		if !m.IsControl() && !m.Draining {
+			k.Hosts = append(k.Hosts, m.Host)
+		}
+	}
+	return k, h.revision()
+}
+
+// Changed reports whether there is more to keep than at a revision of Known.
+func (h *Hub) Changed(revision [3]uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.targets.Since(h.Clock.Now(), 0), h.targets.Revision()
+	return h.revision() != revision
+}
+
+// revision identifies what Known returns. The hub is locked.
+func (h *Hub) revision() [3]uint64 {
+	return [3]uint64{h.targets.Revision(), h.all.version, h.shared.Revision}
 }
 
 // Connected reports whether entry hosts have asked lately. Without them, what a
@@ -168,7 +205,7 @@
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
 	for _, m := range h.members {
-		if !m.IsControl() && now.Sub(m.heard) < Expiry {
+		if !m.IsControl() && !m.restored && now.Sub(m.heard) < Expiry {
 			return true
 		}
 	}
@@ -211,12 +248,12 @@
 			// ended; its clock may have been ahead.
 			return
 		}
-		m.heard, m.load = now, load
+		m.heard, m.load, m.restored = now, load, false
 		if m.Host == *from {
 			return
 		}
 	}
-	h.members[from.Name] = &member{*from, now, load}
+	h.members[from.Name] = &member{Host: *from, heard: now, load: load}
 	h.all.set(*from)
 	h.wakeControl()
 	if m != nil && m.restarted(from) {
--- a/node/control.go
+++ b/node/control.go
@@ -76,7 +76,7 @@
 	g.Go(func() error { return c.replica.Run(ctx) })
 	g.Go(func() error { return c.hub.Run(ctx) })
 	g.Go(func() error { return c.client.Run(ctx) })
-	g.Go(func() error { return c.saveTargets(ctx) })
+	g.Go(func() error { return c.saveKnown(ctx) })
 	c.Log.Info().Stringer("operators", c.Settings.Operator).Stringer("peer", c.Settings.Peer).Int64("start", c.start).
 		Bool("found", c.Settings.Found).Int("seeds", len(c.Settings.Seeds)).Msg("control host started")
 	go func() {
@@ -98,7 +98,7 @@
 		Self: self, Clock: c.Clock, Log: c.Log, Silence: silentHeartbeats * c.Settings.Heartbeat, Heard: c.heard,
 	}
 	c.hub.Init()
-	c.restoreTargets()
+	c.restoreKnown()
 	c.client = exchange.Client{
 		Self: func() exchange.Host { h := self; h.Draining = c.draining.Load(); return h }, Seeds: c.seedAddresses,
 		Clock: c.Clock, Log: c.Log, Found: c.heard,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"wasabirelay/control"
 	"wasabirelay/exchange"
 	"wasabirelay/registry"
 )
@@ -70,20 +71,24 @@
 	}
 }
 
-// Guards against targets that are lost with the process, and against a damaged file
-// that is taken for an empty one.
-func TestSavedTargets(t *testing.T) {
+// Guards against targets, hosts and a routing document that are lost with the process, and
+// against a damaged file that is taken for an empty one.
+func TestKnown(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	records, err := loadTargets(dir)
+	known, err := loadKnown(dir)
 	is.NoErr(err)
-	is.Equal(len(records), 0)
-	want := []registry.Record{{Announcement: registry.Announcement{Target: "t", Born: 5, State: registry.Ready, Cold: time.Second}}}
-	is.NoErr(storeTargets(dir, want))
-	records, err = loadTargets(dir)
+	is.True(known == nil)
+	want := &exchange.Known{
+		Targets: []registry.Record{{Announcement: registry.Announcement{Target: "t", Born: 5, State: registry.Ready, Cold: time.Second}}},
+		Hosts:   []exchange.Host{{Name: "e1", Start: 7, Caller: netip.MustParseAddrPort("10.0.0.1:80")}},
+		Shared:  control.Shared{Revision: 4, Routing: control.Routing{Version: 2, Source: []byte("two")}},
+	}
+	is.NoErr(storeKnown(dir, want))
+	known, err = loadKnown(dir)
 	is.NoErr(err)
-	is.Equal(records, want)
-	is.NoErr(os.WriteFile(filepath.Join(dir, targetsFile), []byte("{"), 0o600))
-	_, err = loadTargets(dir)
+	is.Equal(known, want)
+	is.NoErr(os.WriteFile(filepath.Join(dir, knownFile), []byte("{"), 0o600))
+	_, err = loadKnown(dir)
 	is.True(err != nil)
 }
