--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -110,7 +110,7 @@
 	r.journal = j
 	defer func() {
 		if err != nil {
-			j.Close() // the first error is the one to report
+			_ = j.Close() // the first error is the one to report
 		}
 	}()
 	id, ok := j.Identity()
--- a/soak/disk.go
+++ b/soak/disk.go
@@ -21,9 +21,12 @@
 			return err
 		}
 		name := files[r.rand.IntN(len(files))]
+		if info, err := os.Stat(name); err != nil || info.IsDir() || info.Size() == 0 {
+			return err // a folder holds what was damaged before
+		}
 		text, err := os.ReadFile(name) //nolint:gosec // a file of the soak
-		if err != nil || len(text) == 0 {
-			return nil // a folder with what was damaged before, or an empty file
+		if err != nil {
+			return err
 		}
 		at := r.rand.IntN(len(text))
 		if r.rand.IntN(2) == 0 {
