--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -156,7 +156,7 @@
 			go func() { _, _ = io.Copy(c, c) }()
 		}
 	}()
-	p, err := NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(l.Addr().String()))
+	p, err := NewProxy(anyPort, netip.MustParseAddrPort(l.Addr().String()))
 	is.NoErr(err)
 	defer p.Close()
 	for _, tt := range []struct {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -38,6 +39,8 @@
 	{"crash a target", 2, (*Run).crashTarget},
 	{"harm the link of a target", 4, (*Run).harmLink},
 	{"harm the link of a host", 4, (*Run).harmHost},
+	{"harm the link of callers", 2, (*Run).harmCallers},
+	{"reload the settings of a host", 1, (*Run).reload},
 	{"a target leaves", 2, (*Run).drainTarget},
 	{"evacuate a data centre", 1, (*Run).evacuate},
 	{"damage the disk of a control host", 1, (*Run).damageControl},
@@ -87,7 +90,7 @@
 // heal ends all faults of links and targets. In half of the runs a data centre that is
 // out of service stays so.
 func (r *Run) heal(ctx context.Context) {
-	for _, p := range append(r.proxies, r.links...) {
+	for _, p := range slices.Concat(r.proxies, r.links, r.callerLinks) {
 		p.Set(Pass, false)
 	}
 	for _, t := range append(r.targets, r.left...) {
@@ -235,6 +238,19 @@
 	return r.harm(r.links[r.rand.IntN(len(r.links))])
 }
 
+func (r *Run) harmCallers() func() {
+	return r.harm(r.callerLinks[r.rand.IntN(len(r.callerLinks))])
+}
+
+func (r *Run) reload() func() {
+	m := r.take(0, r.Control+r.Entry)
+	if m == nil {
+		return nil
+	}
+	m.Signal(syscall.SIGHUP)
+	return m.Release
+}
+
 func (r *Run) harm(p *Proxy) func() {
 	p.Set(Mode(1+r.rand.IntN(int(modes)-1)), r.rand.IntN(2) == 0)
 	return func() { p.Set(Pass, false) }
--- a/soak/load.go
+++ b/soak/load.go
@@ -19,7 +19,7 @@
 			r.check.once(id)
 		}
 		r.traffic.asked(services)
-		to := r.machine(r.Control + (caller+i)%r.Entry).Caller()
+		to := r.callerLinks[(caller+i)%r.Entry].Address
 		a, err := standin.Ask(ctx, to, method, path, id, callerTime)
 		if err == nil { // otherwise the caller sees nothing but a closed connection
 			r.check.answered(id, path == "/one/x", a)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -51,6 +51,9 @@
 	conns map[net.Conn]bool
 }
 
+// anyPort lets the system choose a free port.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
 // NewProxy starts a proxy before a server, at an address of which the port may be 0.
 func NewProxy(at, server netip.AddrPort) (*Proxy, error) {
 	var lc net.ListenConfig
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -63,8 +64,9 @@
 	crashed map[int]bool
 	// left are the targets that have said that they leave; they serve on.
 	left []*standin.Target
-	// proxies are the links to targets, links those to hosts.
-	proxies, links []*Proxy
+	// proxies are the links to targets, links those between hosts, callerLinks those of
+	// callers to entry hosts.
+	proxies, links, callerLinks []*Proxy
 	// evacuated is the data centre that an order has named, out the same if the order
 	// was acknowledged.
 	evacuated, out string
@@ -134,6 +136,13 @@
 	if err := r.deployment.Start(); err != nil {
 		return err
 	}
+	for i := range r.Entry {
+		p, err := NewProxy(anyPort, r.machine(r.Control+i).Caller())
+		if err != nil {
+			return err
+		}
+		r.callerLinks = append(r.callerLinks, p)
+	}
 	for _, service := range append([]string{"one"}, shards...) {
 		for i := range replicas {
 			if err := r.addTarget(service, fmt.Sprintf("zone-%d", i), 0); err != nil {
@@ -165,7 +174,7 @@
 		ID: fmt.Sprintf("%s-%d", service, len(r.proxies)), Service: service, Centre: centre, Cold: cold,
 		Control: r.deployment.Operators, Arrived: r.traffic.arrived, Ran: r.check.ran,
 		Via: func(own netip.AddrPort) netip.AddrPort {
-			p, err := NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), own)
+			p, err := NewProxy(anyPort, own)
 			if err != nil {
 				failed = err
 				return own
@@ -185,7 +194,7 @@
 	for _, t := range append(r.targets, r.left...) {
 		t.Crash()
 	}
-	for _, p := range append(r.proxies, r.links...) {
+	for _, p := range slices.Concat(r.proxies, r.links, r.callerLinks) {
 		p.Close()
 	}
 	if r.deployment != nil {
