Take SIGHUP from the first line of the program on

Nothing listened for the signal yet, which ended the process; nobody started it again. Change: the program listens before it reads its arguments. What comes before its first line still ends it, so that the soak starts such a host again, as the platform does.

--- a/cmd/wasabirelay-node/main.go
+++ b/cmd/wasabirelay-node/main.go
@@ -29,6 +29,9 @@
 }
 
 func main() {
+	// A signal that comes during the start must not end the process.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	var o options
 	kong.Parse(&o, kong.Description("Daemon of wasabirelay on the users' platform. It reads the settings file of the platform."))
 	// A write beyond a limit on the size of files is an error of that write.
@@ -39,7 +42,7 @@
 		os.Exit(1)
 	}
 	s.PeerListen = o.PeerListen
-	os.Exit(run(s))
+	os.Exit(run(s, reloads))
 }
 
 // host is an entry host or a control host.
@@ -47,7 +50,7 @@
 	Run(ctx, stop context.Context) error
 }
 
-func run(s *node.Settings) int {
+func run(s *node.Settings, reloads <-chan os.Signal) int {
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Close()
 	log := zerolog.New(out).With().Timestamp().Str("node", s.Host).Logger()
@@ -62,7 +65,7 @@
 	defer cancel()
 	stop, stopped := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stopped()
-	go watch(ctx, log, p.Reload)
+	go watch(ctx, log, reloads, p.Reload)
 	if err := h.Run(ctx, stop); err != nil {
 		log.Error().Err(err).Msg("ended by an error")
 		return 1
@@ -72,9 +75,7 @@
 }
 
 // watch loads the settings again after a signal and at intervals.
-func watch(ctx context.Context, log zerolog.Logger, reload func(*node.Settings)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func watch(ctx context.Context, log zerolog.Logger, signals <-chan os.Signal, reload func(*node.Settings)) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -248,7 +248,13 @@
 		return nil
 	}
 	m.Signal(syscall.SIGHUP)
-	return m.Release
+	return func() {
+		if m.Wait(0) { // it came before the first line of the program, as on a real machine
+			r.restart(m)
+			return
+		}
+		m.Release()
+	}
 }
 
 func (r *Run) harm(p *Proxy) func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,8 @@
 	// A log that was cut off looked like one whose last record had not been written, and
 	// its host helped a host that was behind to lead.
 	{3025, "truncated log"},
+	// SIGHUP some milliseconds after a start ended the process.
+	{5010, "signal during the start"},
 }
 
 // length is how long faults are injected for a seed in CI.
