--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -61,17 +62,22 @@
 	return filepath.Join(binaries.dir, name)
 }
 
+// firstPort and lastPort bound the ports of daemons. The system gives none of them to
+// listeners without a port, of which tests open many at the same time.
+const firstPort, lastPort = 15000, 30000
+
 // freePorts returns ports that no listener has now.
 func freePorts(t *testing.T, n int) []int {
 	t.Helper()
-	ports := make([]int, n)
-	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	var ports []int
+	for len(ports) < n {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", local(port))
 		if err != nil {
-			t.Fatal(err)
+			continue // another one has it
 		}
 		defer l.Close()
-		ports[i] = l.Addr().(*net.TCPAddr).Port
+		ports = append(ports, port)
 	}
 	return ports
 }
