--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -48,6 +48,14 @@
 	return h
 }
 
+// following returns a client that has one contact.
+func following(clock clockwork.Clock, self func() Host) (*Client, *contact) {
+	k := &contact{client: &peer.Client{}}
+	return &Client{
+		Self: self, Clock: clock, Log: zerolog.Nop(), contacts: map[netip.AddrPort]*contact{netip.MustParseAddrPort("10.0.0.9:1"): k},
+	}, k
+}
+
 // patience bounds the wait for a state that must come.
 const patience = 10 * time.Second
 
@@ -200,9 +208,7 @@
 // Guards against a host that left and is listed again by an answer that was overtaken.
 func TestOvertakenAnswer(t *testing.T) {
 	is := is.New(t)
-	c := Client{Self: func() Host { return entry("e1") }, Clock: clockwork.NewRealClock(), Log: zerolog.Nop()}
-	k := &contact{client: &peer.Client{}}
-	c.contacts = map[netip.AddrPort]*contact{netip.MustParseAddrPort("10.0.0.9:1"): k}
+	c, k := following(clockwork.NewRealClock(), func() Host { return entry("e1") })
 	from := Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}
 	c.take(k, &Answer{From: from, Hosts: 5, Whole: true, List: []Host{entry("e1"), entry("e2")}})
 	c.take(k, &Answer{From: from, Hosts: 7, Gone: []string{"e2"}})
@@ -218,9 +224,7 @@
 func TestYoung(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	c := Client{Self: func() Host { return entry("e1") }, Clock: clock, Log: zerolog.Nop()}
-	k := &contact{client: &peer.Client{}}
-	c.contacts = map[netip.AddrPort]*contact{netip.MustParseAddrPort("10.0.0.9:1"): k}
+	c, k := following(clock, func() Host { return entry("e1") })
 	h := &Hub{Self: Host{Name: "a", Start: 9, Peer: netip.MustParseAddrPort("10.0.0.9:1")}, Clock: clock, Log: zerolog.Nop(), Silence: time.Minute}
 	h.Init()
 	follow := func() { c.take(k, ask(t, h, Question{From: entry("e1"), Run: k.q.Run, Hosts: k.q.Hosts})) }
@@ -253,12 +257,8 @@
 	for _, e := range all {
 		ask(t, h, Question{From: e})
 	}
-	k := &contact{client: &peer.Client{}}
 	self := all[0]
-	c := Client{
-		Self: func() Host { return self }, Clock: clock, Log: zerolog.Nop(),
-		contacts: map[netip.AddrPort]*contact{h.Self.Peer: k},
-	}
+	c, k := following(clock, func() Host { return self })
 	for i, e := range all {
 		a := ask(t, h, Question{From: e})
 		is.True(len(a.List) <= leastActive+2)
--- a/exchange/hosts.go
+++ b/exchange/hosts.go
@@ -47,8 +47,13 @@
 func (c *Client) Hosts() []Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.hosts(c.current())
+}
+
+// hosts merges the lists of the contacts. The client is locked.
+func (c *Client) hosts(contacts []*contact) []Host {
 	known := map[string]Host{}
-	for _, k := range c.current() {
+	for _, k := range contacts {
 		for _, h := range k.list {
 			old, ok := known[h.Name]
 			if h.IsControl() || ok && (h.Start < old.Start || h.Start == old.Start && old.Draining) {
@@ -71,14 +76,13 @@
 // Active returns the entry hosts that callers are sent to. Control hosts may differ for a
 // moment about their number: the largest counts.
 func (c *Client) Active() []Host {
-	hosts := c.Hosts()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := leastActive
-	for _, k := range c.current() {
+	contacts, n := c.current(), leastActive
+	for _, k := range contacts {
 		n = max(n, k.active)
 	}
-	return Active(hosts, n)
+	return Active(c.hosts(contacts), n)
 }
 
 // Entries returns the number of entry hosts, 0 if no control host has answered.
--- a/journal/file.go
+++ b/journal/file.go
@@ -11,24 +11,21 @@
 	"github.com/pkg/errors"
 )
 
-// WriteFile replaces a file as a whole. It returns once the file and its name are
-// durable; after a failure the old file is still there.
-func WriteFile(name string, data []byte) error {
+// sumPrefix begins the last line of a file with a checksum, which holds the xxhash of
+// all lines before it.
+const sumPrefix = "xxhash "
+
+// WriteChecked replaces a text file as a whole and adds a line with a checksum. It returns
+// once the file and its name are durable; after a failure the old file is still there.
+func WriteChecked(name string, text []byte) error {
 	folder, err := os.Open(filepath.Dir(name))
 	if err != nil {
 		return errors.Wrap(err, "open folder")
 	}
 	defer folder.Close()
-	return replaceFile(name, data, folder, (*os.File).Sync)
+	return replaceFile(name, withSum(text), folder, (*os.File).Sync)
 }
 
-// sumPrefix begins the last line of a file with a checksum, which holds the xxhash of
-// all lines before it.
-const sumPrefix = "xxhash "
-
-// WriteChecked is WriteFile for a text file with a checksum in its last line.
-func WriteChecked(name string, text []byte) error { return WriteFile(name, withSum(text)) }
-
 func withSum(text []byte) []byte {
 	return fmt.Appendf(slices.Clip(text), "%s%016x\n", sumPrefix, xxhash.Sum64(text))
 }
--- a/journal/open.go
+++ b/journal/open.go
@@ -42,12 +42,7 @@
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return err
 	}
-	parent, err := os.Open(filepath.Dir(filepath.Clean(dir)))
-	if err != nil {
-		return err
-	}
-	defer parent.Close()
-	return parent.Sync()
+	return SyncFolder(filepath.Dir(filepath.Clean(dir)))
 }
 
 // files lists the indexes in the names of the files, in increasing order: the
--- a/node/control.go
+++ b/node/control.go
@@ -77,7 +77,7 @@
 	g.Go(func() error { return c.hub.Run(ctx) })
 	g.Go(func() error { return c.client.Run(ctx) })
 	g.Go(func() error { return c.saveKnown(ctx) })
-	c.Log.Info().Stringer("operators", c.Settings.Operator).Stringer("peer", c.Settings.Peer).Int64("start", c.start).
+	c.Log.Info().Stringer("operators", c.Settings.Operator).Stringer("peer", c.Settings.Peer).Int64("start", c.start()).
 		Bool("found", c.Settings.Found).Int("seeds", len(c.Settings.Seeds)).Msg("control host started")
 	go func() {
 		select {
@@ -91,7 +91,7 @@
 }
 
 func (c *Control) prepare() error {
-	self := exchange.Host{Name: c.Settings.Host, Centre: c.Settings.Centre, Start: c.start, Peer: c.Settings.Peer}
+	self := exchange.Host{Name: c.Settings.Host, Centre: c.Settings.Centre, Start: c.start(), Peer: c.Settings.Peer}
 	c.book.Self, c.book.Dial = c.Settings.Host, exchange.DialTimeout
 	c.book.Set(c.Settings.Host, c.Settings.Peer)
 	c.hub = exchange.Hub{
@@ -120,7 +120,7 @@
 	if !errors.As(err, &damaged) {
 		return err
 	}
-	aside, asideErr := setAside(c.Settings.Data, c.start)
+	aside, asideErr := setAside(c.Settings.Data, c.start())
 	if asideErr != nil {
 		return errors.Wrapf(asideErr, "set damaged control state aside (%v)", err)
 	}
--- a/node/damage_test.go
+++ b/node/damage_test.go
@@ -9,8 +9,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 
 	"wasabirelay/consensus"
 	"wasabirelay/journal"
@@ -25,11 +23,7 @@
 	clock := clockwork.NewFakeClock()
 	identities := map[string]bool{}
 	for range 3 {
-		c := &Control{Process: &Process{
-			Settings: Settings{Host: "a", Peer: netip.MustParseAddrPort("10.0.0.1:1"), Data: dir, Heartbeat: time.Second},
-			Clock:    clock, Log: zerolog.Nop(), Registry: prometheus.NewRegistry(),
-		}}
-		c.init()
+		c := controlHost(clock, Settings{Peer: netip.MustParseAddrPort("10.0.0.1:1"), Data: dir})
 		is.NoErr(c.prepare())
 		id, ok, err := journal.ReadIdentity(dir)
 		is.NoErr(err)
--- a/node/entry.go
+++ b/node/entry.go
@@ -102,7 +102,7 @@
 	g.Go(func() error { return e.client.Run(ctx) })
 	g.Go(func() error { return e.follow(ctx) })
 	g.Go(func() error { return e.report(ctx) })
-	e.Log.Info().Stringer("callers", e.Settings.Caller).Int64("start", e.start).Int("seeds", len(e.Settings.Seeds)).Msg("entry host started")
+	e.Log.Info().Stringer("callers", e.Settings.Caller).Int64("start", e.start()).Int("seeds", len(e.Settings.Seeds)).Msg("entry host started")
 	go func() {
 		select {
 		case <-stop.Done():
@@ -140,7 +140,7 @@
 // self is what this host tells the control hosts.
 func (e *Entry) self() exchange.Host {
 	return exchange.Host{
-		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start, Caller: e.Settings.Caller, Draining: e.draining.Load(),
+		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start(), Caller: e.Settings.Caller, Draining: e.draining.Load(),
 	}
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -43,6 +43,14 @@
 	return &Entry{Process: &Process{Settings: Settings{Host: name, Centre: centre}}}
 }
 
+// controlHost returns the control host a, initialized.
+func controlHost(clock clockwork.Clock, s Settings) *Control {
+	s.Host, s.Heartbeat = "a", time.Second
+	c := &Control{Process: &Process{Settings: s, Clock: clock, Log: zerolog.Nop(), Registry: prometheus.NewRegistry()}}
+	c.init()
+	return c
+}
+
 // Guards against a founding by a host that must not found, or before all seeds answer.
 func TestFounders(t *testing.T) {
 	own, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
@@ -58,11 +66,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			c := &Control{Process: &Process{
-				Settings: Settings{Host: "a", Peer: own, Found: tt.found, Seeds: tt.seeds, Data: t.TempDir(), Heartbeat: time.Second},
-				Clock:    clock, Log: zerolog.Nop(), Registry: prometheus.NewRegistry(),
-			}}
-			c.init()
+			c := controlHost(clock, Settings{Peer: own, Found: tt.found, Seeds: tt.seeds, Data: t.TempDir()})
 			is := is.New(t)
 			is.NoErr(c.prepare())
 			clock.Advance(time.Minute)
--- a/node/process.go
+++ b/node/process.go
@@ -52,9 +52,8 @@
 	// seeds may change while the process runs.
 	seeds    atomic.Pointer[[]netip.AddrPort]
 	draining atomic.Bool
-	// start identifies this run to other hosts. started is the same moment; the time of
-	// day may be set meanwhile, so ages are told from its monotonic reading.
-	start   int64
+	// started is when this run began. The time of day may be set meanwhile, so ages are
+	// told from its monotonic reading.
 	started time.Time
 	events  *eventlog.Limiter
 }
@@ -71,7 +70,6 @@
 func (p *Process) init() {
 	p.seeds.CompareAndSwap(nil, &p.Settings.Seeds)
 	p.started = p.Clock.Now()
-	p.start = p.started.UnixNano()
 	p.events = &eventlog.Limiter{Clock: p.Clock}
 	if p.Settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.Memory)))
@@ -80,6 +78,9 @@
 	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
 
+// start identifies this run to other hosts.
+func (p *Process) start() int64 { return p.started.UnixNano() }
+
 // age is how long the process has run.
 func (p *Process) age() time.Duration { return p.Clock.Since(p.started) }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -98,7 +98,7 @@
 	}
 	if centre := r.evacuated; centre != "" && (r.out == "" || r.rand.IntN(2) == 0) {
 		r.out = ""
-		r.order(ctx, centre, false)
+		r.readmit(ctx, centre)
 	}
 }
 
@@ -276,12 +276,11 @@
 	return func() {}
 }
 
-// order takes a data centre out of service or back into it, in the time that the
-// operator gives it.
-func (r *Run) order(ctx context.Context, centre string, out bool) {
+// readmit takes a data centre back into service, in the time that the operator gives it.
+func (r *Run) readmit(ctx context.Context, centre string) {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	if err := standin.Evacuate(ctx, r.deployment.Operators(), centre, out); err != nil {
+	if err := standin.Evacuate(ctx, r.deployment.Operators(), centre, false); err != nil {
 		r.check.violate("order on %s not acknowledged within %s: %v", centre, settleTime, err)
 	}
 }
--- a/soak/load.go
+++ b/soak/load.go
@@ -47,7 +47,7 @@
 // put sends the next document until it is acknowledged.
 func (r *Run) put(ctx context.Context) error {
 	version := r.version.Add(1)
-	if err := standin.Put(ctx, r.deployment.Operators(), standin.Config(version, shards, "one")); err != nil {
+	if err := standin.Put(ctx, r.deployment.Operators(), standin.Config(version, shards, single[0])); err != nil {
 		return err
 	}
 	r.acked.Store(version)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -143,7 +143,7 @@
 		}
 		r.callerLinks = append(r.callerLinks, p)
 	}
-	for _, service := range append([]string{"one"}, shards...) {
+	for _, service := range slices.Concat(single, shards) {
 		for i := range replicas {
 			if err := r.addTarget(service, fmt.Sprintf("zone-%d", i), 0); err != nil {
 				return err
