Handle queued messages before the time-outs of a control replica

Cause: after a slow sync the control goroutine chose between its tick and its queue at random. A leader whose queue held the responses of a majority then stepped down for lack of one, and an election followed. That was seen in TestRollingRestartInterruptsNoRequest beside load, where a sync took 249 ms. Change: a tick first handles what is queued. Result: TestSlowSyncKeepsLeadership fails on the old code (follower instead of leader) and passes now.

--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -201,7 +201,9 @@
 		case f := <-r.events:
 			f()
 		case <-ticker.Chan():
-			r.tick()
+			if r.handleQueued(); r.fatal == nil {
+				r.tick()
+			}
 		}
 		if r.fatal != nil {
 			return r.fatal
@@ -209,6 +211,18 @@
 	}
 }
 
+// handleQueued handles the events that are queued. Those that arrived during a slow sync count
+// before the time-outs that passed meanwhile: a leader would step down although the responses
+// of a majority are already here.
+func (r *Replica) handleQueued() {
+	for range len(r.events) {
+		(<-r.events)()
+		if r.fatal != nil {
+			return
+		}
+	}
+}
+
 func (r *Replica) tick() {
 	if r.node == nil {
 		return
