Keep a replica for a shard of which all replicas look cold

Cause: replicas that are much slower than the fastest one are ejected and count as cold until their next probe. When the fast replica leaves, the rest of the shard has no replica that may be used without a grant, and queries get 503 coverage (TestDrainingTargetGetsNoNewWork beside load). During a move, replicas of the new version were compared with those of the old one, whose estimates are out of date once it gets nothing, so that the whole new version could be ejected; queries then fell back to the old version although its move was done (TestGoodVersionIsDoneByItsTime beside load). Change: if all warm replicas of a shard are only suspected to be cold, the suspicion ends for those that are not ejected or for the fastest one; draining replicas are no peers; during a move only replicas of the versions that a query may use are compared; a version with all traffic has no fallback.

--- a/answer/connect.go
+++ b/answer/connect.go
@@ -17,7 +17,7 @@
 // control. It is called after Clock is set and before Register or Answer.
 func (s *Service) Connect(table *route.Table, pool *limit.Pool, admission *limit.Admission) {
 	s.Pick, s.Start, s.Done = table.Pick, table.Start, table.Done
-	s.SuspectCold, s.HedgeAfter = table.SuspectCold, table.HedgeAfter
+	s.SuspectCold, s.ClearSuspicion, s.HedgeAfter = table.SuspectCold, table.ClearSuspicion, table.HedgeAfter
 	s.CountFirst = func(service string) { table.Budget(service).CountFirst() }
 	s.SpendBudget = func(service string, share float64) bool { return table.Budget(service).Spend(share) }
 	s.SpendEarlyBudget = func(service string, share float64) bool { return table.Budget(service).SpendEarly(share) }
--- a/answer/dependencies.go
+++ b/answer/dependencies.go
@@ -112,6 +112,9 @@
 	RecordEvidence func(now time.Time, t *control.Target, route string, latency time.Duration, o Outcome)
 	// SuspectCold reports whether a target behaves as if it were cold.
 	SuspectCold func(now time.Time, t *control.Target) bool
+	// ClearSuspicion ends the suspicion that the warm replicas of a shard are cold if all of them
+	// are suspected, and reports whether one has become usable.
+	ClearSuspicion func(now time.Time, replicas []*control.Target) bool
 	// HedgeAfter returns the hedge delay, or false while no hedges may be sent.
 	HedgeAfter func(now time.Time, service string, quantile float64) (time.Duration, bool)
 	// CountFirst counts a first sub-request of a service. SpendBudget takes a hedge or a retry
--- a/answer/run.go
+++ b/answer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -86,17 +87,44 @@
 	return best, nil
 }
 
-// choose selects a snapshot for the drawn version. A share is an upper limit: if the version
-// can't cover all shards by itself, the versions without a limit answer the query.
+// choose selects a snapshot for the drawn version. A share below 1 is an upper limit: if the
+// version can't cover all shards by itself, the versions without a limit answer the query.
 func (r *queryRun) choose(ix *index, drawnVersion string) (best *snapshot, covered int, version string) {
 	best, covered = ix.choose(r.usable(ix, drawnVersion), r.skippedSnapshots)
-	if drawnVersion != "" && (best == nil || covered < best.total) {
+	if ix.fallback(drawnVersion) && (best == nil || covered < best.total) {
+		drawnVersion = ""
 		best, covered = ix.choose(r.usable(ix, ""), r.skippedSnapshots)
-		return best, covered, ""
+	}
+	if best != nil && covered < best.total && r.clearSuspicions(ix, best, drawnVersion) {
+		best, covered = ix.choose(r.usable(ix, drawnVersion), r.skippedSnapshots)
 	}
 	return best, covered, drawnVersion
 }
 
+// clearSuspicions makes replicas of shards usable of which all replicas are suspected to be
+// cold. It reports whether there are any.
+func (r *queryRun) clearSuspicions(ix *index, snap *snapshot, drawnVersion string) bool {
+	usable, cleared := r.usable(ix, drawnVersion), false
+	for shard := range snap.shards {
+		if !slices.ContainsFunc(snap.shards[shard], usable) && r.clearSuspicion(ix.replicasOf(snap, shard, drawnVersion), nil) {
+			cleared = true
+		}
+	}
+	return cleared
+}
+
+// clearSuspicion makes one of the replicas usable if all that are left to this query are suspected
+// to be cold.
+func (r *queryRun) clearSuspicion(replicas []*control.Target, tried map[string]bool) bool {
+	var left []*control.Target
+	for _, t := range replicas {
+		if !r.failed[t.Name] && !tried[t.Name] {
+			left = append(left, t)
+		}
+	}
+	return len(left) > 0 && r.s.ClearSuspicion(r.s.Clock.Now(), left)
+}
+
 // usable returns a predicate that reports whether a target may answer this query.
 func (r *queryRun) usable(ix *index, drawnVersion string) func(*control.Target) bool {
 	return func(t *control.Target) bool {
@@ -276,13 +304,18 @@
 	return notDenied
 }
 
-// pick selects a replica. A hedge or retry of a query that drew a limited version may use the
-// versions without a limit, so that failures of a bad version do not reduce coverage.
+// pick selects a replica. A hedge or retry of a query that drew a version with a share below 1
+// may use the versions without a limit, so that failures of a bad version do not reduce coverage.
+// Replicas are compared only with those of the versions that the query may use.
 func (r *queryRun) pick(ix *index, snap *snapshot, a dispatch) (*control.Target, func()) {
 	t, release := r.pickVersion(ix, snap, a, r.drawnVersion)
-	if t == nil && a.kind != First && r.drawnVersion != "" {
+	if t == nil && a.kind != First && ix.fallback(r.drawnVersion) {
 		t, release = r.pickVersion(ix, snap, a, "")
 	}
+	state := &r.round.shardStates[a.shard]
+	if t == nil && state.live == 0 && r.clearSuspicion(ix.replicasOf(snap, a.shard, r.drawnVersion), state.tried) {
+		t, release = r.pickVersion(ix, snap, a, r.drawnVersion)
+	}
 	return t, release
 }
 
@@ -290,7 +323,8 @@
 // target it reserves room in this host's grant, which the returned function releases.
 func (r *queryRun) pickVersion(ix *index, snap *snapshot, a dispatch, drawnVersion string) (*control.Target, func()) {
 	c := Choice{
-		Service: r.q.Service, Shard: a.shard, Replicas: snap.shards[a.shard], Exclude: r.round.shardStates[a.shard].tried,
+		Service: r.q.Service, Shard: a.shard, Replicas: ix.replicasOf(snap, a.shard, drawnVersion),
+		Exclude: r.round.shardStates[a.shard].tried,
 		Allow: r.usable(ix, drawnVersion), NoProbe: !r.q.Idempotent,
 	}
 	for {
--- a/answer/selection.go
+++ b/answer/selection.go
@@ -145,6 +145,27 @@
 	return version == drawnVersion && (!limited || limit > 0)
 }
 
+// fallback reports whether queries that drew the version may use the versions without a limit.
+// A version with all traffic has no fallback: its move is done, and the targets of the other
+// versions may be stopped at any time.
+func (ix *index) fallback(drawnVersion string) bool {
+	return drawnVersion != "" && ix.limits[drawnVersion] < 1
+}
+
+// replicasOf returns the replicas of a shard that may answer queries that drew drawnVersion.
+func (ix *index) replicasOf(s *snapshot, shard int, drawnVersion string) []*control.Target {
+	if len(ix.limits) == 0 {
+		return s.shards[shard]
+	}
+	var replicas []*control.Target
+	for _, t := range s.shards[shard] {
+		if ix.servesVersion(t.Version, drawnVersion) {
+			replicas = append(replicas, t)
+		}
+	}
+	return replicas
+}
+
 // choose returns the newest snapshot in which every shard has a usable replica. If there is
 // none, it returns the snapshot with the best coverage, the newest of several. covered is the
 // number of its shards that have a usable replica. best is nil if no snapshot remains.
--- a/answer/service.go
+++ b/answer/service.go
@@ -77,6 +77,7 @@
 	setDefault(&s.Done, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
 	setDefault(&s.RecordEvidence, func(time.Time, *control.Target, string, time.Duration, Outcome) {})
 	setDefault(&s.SuspectCold, func(time.Time, *control.Target) bool { return false })
+	setDefault(&s.ClearSuspicion, func(time.Time, []*control.Target) bool { return false })
 	setDefault(&s.HedgeAfter, func(time.Time, string, float64) (time.Duration, bool) { return 0, false })
 	setDefault(&s.CountFirst, d.countFirst)
 	setDefault(&s.SpendBudget, d.spendBudget)
--- a/route/health.go
+++ b/route/health.go
@@ -70,12 +70,12 @@
 }
 
 // assess ejects replicas that are outliers among the replicas of a shard. It leaves at least
-// one of them.
+// one of them; draining replicas don't count, because they are about to leave.
 func (t *Table) assess(now time.Time, replicas []*control.Target) {
 	var buffer [8]*targetState
 	peers := buffer[:0]
 	for _, r := range replicas {
-		if state := t.state(r); !state.ejected {
+		if state := t.state(r); !state.ejected && r.State != control.Draining && !now.Before(state.drainingUntil) {
 			peers = append(peers, state)
 		}
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -229,6 +229,36 @@
 	return state.ejected && state.reason == reasonLatency && now.Before(state.nextProbe)
 }
 
+// ClearSuspicion ends the suspicion that warm replicas of a shard are cold if it applies to all of
+// them and none of them has reported it: then nothing tells a cold target from a slow or
+// overloaded shard, and the shard would have no replica. It ends for the replicas that are not
+// ejected or, if there are none, for the fastest of those ejected for their latency. It reports
+// whether a replica has become usable.
+func (t *Table) ClearSuspicion(now time.Time, replicas []*control.Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cleared := false
+	var fastest *targetState
+	for _, r := range replicas {
+		state := t.state(r)
+		suspected := now.Before(state.coldUntil)
+		switch {
+		case r.State != control.Warm || now.Before(state.drainingUntil) || suspected && state.reportedCold:
+		case !state.ejected:
+			cleared = cleared || suspected
+			state.coldUntil = now
+		case state.reason == reasonLatency && (fastest == nil || state.latency < fastest.latency):
+			fastest = state
+		}
+	}
+	if cleared || fastest == nil {
+		return cleared
+	}
+	fastest.coldUntil = now
+	t.reinstate(now, fastest, time.Duration(fastest.latency))
+	return true
+}
+
 // Forget removes the state of targets whose names are not in live.
 func (t *Table) Forget(live map[string]bool) {
 	t.mu.Lock()
