Compress large routing documents and back off when entries are sent again

It was sent uncompressed, encoded as base64 within base64, to the leader, to each follower, to each disk; and the leader sent it again to each follower at every heartbeat (100 ms) for which the acknowledgement was missing, which takes all of a quarter of a processor. Change: a document of 4 KiB or more is compressed once, by the control host that receives it; the delay before entries are sent again starts at a heartbeat and doubles up to four election timeouts. Entries without the new field are read as before.

--- a/answer/run.go
+++ b/answer/run.go
@@ -325,7 +325,7 @@
 	c := Choice{
 		Service: r.q.Service, Shard: a.shard, Replicas: ix.replicasOf(snap, a.shard, drawnVersion),
 		Exclude: r.round.shardStates[a.shard].tried,
-		Allow: r.usable(ix, drawnVersion), NoProbe: !r.q.Idempotent,
+		Allow:   r.usable(ix, drawnVersion), NoProbe: !r.q.Idempotent,
 	}
 	for {
 		t, ok := r.s.Pick(r.s.Clock.Now(), c)
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -30,7 +30,9 @@
 	// lastProgress is when the member last acknowledged a new index, or when the oldest
 	// unacknowledged message was sent, whichever is later.
 	lastProgress time.Time
-	lastHeard    time.Time
+	// resends is the number of times that entries were sent again since then.
+	resends   int
+	lastHeard time.Time
 	// round is the newest heartbeat round that the member has acknowledged.
 	round uint64
 }
@@ -136,22 +138,36 @@
 // the member syncs it before it replies.
 const installTimeouts = 4
 
-// resend restarts replication to members that have not replied for too long: a
-// heartbeat interval for entries, installTimeouts for a snapshot. An unreachable
-// member is sent only heartbeats until it replies to one.
+// resendDelay is how long the leader waits for the acknowledgement of entries or of a snapshot.
+// The delay for entries starts at a heartbeat interval and doubles each time they are sent again:
+// a large entry may take longer than that to be sent and synced, and sending it again and again
+// would delay it further.
+func (n *Node) resendDelay(p *progress) time.Duration {
+	longest := installTimeouts * n.Election
+	if p.phase == Installing {
+		return longest
+	}
+	delay := n.Heartbeat
+	for range p.resends {
+		if delay *= 2; delay >= longest {
+			return longest
+		}
+	}
+	return delay
+}
+
+// resend restarts replication to members that have not replied for too long, see resendDelay.
+// An unreachable member is sent only heartbeats until it replies to one.
 func (n *Node) resend() {
 	for _, id := range n.members().others(n.ID) {
 		p := n.progress[id]
 		if !n.reachable(id) {
 			continue
 		}
-		wait := n.Heartbeat
-		if p.phase == Installing {
-			wait = installTimeouts * n.Election
-		}
 		waiting := p.phase == Installing || len(p.inflight) > 0
-		if waiting && n.now.Sub(p.lastProgress) >= wait {
+		if waiting && n.now.Sub(p.lastProgress) >= n.resendDelay(p) {
 			p.probe(p.match + 1)
+			p.resends++
 		}
 		n.sendPending(id, p)
 	}
@@ -261,7 +277,7 @@
 // acknowledge records that the member's log matches the leader's up to index.
 func (p *progress) acknowledge(index uint64, now time.Time) {
 	if index > p.match {
-		p.match, p.lastProgress = index, now
+		p.match, p.lastProgress, p.resends = index, now, 0
 	}
 	p.next = max(p.next, p.match+1)
 	for len(p.inflight) > 0 && p.inflight[0] <= index {
@@ -279,6 +295,7 @@
 	}
 	match := n.log.lastPossibleMatch(m.Hint, m.LogTerm)
 	p.probe(min(match.index+1, m.Index))
+	p.resends = 0
 	n.sendPending(m.From, p)
 }
 
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -98,6 +98,7 @@
 	if reconnected {
 		// Messages sent while the member was unreachable are lost.
 		p.probe(p.match + 1)
+		p.resends = 0
 		n.sendPending(m.From, p)
 	}
 	if m.Kind == AckHeartbeat {
--- a/control/routing.go
+++ b/control/routing.go
@@ -11,8 +11,9 @@
 // operator of an outdated change needs no second response.
 type ApplyRouting struct {
 	Version uint64 `json:"version"`
-	// Source is the unmodified document of the operator.
+	// Source is the document of the operator, compressed with gzip if Packed is set.
 	Source []byte `json:"source"`
+	Packed bool   `json:"packed,omitempty"`
 }
 
 // Evacuate takes a data centre out of service or returns it to service.
@@ -31,10 +32,11 @@
 	TrialShare  float64       `json:"trial"`
 }
 
-// Routing is the routing document in force.
+// Routing is the routing document in force. Source and Packed are those of ApplyRouting.
 type Routing struct {
 	Version uint64 `json:"version"`
 	Source  []byte `json:"source,omitempty"`
+	Packed  bool   `json:"packed,omitempty"`
 }
 
 // RoutingState is the part of the control state that hosts follow even without a lease.
@@ -57,7 +59,7 @@
 		return &Refusal{Kind: Invalid, Detail: "the routing document is empty"}
 	}
 	if a.Version > s.routing.Version {
-		s.setRouting(Routing{a.Version, a.Source})
+		s.setRouting(Routing{a.Version, a.Source, a.Packed})
 		s.revision = s.index
 	}
 	return nil
--- a/node/control.go
+++ b/node/control.go
@@ -197,7 +197,11 @@
 	if err != nil {
 		return err
 	}
-	return c.commit(ctx, control.Command{Routing: &control.ApplyRouting{Version: d.Version, Source: source}})
+	a, err := control.NewApplyRouting(d.Version, source)
+	if err != nil {
+		return err
+	}
+	return c.commit(ctx, control.Command{Routing: a})
 }
 
 // Evacuate implements ControlService.
--- a/node/entry.go
+++ b/node/entry.go
@@ -253,7 +253,7 @@
 	if r.Version == 0 && len(r.Source) == 0 || e.routingTable != nil && e.routingTable.Document.Version >= r.Version || r.Version == e.rejectedVersion && r.Version != 0 {
 		return e.routingTable
 	}
-	d, err := e.Interfaces.DecodeRouting(r.Source)
+	d, err := e.decodeRouting(r)
 	if err != nil {
 		e.rejectedVersion = r.Version
 		e.Log.Error().Err(err).Uint64("version", r.Version).Msg("failed to decode the routing document; the previous one stays in force")
@@ -264,6 +264,14 @@
 	return e.routingTable
 }
 
+func (e *Entry) decodeRouting(r *control.Routing) (*routing.Document, error) {
+	text, err := r.Text()
+	if err != nil {
+		return nil, err
+	}
+	return e.Interfaces.DecodeRouting(text)
+}
+
 // reportEvidence sends evidence for the running version moves to a control host.
 func (e *Entry) reportEvidence(ctx context.Context) error {
 	e.evidence.Run(ctx, e.Clock, e.moves.Load, func(reports []move.Report) error {
