Keep a process running after malformed messages, and a left target gone after a restart

A target that drained or left was acknowledged up to a second before the table was saved, so that a kill in between brought it back for 3 s.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -204,11 +204,11 @@
 }
 
 // store appends entries that follow prev and replaces conflicting ones. It reports
-// whether the entries are valid: without gaps, and consistent with the committed ones.
+// whether the entries are valid: without gaps, and consistent with the committed ones. A
+// malformed message is dropped; only entries that contradict committed ones are a fault.
 func (n *Node) store(prev position, entries []Entry) bool {
 	for i, e := range entries {
 		if e.Index != prev.index+1+uint64(i) || (e.Kind == Configuration) != (e.Members != nil) {
-			n.fault = fmt.Sprintf("malformed entry %d after %d", e.Index, prev.index)
 			return false
 		}
 	}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -96,15 +96,17 @@
 	h.listChanged = make(chan struct{})
 }
 
-// Announce handles an announcement of a target.
-func (h *Hub) Announce(a registry.Announcement) {
+// Announce handles an announcement of a target. It reports whether it changed the table.
+func (h *Hub) Announce(a registry.Announcement) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.targets.Announce(h.Clock.Now(), a) {
+	changed := h.targets.Announce(h.Clock.Now(), a)
+	if changed {
 		h.Log.Info().Str("target", a.Target).Int64("born", a.StartUnixMilli).Uint64("sequence", a.Sequence).Str("service", a.Service).
 			Str("state", string(a.State)).Dur("cold", a.ColdRemaining).Msg("target changed")
 		h.wake()
 	}
+	return changed
 }
 
 // Connected reports whether an entry host has polled within Expiry. Otherwise the
--- a/node/cached_state.go
+++ b/node/cached_state.go
@@ -14,6 +14,11 @@
 )
 
 const (
+	// maxSaveWait bounds how long the acknowledgement of a target that leaves waits for the disk.
+	// Targets time out after one second.
+	maxSaveWait = 400 * time.Millisecond
+	// maxSaveRequests is the number of requests to save the cached state that may wait.
+	maxSaveRequests = 64
 	// saveInterval is how often the cached state is saved if it has changed. What is missing
 	// after a loss of power arrives again in heartbeats or from the replicated log.
 	saveInterval = time.Second
@@ -64,25 +69,55 @@
 	return journal.WriteChecked(filepath.Join(dir, cachedStateFile), append(text, '\n'))
 }
 
-// saveCachedState saves the cached state whenever it has changed, until ctx is done.
+// saveRequest is closed once the cached state has been saved or could not be saved.
+type saveRequest chan struct{}
+
+// awaitSave waits until the cached state has been saved, for maxSaveWait at most. A target that
+// leaves is acknowledged after that: otherwise a restart could bring it back.
+func (c *Control) awaitSave() {
+	saved := make(saveRequest)
+	timeout := c.Clock.NewTimer(maxSaveWait)
+	defer timeout.Stop()
+	select {
+	case c.saves <- saved:
+	case <-timeout.Chan():
+		return
+	}
+	select {
+	case <-saved:
+	case <-timeout.Chan():
+		c.Log.Warn().Dur("after", maxSaveWait).Msg("acknowledging a target that leaves before the cached state is saved")
+	}
+}
+
+// saveCachedState saves the cached state on request and whenever it has changed, until ctx is
+// done.
 func (c *Control) saveCachedState(ctx context.Context) error {
 	ticker := c.Clock.NewTicker(saveInterval)
 	defer ticker.Stop()
 	var saved [3]uint64
 	for {
+		var waiting []saveRequest
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.Chan():
+		case first := <-c.saves:
+			waiting = append(waiting, first)
+		}
+		for range len(c.saves) { // one write serves all that wait
+			waiting = append(waiting, <-c.saves)
 		}
-		if !c.hub.ChangedSince(saved) {
-			continue
+		if c.hub.ChangedSince(saved) {
+			cached, revision := c.hub.CachedState()
+			if err := writeCachedState(c.Settings.DataDir, cached); err != nil {
+				c.Log.Warn().Err(err).Msg("failed to save the cached state; after a restart, this host must wait for targets, hosts and the log")
+			} else {
+				saved = revision
+			}
 		}
-		cached, revision := c.hub.CachedState()
-		if err := writeCachedState(c.Settings.DataDir, cached); err != nil {
-			c.Log.Warn().Err(err).Msg("failed to save the cached state; after a restart, this host must wait for targets, hosts and the log")
-			continue
+		for _, request := range waiting {
+			close(request)
 		}
-		saved = revision
 	}
 }
--- a/node/control.go
+++ b/node/control.go
@@ -46,6 +46,8 @@
 	replica *quorum.Replica
 	hub     exchange.Hub
 	client  exchange.Client
+	// saves receives the requests to save the cached state at once.
+	saves chan saveRequest
 	// lastDiscovery is the age of this process when it last discovered a new control host.
 	lastDiscovery atomic.Int64
 }
@@ -99,6 +101,7 @@
 		Self: self, Clock: c.Clock, Log: c.Log, Silence: maxMissedHeartbeats * c.Settings.HeartbeatInterval, OnControlHost: c.addControlHost,
 	}
 	c.hub.Init()
+	c.saves = make(chan saveRequest, maxSaveRequests)
 	c.restoreCachedState()
 	c.client = exchange.Client{
 		Self: func() exchange.Host { h := self; h.Draining = c.draining.Load(); return h }, Seeds: c.seedAddresses,
@@ -184,7 +187,9 @@
 	if !c.hub.Connected() {
 		return &UnavailableError{"no entry host is in touch with this control host"}
 	}
-	c.hub.Announce(a)
+	if c.hub.Announce(a) && a.State != registry.Ready {
+		c.awaitSave()
+	}
 	return nil
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"os"
@@ -97,3 +98,37 @@
 	_, err = loadCachedState(dir)
 	is.True(err != nil)
 }
+
+// Guards against a target that has left and is in use again after its control host was killed: the
+// acknowledgement of the leave comes after it has been saved, and also if the disk does not answer.
+func TestLeaveIsSavedBeforeItIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	c := controlHost(clock, Settings{DataDir: t.TempDir()})
+	is.NoErr(c.prepare())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- c.saveCachedState(ctx) }()
+	_, err := c.hub.Serve(ctx, nil, []byte(`{"from":{"name":"e1","caller":"10.0.0.1:80"}}`)) // an entry host is in touch
+	is.NoErr(err)
+	target := registry.Announcement{Target: "t", StartUnixMilli: 5, Sequence: 1, Service: "s", State: registry.Ready}
+	is.NoErr(c.Announce(target))
+	for i, state := range []registry.State{registry.Draining, registry.Gone} {
+		target.Sequence, target.State = uint64(2+i), state
+		is.NoErr(c.Announce(target))
+		cached, err := loadCachedState(c.Settings.DataDir)
+		is.NoErr(err)
+		is.Equal(cached.Targets[0].State, state)
+	}
+	cancel()
+	is.NoErr(<-ended)
+
+	acknowledged := make(chan error)
+	go func() {
+		target.StartUnixMilli++
+		acknowledged <- c.Announce(target)
+	}()
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(maxSaveWait)
+	is.NoErr(<-acknowledged)
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // defaultDialTimeout limits a connection attempt to another daemon unless DialTimeout is set.
@@ -32,6 +34,8 @@
 	TLS     *tls.Config
 	// Handlers serve the methods that the other daemon calls over this connection.
 	Handlers map[string]Handler
+	// Log receives the failures of Handlers.
+	Log zerolog.Logger
 	// DialTimeout limits a connection attempt; 0 means 1 s. The first packet to a host that
 	// has just started may be lost, and TCP retransmits it only after a second, so a new
 	// attempt reaches the host sooner.
@@ -76,7 +80,7 @@
 	if err != nil {
 		return nil, &ConnectError{c.Address, err}
 	}
-	c.conn = newConn(context.WithoutCancel(ctx), nc, c.Handlers)
+	c.conn = newConn(context.WithoutCancel(ctx), nc, c.Handlers, c.Log)
 	return c.conn, nil
 }
 
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -8,10 +8,12 @@
 	"io"
 	"log"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -81,13 +83,13 @@
 	_ = c.rpc.Close() // It fails because the connection is already closed.
 }
 
-func newConn(ctx context.Context, nc net.Conn, handlers map[string]Handler) *Conn {
+func newConn(ctx context.Context, nc net.Conn, handlers map[string]Handler, events zerolog.Logger) *Conn {
 	c := &Conn{tcp: &timedConn{Conn: nc}}
 	ready := make(chan struct{})
 	stream := jsonrpc2.NewBufferedStream(c.tcp, jsonrpc2.VarintObjectCodec{})
 	// The library logs every connection that ends; callers get that as an error.
 	discardLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
-	c.rpc = jsonrpc2.NewConn(ctx, stream, &dispatcher{conn: c, handlers: handlers, ready: ready}, discardLog)
+	c.rpc = jsonrpc2.NewConn(ctx, stream, &dispatcher{conn: c, handlers: handlers, ready: ready, log: events}, discardLog)
 	close(ready)
 	return c
 }
@@ -127,6 +129,7 @@
 	conn     *Conn
 	handlers map[string]Handler
 	ready    chan struct{}
+	log      zerolog.Logger
 }
 
 // Handle implements jsonrpc2.Handler.
@@ -141,17 +144,28 @@
 
 func (d *dispatcher) handleNotification(ctx context.Context, r *jsonrpc2.Request) {
 	if h, ok := d.handlers[r.Method]; ok {
-		_, _ = h(ctx, d.conn, params(r)) // A notification has no reply.
+		_, _ = d.call(ctx, h, r) // A notification has no reply.
 	}
 }
 
+// call runs a handler. A handler that panics fails this one request and not the whole process.
+func (d *dispatcher) call(ctx context.Context, h Handler, r *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			d.log.Error().Str("method", r.Method).Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Msg("handler of a peer request failed")
+			result, err = nil, &RemoteError{Code: CodeInternal, Message: "the handler of " + r.Method + " failed"}
+		}
+	}()
+	return h(ctx, d.conn, params(r))
+}
+
 func (d *dispatcher) handleCall(ctx context.Context, r *jsonrpc2.Request) {
 	h, ok := d.handlers[r.Method]
 	if !ok {
 		d.replyError(ctx, r, &RemoteError{Code: CodeMethodNotFound, Message: "unknown method " + r.Method})
 		return
 	}
-	result, err := h(ctx, d.conn, params(r))
+	result, err := d.call(ctx, h, r)
 	if err != nil {
 		d.replyError(ctx, r, err)
 		return
