Refuse requests for absent shards at once, and say only then that they have not run

Cause: a request for all shards that lacked replies was refused with 503, which states that it has not run, although the shards that did reply had run it. And a request that surely could not be served, because too many shards had no target at all, was still sent to all the others, and its caller waited for them. Otherwise 503 is used only if no shard has executed the request, else 502, with the same Retry-After as before.

--- a/relay/gather.go
+++ b/relay/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +18,14 @@
 // fetches of all shards have ended. From shortly before the objective it responds as soon as
 // enough shards have replied, because a late response is worth less than an incomplete one.
 func (s *Service) gather(ctx context.Context, w http.ResponseWriter, j *job) {
+	absent := absentShards(j.view, j.route.Shards, s.Pool.HasShare)
+	if len(j.route.Shards)-absent < j.route.RequiredShards() {
+		s.refuse(w, j.Request, &refusal{
+			status: http.StatusServiceUnavailable, reason: fmt.Sprintf("not run: %d of %d shards have no target", absent, len(j.route.Shards)),
+			retry: absentRetry, route: j.route.Name,
+		})
+		return
+	}
 	parts, failed := s.collect(ctx, j)
 	if len(parts) >= j.route.RequiredShards() {
 		s.writeMerged(w, j, parts, failed)
@@ -26,7 +35,7 @@
 		s.recordCallerLeft(j)
 		return
 	}
-	s.refuseIncomplete(w, j, failed)
+	s.refuseIncomplete(w, j, len(parts) > 0, failed)
 }
 
 // errPending is the error of a shard that has not replied when the response is sent.
@@ -87,15 +96,15 @@
 	s.recordResponse(j, http.StatusOK, missing, extraAttempts(parts)+extraAttempts(failed), failed)
 }
 
-// refuseIncomplete refuses a request that too few shards have replied to.
-func (s *Service) refuseIncomplete(w http.ResponseWriter, j *job, failed []result) {
-	ran := false
+// refuseIncomplete refuses a request that too few shards have replied to. ran is true if any of
+// them has: only a request that no target has executed is reported as not run.
+func (s *Service) refuseIncomplete(w http.ResponseWriter, j *job, ran bool, failed []result) {
 	for i := range failed {
 		ran = ran || failed[i].ran
 	}
 	f := &refusal{status: http.StatusServiceUnavailable, reason: "too few shards can be asked", retry: retryAfter, route: j.route.Name}
 	if ran {
-		f.status, f.reason, f.retry = http.StatusBadGateway, "too few shards replied", 0
+		f.status, f.reason = http.StatusBadGateway, "too few shards replied"
 	}
 	if !s.Clock.Now().Before(j.deadline) {
 		f.status, f.retry = http.StatusGatewayTimeout, 0
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -67,13 +67,15 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			h := newHarness(t, shardsRoute(tt.minFraction, "s1", "s2"), append(tt.second, complete())...)
+			first := complete()
+			h := newHarness(t, shardsRoute(tt.minFraction, "s1", "s2"), append(tt.second, first)...)
 			if tt.second == nil {
 				h.view.Targets["s2"] = nil
 			}
 			started := time.Now()
 			res, body := h.get(t, nil)
 			is.Equal(res.StatusCode, tt.status)
+			is.True(res.StatusCode != http.StatusServiceUnavailable || first.requests.Load() == 0) // 503 states that no shard has run it
 			is.Equal(res.Header.Get(headers.Missing), tt.missing)
 			is.True(!strings.Contains(body, "zzz"))
 			is.True(time.Since(started) < 1500*time.Millisecond)
