Hedge an attempt only after it was sent and while its request makes no progress

The hedge delay ran from the start of the request, for all shards alike; a host with 0.12 of a processor takes longer than that to send 90 requests and to read their replies, and the hedges doubled that work. Change: the delay of an attempt runs from the moment it is sent, and an attempt counts as slow only if the request has made no progress (nothing sent, no reply) for a quarter of the delay; replies that have arrived are handled first. The decision is slowAge, a function of three ages.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -36,6 +36,8 @@
 	target *control.Target
 	cancel context.CancelFunc
 	state  atomic.Int32
+	// sent is the age of the request at which the first byte was about to be sent; 0 before.
+	sent atomic.Int64
 }
 
 // States of an attempt.
@@ -60,6 +62,7 @@
 	if !a.state.CompareAndSwap(waiting, committed) {
 		return errWithdrawn
 	}
+	a.sent.Store(a.fetch.recordProgress())
 	return nil
 }
 
@@ -78,8 +81,12 @@
 
 // handleSlow handles an attempt that has no reply after the hedge delay.
 func (f *fetch) handleSlow(now time.Time) {
-	f.hedgeAt = time.Time{}
 	newest := f.newest()
+	if due := f.slowAt(newest); now.Before(due) {
+		f.hedgeAt = due
+		return
+	}
+	f.hedgeAt = time.Time{}
 	switch {
 	case f.reassign():
 		f.hedgeAt = now.Add(f.hedge)
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -23,6 +24,8 @@
 	timer      clockwork.Timer
 	// timerAt is the time at which the timer fires.
 	timerAt time.Time
+	// progress is the age of the request at which an attempt was last sent or ended.
+	progress atomic.Int64
 }
 
 // event is the kind of event that next returns.
@@ -37,6 +40,10 @@
 	requestEnded
 )
 
+// stallShare is the fraction of the hedge delay without progress after which the attempts that are
+// left count as slow: replies of healthy targets follow each other faster.
+const stallShare = 0.25
+
 // idleTimer is the initial duration of a timer that nothing waits for yet.
 const idleTimer = time.Hour
 
@@ -76,12 +83,10 @@
 		g.arm(cutoff)
 		select {
 		case r := <-g.results:
-			if f := r.fetch; !f.done {
-				f.handleResult(r)
-				g.queueIfDone(f)
-			}
+			g.handleResult(r)
 		case <-g.timer.Chan():
 			g.timerAt = time.Time{}
+			g.handleReceived() // replies that are here already need no hedge
 			now := g.Clock.Now()
 			g.handleSlow(now)
 			if !cutoff.IsZero() && !now.Before(cutoff) {
@@ -108,6 +113,52 @@
 	g.timer.Reset(max(0, next.Sub(g.Clock.Now())))
 }
 
+func (g *fetchGroup) handleResult(r *result) {
+	g.recordProgress()
+	if f := r.fetch; !f.done {
+		f.handleResult(r)
+		g.queueIfDone(f)
+	}
+}
+
+// handleReceived handles the results that have arrived.
+func (g *fetchGroup) handleReceived() {
+	for {
+		select {
+		case r := <-g.results:
+			g.handleResult(r)
+		default:
+			return
+		}
+	}
+}
+
+// recordProgress records that an attempt was sent or has ended, and returns the age of the request.
+func (g *fetchGroup) recordProgress() int64 {
+	age := int64(g.Clock.Since(g.j.started))
+	g.progress.Store(age)
+	return age
+}
+
+// slowAt returns when an attempt counts as slow: the hedge delay after it was sent, and not while
+// the request makes progress. It answers the load of requests to many shards on a small host: to
+// send them and to read their replies takes longer than the hedge delay, and hedges for shards
+// whose replies wait for the processor would only double the work.
+func (g *fetchGroup) slowAt(a *attempt) time.Time {
+	sent := time.Duration(a.sent.Load())
+	return g.j.started.Add(slowAge(sent, time.Duration(g.progress.Load()), g.hedge))
+}
+
+// slowAge is slowAt in terms of the age of the request. sent is 0 for an attempt that has not been
+// sent, progress the age at the last progress of the request.
+func slowAge(sent, progress, hedge time.Duration) time.Duration {
+	due := progress + time.Duration(stallShare*float64(hedge))
+	if sent > 0 {
+		due = max(due, sent+hedge)
+	}
+	return due
+}
+
 func (g *fetchGroup) handleSlow(now time.Time) {
 	for i := range g.fetches {
 		f := &g.fetches[i]
