Sync the last record of the log before a restarted member relies on it

Cause: a process that ends between the write and the sync of a record finds the record after its restart, although a loss of power can still take it back. The member then acted on a vote or an entry that it could forget: two votes in one term, or a loss of an acknowledged change. Change: Open syncs the segment after reading it; if that fails, Open fails. Result: TestOpenSyncsTheLastRecord fails on the old code (no sync when no torn record is found) and passes.

--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -405,3 +405,28 @@
 		}
 	}
 }
+
+// Guards against a vote or an entry that a restarted member relies on and a later loss of power
+// takes back: the process had ended between writing and syncing the record.
+func TestOpenSyncsTheLastRecord(t *testing.T) {
+	is := is.New(t)
+	j, dir := newJournal(t)
+	is.NoErr(j.Save(nil, entries(1, 1, 1)))
+	j.sync = func(*os.File) error { return nil } // the process ends before the sync
+	is.NoErr(j.Save(&consensus.HardState{Term: 2, Vote: "h2/b"}, entries(2, 2, 2)))
+	is.NoErr(j.Close())
+	synced := map[string]bool{}
+	j, saved, err := open(dir, func(f *os.File) error {
+		synced[filepath.Base(f.Name())] = true
+		return f.Sync()
+	})
+	is.NoErr(err)
+	defer j.Close()
+	is.Equal(saved.Hard, consensus.HardState{Term: 2, Vote: "h2/b"})
+	is.True(synced[segmentName(0)])
+
+	cause := errors.New("disk failure")
+	is.NoErr(j.Close())
+	_, _, err = open(dir, func(*os.File) error { return cause })
+	is.True(errors.Is(err, cause)) // it is not relied on unless it is synced
+}
--- a/journal/open.go
+++ b/journal/open.go
@@ -18,6 +18,11 @@
 // returns the saved state. A new journal has a zero SavedState and no identity. The
 // errors are *CorruptError, *LockedError and those of the file system.
 func Open(dir string) (*Journal, consensus.SavedState, error) {
+	return open(dir, (*os.File).Sync)
+}
+
+// open is Open with the function that makes a file or directory durable.
+func open(dir string, sync func(*os.File) error) (*Journal, consensus.SavedState, error) {
 	if err := createDirectory(dir); err != nil {
 		return nil, consensus.SavedState{}, errors.Wrap(err, "create directory")
 	}
@@ -25,7 +30,7 @@
 	if err != nil {
 		return nil, consensus.SavedState{}, err
 	}
-	j := &Journal{dir: dir, directory: directory, sync: (*os.File).Sync}
+	j := &Journal{dir: dir, directory: directory, sync: sync}
 	saved, err := j.recover()
 	if err != nil {
 		directory.Close()
@@ -179,7 +184,8 @@
 }
 
 // readSegment replays a segment and opens it for writing. It completes a truncated checksum of
-// the last record and removes a torn last record.
+// the last record, removes a torn last record and syncs the file: the process may have ended
+// between the write of the last record and its sync, and from now on others rely on that record.
 func (j *Journal) readSegment(after uint64) error {
 	name := segmentName(after)
 	b, err := j.readFile(name)
@@ -221,7 +227,10 @@
 			return errors.Wrap(err, "complete the last record")
 		}
 	}
-	return j.eraseTorn(len(bytes.TrimRight(b[offset:], "\x00")))
+	if err := j.eraseTorn(len(bytes.TrimRight(b[offset:], "\x00"))); err != nil {
+		return err
+	}
+	return errors.Wrap(j.sync(j.file), "sync log")
 }
 
 // replay applies the record at an offset of a segment.
@@ -253,16 +262,14 @@
 }
 
 // eraseTorn overwrites a torn record of the given size at the end of the open segment with
-// zeros.
+// zeros. The caller syncs the file.
 func (j *Journal) eraseTorn(size int) error {
 	j.recovery.Torn = int64(size)
 	if size == 0 {
 		return nil
 	}
-	if _, err := j.file.WriteAt(make([]byte, size), j.end); err != nil {
-		return errors.Wrap(err, "erase torn record")
-	}
-	return errors.Wrap(j.sync(j.file), "sync log")
+	_, err := j.file.WriteAt(make([]byte, size), j.end)
+	return errors.Wrap(err, "erase torn record")
 }
 
 func (j *Journal) corruptError(name string, offset int, reason string) error {
