--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -421,7 +421,6 @@
 		return f.Sync()
 	})
 	is.NoErr(err)
-	defer j.Close()
 	is.Equal(saved.Hard, consensus.HardState{Term: 2, Vote: "h2/b"})
 	is.True(synced[segmentName(0)])
 
