Pass a grant on that is wanted but not used

Cause: a host records a grant as wanted whenever it considers a cold target, also if it then prefers another. A host that held the grants of several cold targets renewed all of them for as long as it had requests, and used only those nearby once these were warm. Other hosts never got the grants, and the targets stayed cold (the red TestColdTargetsStayWithinTheirColdLimit). Change: a grant under which no work has started for a second is released and not requested again for another second.

--- a/grant/grant.go
+++ b/grant/grant.go
@@ -21,7 +21,9 @@
 	minRemaining = 2 * time.Second
 	// retryDelay is the minimum time between the end of a request and the next one.
 	retryDelay = 250 * time.Millisecond
-	// idleTimeout is the time after which an unused grant is released.
+	// idleTimeout is the time after which an unused grant is released, also while it is wanted:
+	// a host that prefers other targets would renew it for as long as it has requests, and a host
+	// that would use it never gets it. The grant is not requested again for the same time.
 	idleTimeout = time.Second
 )
 
@@ -43,8 +45,10 @@
 type grantState struct {
 	limit, amount, used int
 	expiry, lastWanted  time.Time
-	nextRequest         time.Time
-	requesting          bool
+	// lastUsed is when work last started under the grant or, if it came later, when it was granted.
+	lastUsed    time.Time
+	nextRequest time.Time
+	requesting  bool
 	// index is the log index of the grant. A release contains it, so that a delayed
 	// release does not end a later grant.
 	index uint64
@@ -73,6 +77,7 @@
 		return nil, false
 	}
 	g.used++
+	g.lastUsed = m.Clock.Now()
 	var once sync.Once
 	return func() {
 		once.Do(func() {
@@ -96,7 +101,7 @@
 }
 
 func (m *Manager) available(g *grantState) bool {
-	return g.used < g.amount && g.expiry.Sub(m.Clock.Now()) > minRemaining
+	return g.used < min(g.amount, g.limit) && g.expiry.Sub(m.Clock.Now()) > minRemaining
 }
 
 // ensure records that the grant is wanted, and requests or renews the grant if necessary.
@@ -107,13 +112,13 @@
 	name, now := AllowanceName(t), m.Clock.Now()
 	g := m.grants[name]
 	if g == nil {
-		g = &grantState{limit: limit}
+		g = &grantState{}
 		m.grants[name] = g
 	}
-	g.lastWanted = now
+	g.limit, g.lastWanted = limit, now
 	if !g.requesting && !now.Before(g.nextRequest) && g.expiry.Sub(now) < grantDuration/2+minRemaining/2 {
 		g.requesting = true
-		m.spawn(func() { m.acquire(name, g) })
+		m.spawn(func() { m.acquire(name, g, limit) })
 	}
 	return g
 }
@@ -128,12 +133,12 @@
 
 // acquire proposes the grant. The grant is measured from the send time, so that it ends
 // on this host before it ends in the control state.
-func (m *Manager) acquire(name string, g *grantState) {
+func (m *Manager) acquire(name string, g *grantState, limit int) {
 	sent := m.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), grantDuration)
 	defer cancel()
 	result, err := m.Propose(ctx, control.Command{Grant: &control.AcquireGrant{
-		Name: name, Limit: g.limit, Amount: g.limit, Holder: m.Host, Term: grantDuration,
+		Name: name, Limit: limit, Amount: limit, Holder: m.Host, Term: grantDuration,
 	}})
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -144,25 +149,35 @@
 		return
 	}
 	if result.Refusal == nil && result.Granted > 0 {
+		if g.amount == 0 {
+			g.lastUsed = m.Clock.Now()
+		}
 		g.amount, g.expiry, g.index = result.Granted, sent.Add(grantDuration), result.Index
 	}
 }
 
-// Sweep releases the grants that have been idle for idleTimeout and have no work under
-// them. The caller calls it periodically.
+// Sweep releases the grants under which no work has started for idleTimeout, and forgets those
+// that are not wanted. The caller calls it periodically.
 func (m *Manager) Sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
 	for name, g := range m.grants {
-		if g.used > 0 || g.requesting || now.Sub(g.lastWanted) < idleTimeout {
+		if g.used > 0 || g.requesting {
+			continue
+		}
+		unwanted := now.Sub(g.lastWanted) >= idleTimeout
+		if !unwanted && (g.amount == 0 || now.Sub(g.lastUsed) < idleTimeout) {
 			continue
 		}
-		delete(m.grants, name)
 		if g.amount > 0 && g.expiry.After(now) {
 			index := g.index
 			m.spawn(func() { m.release(name, index) })
 		}
+		g.amount, g.expiry, g.nextRequest = 0, time.Time{}, now.Add(idleTimeout)
+		if unwanted {
+			delete(m.grants, name)
+		}
 	}
 }
 
