Send callers to data centres that have targets

Cause: on the deployment with 90 shards targets are in three of five data centres, but callers are sent to as many hosts in each. A host without targets nearby sends all 90 sub-requests of a request to other data centres.

--- a/exchange/hosts.go
+++ b/exchange/hosts.go
@@ -75,15 +75,21 @@
 }
 
 // Active returns the entry hosts that callers are sent to. If control hosts temporarily
-// disagree about the number, the largest applies.
+// disagree, the largest number and all data centres that any of them names apply.
 func (c *Client) Active() []Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	contacts, n := c.liveContacts(), minActive
+	var centres []string
 	for _, k := range contacts {
 		n = max(n, k.active)
+		for _, centre := range k.centres {
+			if !slices.Contains(centres, centre) {
+				centres = append(centres, centre)
+			}
+		}
 	}
-	return Active(c.mergedHosts(contacts), n)
+	return Active(c.mergedHosts(contacts), n, centres)
 }
 
 // EntryCount returns the number of entry hosts, or 0 if no control host has responded.
--- a/exchange/response_cache.go
+++ b/exchange/response_cache.go
@@ -40,6 +40,7 @@
 type responseState struct {
 	targets, hosts, routingState uint64
 	active, entries              int
+	centres                      string
 	draining, starting           bool
 }
 
