Send sub-requests with less work per attempt

Profiles show new stacks for each attempt, two contexts, and the general parser of net/http. Change: attempts run on goroutines that are reused; an attempt is its own context instead of a child of that of the request; replies of the common form are parsed without a map, all others by net/http as before.

--- a/answer/connect.go
+++ b/answer/connect.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, classifyPoolError(err)
 	}
-	reply, failure := ReadReply(res.Status, res.Header, res.Body)
+	reply, failure := ReadReply(res.Status, res.Header.Fields(), res.Body)
 	switch {
 	case failure == nil:
 		result = limit.Succeeded
--- a/limit/connection.go
+++ b/limit/connection.go
@@ -44,12 +44,19 @@
 
 // connection is an HTTP/1.1 connection that carries one sub-request at a time.
 type connection struct {
-	raw    *countingConn
-	conn   net.Conn // raw, or TLS over raw
-	reader *bufio.Reader
+	raw  *countingConn
+	conn net.Conn // raw, or TLS over raw
+	// socket is the socket of raw; nil if it has none that can be read directly.
+	socket    syscall.RawConn
+	socketErr error
+	reader    *bufio.Reader
 	// interrupted receives a value once an interruption is complete.
 	interrupted chan struct{}
-	// response is the reply whose header was read last. Its body is read by readBody.
+	// interruption is the method interrupt.
+	interruption func()
+	// head is that of the reply that is being read; readBody reads its body. response is set if
+	// the head does not have the common form.
+	head     head
 	response *http.Response
 	// closing is true if the connection closes after the reply.
 	closing bool
@@ -59,11 +66,16 @@
 }
 
 func newConnection(raw *countingConn, conn net.Conn) *connection {
-	return &connection{
+	c := &connection{
 		raw: raw, conn: conn,
 		reader:      bufio.NewReaderSize(conn, readBufferSize),
 		interrupted: make(chan struct{}, 1),
 	}
+	c.interruption = c.interrupt
+	if s, ok := raw.Conn.(syscall.Conn); ok {
+		c.socket, c.socketErr = s.SyscallConn()
+	}
+	return c
 }
 
 func (c *connection) close() {
@@ -80,16 +92,11 @@
 	if c.closing || c.reader.Buffered() > 0 || c.expired() {
 		return false
 	}
-	sc, ok := c.raw.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
+	if c.socket == nil {
+		return c.socketErr == nil
 	}
 	open := false
-	err = rc.Read(func(fd uintptr) bool {
+	err := c.socket.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -103,40 +110,60 @@
 	return err == nil && open
 }
 
-// watch interrupts reads and writes when ctx ends, until stop is called. stop reports whether
-// there was an interruption; the connection can be used again after it.
-func (c *connection) watch(ctx context.Context) (stop func() bool) {
-	unregister := context.AfterFunc(ctx, func() {
-		_ = c.conn.SetDeadline(interruptDeadline) // fails only if the connection is closed
-		c.interrupted <- struct{}{}
-	})
-	return func() bool {
-		if unregister() {
-			return false
-		}
-		<-c.interrupted
-		_ = c.conn.SetDeadline(time.Time{}) // fails only if the connection is closed
-		return true
+// Watcher is a context that calls at most one function when it ends. Send uses it in place of
+// context.AfterFunc if the context of a sub-request implements it.
+type Watcher interface {
+	// Watch makes the context call the function in its own goroutine when it ends, or at once if
+	// it has ended.
+	Watch(func())
+	// Unwatch reports whether it has prevented the call.
+	Unwatch() bool
+}
+
+// watch is the interruption of a connection when a context ends.
+type watch struct {
+	c          *connection
+	watcher    Watcher
+	unregister func() bool
+}
+
+// watch interrupts reads and writes when ctx ends, until the watch is stopped.
+func (c *connection) watch(ctx context.Context) watch {
+	if w, ok := ctx.(Watcher); ok {
+		w.Watch(c.interruption)
+		return watch{c: c, watcher: w}
+	}
+	return watch{c: c, unregister: context.AfterFunc(ctx, c.interruption)}
+}
+
+func (c *connection) interrupt() {
+	_ = c.conn.SetDeadline(interruptDeadline) // fails only if the connection is closed
+	c.interrupted <- struct{}{}
+}
+
+// stop ends the watch. It reports whether there was an interruption; the connection can be used
+// again after it.
+func (w *watch) stop() bool {
+	if w.watcher != nil && w.watcher.Unwatch() || w.watcher == nil && w.unregister() {
+		return false
 	}
+	<-w.c.interrupted
+	_ = w.c.conn.SetDeadline(time.Time{}) // fails only if the connection is closed
+	return true
 }
 
 // readHeader reads the status line and the header of the reply. It blocks only while nothing
 // has been consumed, so that it can be called again after an interruption.
 func (c *connection) readHeader(req *http.Request) error {
 	for range 1 + maxInterim {
-		if err := c.bufferHeader(); err != nil {
+		if err := c.parseBuffered(req); err != nil {
 			return err
 		}
-		var err error
-		c.response, err = http.ReadResponse(c.reader, req) //nolint:bodyclose // see readBody
-		if err != nil {
-			return &ReplyError{Reason: Malformed, Err: err}
-		}
-		switch code := c.response.StatusCode; {
-		case code == http.StatusSwitchingProtocols:
+		switch {
+		case c.head.status == http.StatusSwitchingProtocols:
 			return &ReplyError{Reason: Malformed, Err: errors.New("the protocol was switched without a request to do so")}
-		case code >= http.StatusOK:
-			c.closing = c.response.Close
+		case c.head.status >= http.StatusOK:
+			c.closing = c.head.close
 			c.noteKeepAlive()
 			return nil
 		}
@@ -144,13 +171,34 @@
 	return &ReplyError{Reason: Malformed, Err: errors.New("too many interim replies")}
 }
 
+// parseBuffered waits for the next complete head and consumes it.
+func (c *connection) parseBuffered(req *http.Request) error {
+	text, err := c.bufferHeader()
+	if err != nil {
+		return err
+	}
+	c.response = nil
+	if h, ok := parseHead(text); ok && req.Method != http.MethodHead {
+		c.head = h
+		_, _ = c.reader.Discard(len(text)) // can't fail: the head is in the buffer
+		return nil
+	}
+	res, err := http.ReadResponse(c.reader, req) //nolint:bodyclose // see readBody
+	if err != nil {
+		return &ReplyError{Reason: Malformed, Err: err}
+	}
+	c.response = res
+	c.head = head{status: res.StatusCode, length: res.ContentLength, close: res.Close, header: NewHeader(res.Header)}
+	return nil
+}
+
 // idleMargin is how long before its announced expiry an idle connection is no longer used,
 // because a request takes some time to arrive.
 const idleMargin = 500 * time.Millisecond
 
 // noteKeepAlive records when the target closes the connection if it stays idle.
 func (c *connection) noteKeepAlive() {
-	_, text, ok := strings.Cut(c.response.Header.Get("Keep-Alive"), "timeout=")
+	_, text, ok := strings.Cut(c.head.header.Get("Keep-Alive"), "timeout=")
 	if !ok {
 		return
 	}
@@ -162,19 +210,19 @@
 	c.expires = time.Now().Add(max(0, time.Duration(seconds)*time.Second-idleMargin))
 }
 
-// bufferHeader waits until the complete header is in the buffer.
-func (c *connection) bufferHeader() error {
+// bufferHeader waits until the complete head is in the buffer and returns it.
+func (c *connection) bufferHeader() ([]byte, error) {
 	for n := 1; ; n = c.reader.Buffered() + 1 {
 		_, err := c.reader.Peek(n)
 		if errors.Is(err, bufio.ErrBufferFull) {
-			return &ReplyError{Reason: Malformed, Err: errors.New("the header is too large")}
+			return nil, &ReplyError{Reason: Malformed, Err: errors.New("the header is too large")}
 		}
 		if err != nil {
-			return err
+			return nil, err
 		}
 		text, _ := c.reader.Peek(c.reader.Buffered())
-		if bytes.Contains(text, headerEnd) {
-			return nil
+		if end := bytes.Index(text, headerEnd); end >= 0 {
+			return text[:end+len(headerEnd)], nil
 		}
 	}
 }
@@ -182,13 +230,17 @@
 // readBody reads the complete body of the reply. It does not close the body: that would
 // continue to read after an error, and the connection is closed in that case anyway.
 func (c *connection) readBody(limit int64, unframed bool) ([]byte, error) {
-	res := c.response
-	if res.ContentLength > limit {
+	if c.head.length > limit {
 		return nil, &ReplyError{Reason: TooLarge}
 	}
-	if res.ContentLength >= 0 {
-		body := make([]byte, res.ContentLength)
-		if _, err := io.ReadFull(res.Body, body); err != nil {
+	res := c.response
+	if c.head.length >= 0 {
+		from := io.Reader(c.reader)
+		if res != nil {
+			from = res.Body
+		}
+		body := make([]byte, c.head.length)
+		if _, err := io.ReadFull(from, body); err != nil {
 			return nil, &ReplyError{Reason: Truncated, Err: err}
 		}
 		return body, nil
@@ -209,6 +261,6 @@
 
 // bodyBuffered reports whether reading the body would not block.
 func (c *connection) bodyBuffered() bool {
-	n := c.response.ContentLength
+	n := c.head.length
 	return n >= 0 && n <= int64(c.reader.Buffered())
 }
--- a/limit/do.go
+++ b/limit/do.go
@@ -11,7 +11,7 @@
 // Response is a complete reply.
 type Response struct {
 	Status int
-	Header http.Header
+	Header Header
 	Body   []byte
 }
 
@@ -60,16 +60,16 @@
 		}
 	}
 	req, before := encoded.Request, c.raw.written
-	stop := c.watch(ctx)
+	watch := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
-		if stop() {
+		if watch.stop() {
 			err = ctx.Err()
 		}
 		permit.target.discard(c)
 		return nil, &LostError{Sent: c.raw.written > before, Err: err}
 	}
 	err = c.readHeader(req)
-	interrupted := stop()
+	interrupted := watch.stop()
 	if err != nil {
 		return nil, p.handleHeaderError(ctx, permit, c, req, err, interrupted)
 	}
@@ -101,7 +101,7 @@
 	if err != nil {
 		return readResult{err: err}
 	}
-	res := &Response{Status: c.response.StatusCode, Header: c.response.Header, Body: body}
+	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
 	if p.CheckReply != nil {
 		if err := p.CheckReply(req, res); err != nil {
 			return readResult{err: &ReplyError{Reason: Mismatched, Err: err}}
--- /dev/null
+++ b/limit/head.go
@@ -0,0 +1,144 @@
+package limit
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Header holds the header fields of a reply. Replies of the common form keep them as text,
+// because most are read for one or two of their fields only.
+type Header struct {
+	// text holds the lines of the fields, each with its line break; unused if fields is set.
+	text   string
+	fields http.Header
+}
+
+// NewHeader returns a Header with the fields.
+func NewHeader(fields http.Header) Header { return Header{fields: fields} }
+
+// Get returns the first value of the field, or "" if there is none.
+func (h *Header) Get(name string) string {
+	if h.fields != nil {
+		return h.fields.Get(name)
+	}
+	for text := h.text; text != ""; {
+		var line string
+		line, text, _ = strings.Cut(text, "\r\n")
+		if len(line) > len(name) && line[len(name)] == ':' && strings.EqualFold(line[:len(name)], name) {
+			return trimValue(line[len(name)+1:])
+		}
+	}
+	return ""
+}
+
+// Fields returns all fields.
+func (h *Header) Fields() http.Header {
+	if h.fields != nil {
+		return h.fields
+	}
+	fields := http.Header{}
+	for text := h.text; text != ""; {
+		var line string
+		line, text, _ = strings.Cut(text, "\r\n")
+		name, value, _ := strings.Cut(line, ":")
+		fields.Add(name, trimValue(value))
+	}
+	return fields
+}
+
+func trimValue(value string) string { return strings.Trim(value, " \t") }
+
+// head is the status line and the header of a reply.
+type head struct {
+	status int
+	// length is the length of the body, negative if the header does not state it.
+	length int64
+	// close is true if the connection closes after the reply.
+	close  bool
+	header Header
+}
+
+// statusPrefix begins the status line of the common form.
+const statusPrefix = "HTTP/1.1 "
+
+// maxLengthDigits is the number of digits of a Content-Length that always fits into an int64.
+const maxLengthDigits = 18
+
+// parseHead parses a head of the common form: a final status and a body with a length. It reports
+// false for all other heads, valid or not; net/http decides on those. text ends with an empty
+// line.
+func parseHead(text []byte) (h head, ok bool) {
+	const statusEnd = len(statusPrefix) + 3
+	if len(text) < statusEnd || !bytes.HasPrefix(text, []byte(statusPrefix)) {
+		return h, false
+	}
+	line, rest, _ := strings.Cut(string(text), "\r\n")
+	if len(line) < statusEnd || len(line) > statusEnd && line[statusEnd] != ' ' || !isFieldValue(line) {
+		return h, false
+	}
+	for _, c := range []byte(line[len(statusPrefix):statusEnd]) {
+		if c < '0' || c > '9' {
+			return h, false
+		}
+		h.status = 10*h.status + int(c-'0')
+	}
+	if h.status < http.StatusOK || h.status == http.StatusNoContent || h.status == http.StatusNotModified {
+		return h, false
+	}
+	h.header.text = rest[:len(rest)-len("\r\n")]
+	h.length = -1
+	for rest = h.header.text; rest != ""; {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		if !h.addField(line) {
+			return h, false
+		}
+	}
+	return h, h.length >= 0
+}
+
+// addField takes account of a header field. It reports false if the field is malformed or needs
+// net/http.
+func (h *head) addField(line string) bool {
+	colon := strings.IndexByte(line, ':')
+	if colon <= 0 || !isToken(line[:colon]) || !isFieldValue(line[colon+1:]) {
+		return false
+	}
+	switch name, value := line[:colon], trimValue(line[colon+1:]); {
+	case strings.EqualFold(name, "Content-Length"):
+		if h.length >= 0 || value == "" || len(value) > maxLengthDigits || strings.Trim(value, "0123456789") != "" {
+			return false
+		}
+		h.length, _ = strconv.ParseInt(value, 10, 64) // can't fail: it has at most 18 digits
+	case strings.EqualFold(name, "Transfer-Encoding"), strings.EqualFold(name, "Trailer"):
+		return false
+	case strings.EqualFold(name, "Connection"):
+		for option := range strings.SplitSeq(value, ",") {
+			h.close = h.close || strings.EqualFold(trimValue(option), "close")
+		}
+	}
+	return true
+}
+
+// isToken reports whether the text is a valid name of a header field.
+func isToken(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
+
+// isFieldValue reports whether the text has no control characters but tabs.
+func isFieldValue(text string) bool {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,10 +61,17 @@
 	return nil
 }
 
+// attemptWorkers returns the goroutines that make attempts.
+func (s *Service) attemptWorkers() *workers[*attempt] {
+	s.startWorkers.Do(func() { s.workers = newWorkers(runAttempt) })
+	return s.workers
+}
+
 // runAttempt makes the attempt and sends its result to the fetch group.
-func (g *fetchGroup) runAttempt(ctx context.Context, a *attempt) {
-	defer a.cancel()
-	r := g.send(ctx, g.message, a)
+func runAttempt(a *attempt) {
+	g := a.fetch.fetchGroup
+	r := g.send(a, g.message, a)
+	a.end()
 	select {
 	case g.results <- r:
 	case <-g.ctx.Done(): // the request has ended
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -22,8 +22,8 @@
 	"wasabirelay/routing"
 )
 
-// benchShards is the number of shards in the larger deployments.
-const benchShards = 36
+// benchShards is the number of shards in the largest deployment.
+const benchShards = 90
 
 // benchTarget replies to each request with 25 records, with as little work as possible, so that
 // the relay dominates the processor time.
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -32,9 +31,9 @@
 
 // attempt is one attempt to send the request to a target.
 type attempt struct {
+	cancellation
 	fetch  *fetch
 	target *control.Target
-	cancel context.CancelFunc
 	state  atomic.Int32
 	// sent is the age of the request at which the first byte was about to be sent; 0 before.
 	sent atomic.Int64
@@ -52,7 +51,7 @@
 	if !a.state.CompareAndSwap(waiting, withdrawn) {
 		return false
 	}
-	a.cancel()
+	a.end()
 	return true
 }
 
@@ -136,7 +135,7 @@
 	f.done, f.hedgeAt = true, time.Time{}
 	f.last.attempts = f.sent
 	for _, a := range f.attempts {
-		a.cancel()
+		a.end()
 	}
 }
 
@@ -174,12 +173,12 @@
 
 // start starts an attempt at a target.
 func (f *fetch) start(t *control.Target) {
-	ctx, cancel := context.WithCancel(f.ctx)
-	a := &attempt{fetch: f, target: t, cancel: cancel}
+	a := &attempt{fetch: f, target: t}
+	a.parent = f.ctx
 	f.attempts = append(f.attempts, a)
 	f.sent++
 	f.inFlight++
-	go f.runAttempt(ctx, a)
+	f.attemptWorkers().start(a)
 }
 
 // keepBest keeps the most informative result: one that may have been executed takes precedence
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -47,7 +47,8 @@
 // idleTimer is the initial duration of a timer that nothing waits for yet.
 const idleTimer = time.Hour
 
-// startFetches starts a fetch from each of the services. Attempts end with ctx.
+// startFetches starts a fetch from each of the services. The caller stops the group when ctx
+// ends.
 func (s *Service) startFetches(ctx context.Context, j *job, services []string) *fetchGroup {
 	g := &fetchGroup{
 		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), hedge: s.hedgeDelay(j),
@@ -63,7 +64,15 @@
 	return g
 }
 
-func (g *fetchGroup) stop() { g.timer.Stop() }
+// stop cancels the attempts that are still in flight; the pool waits for their replies.
+func (g *fetchGroup) stop() {
+	g.timer.Stop()
+	for i := range g.fetches {
+		for _, a := range g.fetches[i].attempts {
+			a.end()
+		}
+	}
+}
 
 func (g *fetchGroup) queueIfDone(f *fetch) {
 	if f.done {
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -45,7 +45,7 @@
 // shards that have failed or not replied.
 func (s *Service) collect(ctx context.Context, j *job) (parts, failed []result) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // the pool waits for the replies that are no longer needed
+	defer cancel()
 	g := s.startFetches(ctx, j, j.route.Shards)
 	defer g.stop()
 	cutoff := j.partialAfter
@@ -150,7 +150,7 @@
 // writeReply sends the reply of a target to the caller.
 func (s *Service) writeReply(w http.ResponseWriter, j *job, res *limit.Response) {
 	h := w.Header()
-	for name, values := range endToEndHeaders(res.Header) {
+	for name, values := range endToEndHeaders(res.Header.Fields()) {
 		h[name] = values
 	}
 	h.Set(s.Headers.Request, j.id)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -111,9 +112,11 @@
 	Draining func() bool
 	Metrics  *Metrics
 
-	splitter trafficSplitter
-	cold     coldLimiter
-	attempts atomic.Int64
+	splitter     trafficSplitter
+	startWorkers sync.Once
+	workers      *workers[*attempt]
+	cold         coldLimiter
+	attempts     atomic.Int64
 }
 
 // Attempts returns the number of requests to targets so far.
