Revert "Send callers to data centres that have targets"

The assumption that three data centres hold all targets came from the layout of the services of one copy, not from a run.

--- a/exchange/active.go
+++ b/exchange/active.go
@@ -28,38 +28,20 @@
 	shrinkAfter  = 30 * time.Second
 )
 
-// Active returns the entry hosts that callers are sent to: n of them from the given data centres,
-// or from all of them if none is given. If these have fewer hosts, the others provide the rest.
-// Hosts that have the same list select the same active hosts. A host that leaves is replaced by
-// another one of its data centre.
-func Active(hosts []Host, n int, centres []string) []Host {
-	var near, far []Host
-	for _, h := range hosts {
-		switch {
-		case !h.Caller.IsValid() || h.Draining:
-		case len(centres) == 0 || slices.Contains(centres, h.Centre):
-			near = append(near, h)
-		default:
-			far = append(far, h)
-		}
-	}
-	active := divideEvenly(near, n)
-	if missing := n - len(active); missing > 0 {
-		active = append(active, divideEvenly(far, missing)...)
-	}
-	return active
-}
-
-// divideEvenly selects n hosts, as many of each data centre and rounded up, or all hosts of a data
-// centre that has fewer than its share.
-func divideEvenly(hosts []Host, n int) []Host {
+// Active returns the entry hosts that callers are sent to: n of them, divided evenly among the
+// data centres and rounded up, or all hosts of a data centre that has fewer than its share. Hosts
+// that have the same list select the same active hosts. A host that leaves is replaced by another
+// one of its data centre.
+func Active(hosts []Host, n int) []Host {
 	type candidate struct {
 		Host
 		rank uint64
 	}
 	centres := map[string][]candidate{}
 	for _, h := range hosts {
-		centres[h.Centre] = append(centres[h.Centre], candidate{h, xxhash.Sum64String(h.Name)})
+		if h.Caller.IsValid() && !h.Draining {
+			centres[h.Centre] = append(centres[h.Centre], candidate{h, xxhash.Sum64String(h.Name)})
+		}
 	}
 	var active []Host
 	for _, list := range centres {
--- a/exchange/active_test.go
+++ b/exchange/active_test.go
@@ -31,7 +31,7 @@
 func TestActive(t *testing.T) {
 	is := is.New(t)
 	hosts := entryHosts(60, "a", "b", "c")
-	first := Active(hosts, 12, nil)
+	first := Active(hosts, 12)
 	is.Equal(len(first), 12)
 	perCentre := map[string]int{}
 	for _, h := range first {
@@ -45,15 +45,15 @@
 		}
 	}
 	hosts = append(hosts, Host{Name: "control", Centre: "d"})
-	second := names(Active(hosts, 12, nil))
+	second := names(Active(hosts, 12))
 	is.Equal(len(second), 12)
 	is.True(!second[first[0].Name])
 	is.True(!second["control"])
 	for _, h := range first[1:] {
 		is.True(second[h.Name]) // all others remain selected
 	}
-	is.Equal(len(Active(entryHosts(6, "a", "b"), 12, nil)), 6) // a small deployment uses all of its hosts
-	is.Equal(len(Active(nil, 12, nil)), 0)
+	is.Equal(len(Active(entryHosts(6, "a", "b"), 12)), 6) // a small deployment uses all of its hosts
+	is.Equal(len(Active(nil, 12)), 0)
 }
 
 // Guards against overloaded hosts while others are idle, and against callers that are moved
--- a/exchange/cached_state.go
+++ b/exchange/cached_state.go
@@ -15,8 +15,6 @@
 	// Hosts lists the entry hosts, RoutingState is the state that was in force.
 	Hosts        []Host               `json:"hosts"`
 	RoutingState control.RoutingState `json:"shared"`
-	// Centres names the data centres that callers were sent to.
-	Centres []string `json:"centres,omitempty"`
 }
 
 // Restore loads the cached state of an earlier run. Targets count as silent after silentAfter
@@ -31,7 +29,7 @@
 		h.all.set(host)
 	}
 	h.starting = len(s.Hosts) == 0
-	h.routingState, h.placement.centres = s.RoutingState, s.Centres
+	h.routingState = s.RoutingState
 	h.selectHosts()
 	h.wake()
 }
@@ -40,7 +38,7 @@
 func (h *Hub) CachedState() (s *CachedState, revision [3]uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s = &CachedState{Targets: h.targets.Since(h.Clock.Now(), 0), RoutingState: h.routingState, Centres: h.placement.centres}
+	s = &CachedState{Targets: h.targets.Since(h.Clock.Now(), 0), RoutingState: h.routingState}
 	for _, m := range h.members {
 		if !m.IsControl() && !m.Draining {
 			s.Hosts = append(s.Hosts, m.Host)
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -69,8 +68,6 @@
 	// active is the number of active entry hosts according to this control host, entries
 	// the number of all entry hosts.
 	active, entries int
-	// centres names the data centres that callers are sent to according to this control host.
-	centres []string
 	// stateRevision is the newest revision of the routing state that it has sent.
 	stateRevision uint64
 	// seen holds the run of the control host and the revisions received from it.
@@ -213,9 +210,8 @@
 	if k.unreachable || k.host.Name == "" {
 		c.Log.Info().Str("control", response.From.Name).Stringer("address", k.client.Address).Msg("control host reachable")
 	}
-	changed := k.unreachable || k.active != response.Active || k.entries != response.Entries || !slices.Equal(k.centres, response.Centres) || k.host != response.From || len(response.Changes) > 0 || len(response.List)+len(response.Gone) > 0 || response.Complete
+	changed := k.unreachable || k.active != response.Active || k.entries != response.Entries || k.host != response.From || len(response.Changes) > 0 || len(response.List)+len(response.Gone) > 0 || response.Complete
 	k.host, k.lastResponse, k.unreachable, k.active, k.entries = response.From, now, false, response.Active, response.Entries
-	k.centres = response.Centres
 	c.synced = c.synced || !response.Starting
 	if k.seen.Run != response.From.Start {
 		k.seen = PollRequest{Run: response.From.Start}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -94,8 +94,6 @@
 	// Entries is the number of all entry hosts.
 	Active  int `json:"active,omitempty"`
 	Entries int `json:"entries,omitempty"`
-	// Centres names the data centres that callers are sent to; none stands for all.
-	Centres []string `json:"centres,omitempty"`
 	// Starting is true if the control host has just started: the list lacks hosts that have
 	// not polled it yet.
 	Starting bool `json:"young,omitempty"`
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -267,14 +267,14 @@
 		if i%10 == 0 {
 			self, k.list = e, nil
 			c.merge(k, a)
-			is.Equal(names(c.Active()), names(Active(all, minActive, nil)))
+			is.Equal(names(c.Active()), names(Active(all, minActive)))
 		}
 	}
 	is.Equal(c.EntryCount(), len(all))
 	before := h.selected.revision
 	spare := entry("spare")
 	spare.Centre = "c0"
-	for names(Active(append(all, spare), minActive, nil))["spare"] {
+	for names(Active(append(all, spare), minActive))["spare"] {
 		spare.Name += "x"
 	}
 	poll(t, h, PollRequest{From: spare})
@@ -287,7 +287,7 @@
 	second, _, err := h.respond(&PollRequest{From: all[1]}, true)
 	is.NoErr(err)
 	is.True(&first[0] == &second[0]) // its restart does not either: the cached response is reused
-	chosen := Active(all, minActive, nil)[0]
+	chosen := Active(all, minActive)[0]
 	chosen.Start++
 	a := poll(t, h, PollRequest{From: chosen})
 	is.True(slices.Contains(a.List, chosen))
@@ -395,7 +395,7 @@
 	first.Start++
 	a := poll(t, after, PollRequest{From: first, Document: true})
 	is.True(!a.Starting)
-	is.Equal(names(a.List), names(Active(all, minActive, nil)))
+	is.Equal(names(a.List), names(Active(all, minActive)))
 	is.Equal(len(a.Changes), 1)
 	is.Equal(string(a.RoutingState.Routing.Source), "two")
 	after.SetRoutingState(control.RoutingState{Revision: 3}) // older states are applied while the log is replayed
--- a/exchange/hosts.go
+++ b/exchange/hosts.go
@@ -75,21 +75,15 @@
 }
 
 // Active returns the entry hosts that callers are sent to. If control hosts temporarily
-// disagree, the largest number and all data centres that any of them names apply.
+// disagree about the number, the largest applies.
 func (c *Client) Active() []Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	contacts, n := c.liveContacts(), minActive
-	var centres []string
 	for _, k := range contacts {
 		n = max(n, k.active)
-		for _, centre := range k.centres {
-			if !slices.Contains(centres, centre) {
-				centres = append(centres, centre)
-			}
-		}
 	}
-	return Active(c.mergedHosts(contacts), n, centres)
+	return Active(c.mergedHosts(contacts), n)
 }
 
 // EntryCount returns the number of entry hosts, or 0 if no control host has responded.
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -24,9 +24,6 @@
 	Log   zerolog.Logger
 	// Silence is the time without a heartbeat after which a target counts as silent.
 	Silence time.Duration
-	// Coverage, if set, returns the share of the services that have a target in each data centre,
-	// over the targets of all control hosts; see the function Coverage.
-	Coverage func() map[string]float64
 	// OnControlHost, if set, is called with each control host that polls.
 	OnControlHost func(Host)
 
@@ -40,7 +37,6 @@
 	entries       int
 	routingState  control.RoutingState
 	sizer         sizer
-	placement     placement
 	// allResponses and selectedResponses cache the encoded responses with these lists.
 	allResponses, selectedResponses responseCache
 	// changed is closed at the next change, listChanged also at a change that is sent only to
@@ -60,16 +56,12 @@
 func (h *Hub) Run(ctx context.Context) error {
 	ticker := h.Clock.NewTicker(Expiry / 10)
 	defer ticker.Stop()
-	placed := h.Clock.NewTicker(placementInterval)
-	defer placed.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.Chan():
 			h.tick()
-		case <-placed.Chan():
-			h.place()
 		}
 	}
 }
--- a/exchange/members.go
+++ b/exchange/members.go
@@ -26,26 +26,6 @@
 	}
 }
 
-// place adapts the data centres that callers are sent to to the targets in them.
-func (h *Hub) place() {
-	if h.Coverage == nil {
-		return
-	}
-	coverage := h.Coverage()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	before := h.placement.centres
-	if h.starting || !h.placement.update(h.Clock.Now(), coverage) {
-		return
-	}
-	h.Log.Info().Strs("centres", h.placement.centres).Strs("before", before).Interface("coverage", coverage).
-		Msg("data centres that callers are sent to changed")
-	h.all.revision++
-	h.selected.revision++
-	h.selectHosts()
-	h.wake()
-}
-
 // selectHosts computes the list that entry hosts receive. An entry host that merges the lists
 // of several control hosts selects the same hosts as Active selects from all hosts. The caller
 // holds h.mu.
@@ -59,7 +39,7 @@
 		}
 	}
 	h.entries = len(entries)
-	if h.selected.replace(append(control, Active(entries, max(minActive, h.sizer.count), h.placement.centres)...)) {
+	if h.selected.replace(append(control, Active(entries, max(minActive, h.sizer.count))...)) {
 		h.wake()
 	}
 }
--- a/exchange/response_cache.go
+++ b/exchange/response_cache.go
@@ -40,7 +40,6 @@
 type responseState struct {
 	targets, hosts, routingState uint64
 	active, entries              int
-	centres                      string
 	draining, starting           bool
 }
 
--- a/exchange/serve.go
+++ b/exchange/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"wasabirelay/peer"
@@ -63,7 +62,7 @@
 	}
 	state := responseState{
 		targets: h.targets.Revision(), hosts: list.revision, routingState: h.routingState.Revision, active: h.sizer.count,
-		centres: strings.Join(h.placement.centres, "\x00"), entries: h.entries, draining: h.Self.Draining, starting: h.starting,
+		entries: h.entries, draining: h.Self.Draining, starting: h.starting,
 	}
 	key := responseKey{document: request.Document, targets: request.Targets, hosts: request.Hosts, routingState: request.RoutingState, routing: request.Routing}
 	encoded, err := cache.get(now, state, key, func() *PollResponse { return h.build(now, request, list) })
@@ -73,7 +72,7 @@
 // build computes a poll response. The caller holds h.mu.
 func (h *Hub) build(now time.Time, request *PollRequest, list *hostList) *PollResponse {
 	response := &PollResponse{
-		From: h.Self, Targets: h.targets.Revision(), Hosts: list.revision, Active: h.sizer.count, Entries: h.entries, Centres: h.placement.centres, Starting: h.starting,
+		From: h.Self, Targets: h.targets.Revision(), Hosts: list.revision, Active: h.sizer.count, Entries: h.entries, Starting: h.starting,
 	}
 	if request.Targets < response.Targets {
 		response.Changes = h.targets.Since(now, request.Targets)
--- a/node/control.go
+++ b/node/control.go
@@ -99,7 +99,6 @@
 	c.peers.Set(c.Settings.Host, c.Settings.Peer)
 	c.hub = exchange.Hub{
 		Self: self, Clock: c.Clock, Log: c.Log, Silence: maxMissedHeartbeats * c.Settings.HeartbeatInterval, OnControlHost: c.addControlHost,
-		Coverage: func() map[string]float64 { targets, _ := c.client.Targets(); return exchange.Coverage(targets) },
 	}
 	c.hub.Init()
 	c.saves = make(chan saveRequest, maxSaveRequests)
