--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -18,6 +18,8 @@
 	// hedge is the delay after which an attempt is hedged.
 	hedge   time.Duration
 	fetches []fetch
+	// pending counts the fetches that are not done.
+	pending int
 	// unreturned holds the fetches that are done and that next has not returned yet.
 	unreturned []*fetch
 	results    chan *result
@@ -44,6 +46,10 @@
 // left count as slow: replies of healthy targets follow each other faster.
 const stallShare = 0.25
 
+// tailShare is the share of the fetches of a request below which those that are left are hedged
+// although replies still come in: as few replies don't occupy this host for long.
+const tailShare = 0.15
+
 // idleTimer is the initial duration of a timer that nothing waits for yet.
 const idleTimer = time.Hour
 
@@ -54,6 +60,7 @@
 		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), hedge: s.hedgeDelay(j),
 		fetches: make([]fetch, len(services)), results: make(chan *result, len(services)), timer: s.Clock.NewTimer(idleTimer),
 	}
+	g.pending = len(services)
 	now := s.Clock.Now()
 	for i, service := range services {
 		f := &g.fetches[i]
@@ -75,8 +82,30 @@
 }
 
 func (g *fetchGroup) queueIfDone(f *fetch) {
-	if f.done {
-		g.unreturned = append(g.unreturned, f)
+	if !f.done {
+		return
+	}
+	g.unreturned = append(g.unreturned, f)
+	before := g.inTail()
+	g.pending--
+	if !before && g.inTail() {
+		g.advanceHedges()
+	}
+}
+
+// inTail reports whether only few of the replies are left.
+func (g *fetchGroup) inTail() bool { return float64(g.pending) <= tailShare*float64(len(g.fetches)) }
+
+// advanceHedges brings the hedges of the fetches that are left forward when the tail begins.
+func (g *fetchGroup) advanceHedges() {
+	for i := range g.fetches {
+		f := &g.fetches[i]
+		if f.hedgeAt.IsZero() || f.newest().sent.Load() == 0 {
+			continue
+		}
+		if due := g.slowAt(f.newest()); due.Before(f.hedgeAt) {
+			f.hedgeAt = due
+		}
 	}
 }
 
@@ -150,17 +179,20 @@
 }
 
 // slowAt returns when an attempt counts as slow: the hedge delay after it was sent, and not while
-// the request makes progress. It answers the load of requests to many shards on a small host: to
-// send them and to read their replies takes longer than the hedge delay, and hedges for shards
-// whose replies wait for the processor would only double the work.
+// the request makes progress, unless only few replies are left. It answers the load of requests to
+// many shards on a small host: to send them and to read their replies takes longer than the hedge
+// delay, and hedges for shards whose replies wait for the processor would only double the work.
 func (g *fetchGroup) slowAt(a *attempt) time.Time {
 	sent := time.Duration(a.sent.Load())
-	return g.j.started.Add(slowAge(sent, time.Duration(g.progress.Load()), g.hedge))
+	return g.j.started.Add(slowAge(sent, time.Duration(g.progress.Load()), g.hedge, g.inTail()))
 }
 
 // slowAge is slowAt in terms of the age of the request. sent is 0 for an attempt that has not been
 // sent, progress the age at the last progress of the request.
-func slowAge(sent, progress, hedge time.Duration) time.Duration {
+func slowAge(sent, progress, hedge time.Duration, tail bool) time.Duration {
+	if tail && sent > 0 {
+		return sent + hedge
+	}
 	due := progress + time.Duration(stallShare*float64(hedge))
 	if sent > 0 {
 		due = max(due, sent+hedge)
