Survive a panic in an attempt, and count cold requests in one step

Cause: a panic in a goroutine of an attempt, or in the check of a reply, ended the process with all its requests. Change: send recovers, fails the attempt as one that may have run, and returns its permit; the check of a reply counts a panic as a mismatch and closes the connection; coldLimiter.take checks and records in one step.

--- a/limit/do.go
+++ b/limit/do.go
@@ -103,13 +103,24 @@
 	}
 	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
 	if p.CheckReply != nil {
-		if err := p.CheckReply(req, res); err != nil {
+		if err := p.check(req, res); err != nil {
 			return readResult{err: &ReplyError{Reason: Mismatched, Err: err}}
 		}
 	}
 	return readResult{response: res}
 }
 
+// check calls CheckReply. A panic in it counts as a mismatch, so that the connection is closed and
+// its place becomes free.
+func (p *Pool) check(req *http.Request, res *Response) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = errors.Errorf("panic in the check of the reply: %v", v)
+		}
+	}()
+	return p.CheckReply(req, res)
+}
+
 // finishReply reads the body, in the background if that may block.
 func (p *Pool) finishReply(ctx context.Context, permit *Permit, c *connection, req *http.Request) (*Response, error) {
 	if c.bodyBuffered() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -45,6 +47,15 @@
 	return "no reply"
 }
 
+// PanicError is the error of an attempt during which this program panicked.
+type PanicError struct {
+	// Value is the value of the panic.
+	Value any
+}
+
+// Error returns the value of the panic.
+func (e *PanicError) Error() string { return fmt.Sprintf("internal error: %v", e.Value) }
+
 var (
 	errNoTarget  = errors.New("no target can take the request")
 	errWithdrawn = errors.New("given up before it was sent")
@@ -79,9 +90,17 @@
 }
 
 // send sends the request to a target and waits for the reply.
-func (g *fetchGroup) send(ctx context.Context, m *message, a *attempt) *result {
+func (g *fetchGroup) send(ctx context.Context, m *message, a *attempt) (r *result) {
 	s, j, t := g.Service, g.j, a.target
-	r := &result{fetch: a.fetch, service: t.Service, target: t}
+	r = &result{fetch: a.fetch, service: t.Service, target: t}
+	ended := func() {}
+	defer func() {
+		if p := recover(); p != nil { // one request must not end the process
+			ended()
+			r.response, r.outcome, r.ran, r.err = nil, route.Failed, a.state.Load() == committed, &PanicError{Value: p}
+			s.Log.Error().Str("request", j.id).Str("target", t.Name).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("attempt failed: panic")
+		}
+	}()
 	permit, err := s.Pool.Acquire(ctx, t)
 	if err != nil {
 		r.err, r.outcome = err, route.Shed
@@ -93,6 +112,10 @@
 	}
 	started := s.Clock.Now()
 	s.Table.Start(started, t)
+	ended = func() {
+		permit.Release(limit.Failed)
+		s.Table.Done(s.Clock.Now(), t, j.route.Name, s.Clock.Since(started), route.Failed)
+	}
 	s.attempts.Add(1)
 	left := max(1, j.deadline.Sub(started).Milliseconds())
 	r.response, err = s.Pool.Send(ctx, permit, m.forTarget(t, &s.Headers, left), a.commit)
@@ -101,6 +124,7 @@
 	r.withdrawn = a.state.Load() == withdrawn
 	permit.Release(permitResult(r.outcome))
 	s.Table.Done(now, t, j.route.Name, now.Sub(started), r.outcome)
+	ended = func() {}
 	s.Metrics.attempt(t.Service, r.outcome, now.Sub(started))
 	if s.Observe != nil {
 		s.Observe(t, j.route.Name, now.Sub(started), r.outcome)
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -230,11 +230,12 @@
 	if ok {
 		return t, true
 	}
-	t, ok = choose(func(t *control.Target) bool { return t.State == control.Cold && f.cold.allows(now, v, t) })
-	if ok {
-		f.cold.record(now, t)
+	for {
+		t, ok = choose(func(t *control.Target) bool { return t.State == control.Cold && f.cold.allows(now, v, t) })
+		if !ok || f.cold.take(now, v, t) {
+			return t, ok
+		}
 	}
-	return t, ok
 }
 
 // triedTargets returns the names of the targets of all attempts, or nil if there are none.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,6 +18,7 @@
 
 	"wasabirelay/control"
 	"wasabirelay/limit"
+	"wasabirelay/route"
 	"wasabirelay/routing"
 )
 
@@ -370,8 +371,8 @@
 	sent := 0
 	now := time.Unix(50, 0)
 	for range 10 {
-		if limiter.allows(now, v, cold) {
-			limiter.record(now, cold)
+		if allowed := limiter.allows(now, v, cold); limiter.take(now, v, cold) {
+			is.True(allowed)
 			sent++
 		}
 	}
@@ -380,6 +381,58 @@
 	is.True(!limiter.allows(now, v, &control.Target{Name: "u", Service: "unknown"}))
 }
 
+// Guards against requests that are all allowed at the same time, before any of them is recorded.
+func TestColdLimiterConcurrentRequests(t *testing.T) {
+	is := is.New(t)
+	var limiter coldLimiter
+	v := &View{Share: 1, Routing: routing.NewTable(&routing.Document{Services: []routing.Service{{Name: "s", ColdRate: 3}}})}
+	cold := &control.Target{Name: "t", Service: "s"}
+	now := time.Unix(50, 0)
+	var allowed, sent atomic.Int32
+	var wg, checked sync.WaitGroup
+	checked.Add(16)
+	for range 16 {
+		wg.Go(func() {
+			if limiter.allows(now, v, cold) {
+				allowed.Add(1)
+			}
+			checked.Done()
+			checked.Wait()
+			if limiter.take(now, v, cold) {
+				sent.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(allowed.Load(), int32(16))
+	is.Equal(sent.Load(), int32(3))
+}
+
+// Guards against a process that ends, a request that hangs and a slot that stays in use because of
+// a panic in the code for one attempt.
+func TestPanicFailsOneAttempt(t *testing.T) {
+	is := is.New(t)
+	target := newTarget("t", "s").records("a")
+	h := newHarness(t, routing.Route{Name: "one", Backends: []routing.Backend{{Service: "s", Weight: 1}}, Attempts: 1}, target)
+	h.service.Observe = func(*control.Target, string, time.Duration, route.Outcome) { panic("unexpected") }
+	res, body := h.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusBadGateway) // the target may have run it
+	is.True(strings.Contains(body, "internal error: unexpected"))
+	h.service.Observe = nil
+	for range 20 { // more than there are slots and connections
+		res, _ = h.get(t, nil)
+		is.Equal(res.StatusCode, http.StatusOK)
+	}
+	h.service.Pool.CheckReply = func(*http.Request, *limit.Response) error { panic("unexpected") }
+	for range 20 {
+		res, _ = h.get(t, nil)
+		is.Equal(res.StatusCode, http.StatusBadGateway)
+	}
+	h.service.Pool.CheckReply = h.service.CheckReply
+	res, _ = h.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
 // Guards against twice the permitted requests within one second, which fixed windows that start
 // at full seconds would allow around a full second.
 func TestColdLimiterSlidingWindow(t *testing.T) {
@@ -390,8 +443,7 @@
 	var sent []time.Time
 	start := time.Unix(50, 0)
 	for after := 900 * time.Millisecond; after < 4*time.Second; after += 10 * time.Millisecond {
-		if now := start.Add(after); limiter.allows(now, v, cold) {
-			limiter.record(now, cold)
+		if now := start.Add(after); limiter.allows(now, v, cold) && limiter.take(now, v, cold) {
 			sent = append(sent, now)
 		}
 	}
--- a/relay/split.go
+++ b/relay/split.go
@@ -67,14 +67,20 @@
 // allows reports whether this host may send one more request to the cold target now. If the
 // share of the host is less than one request per second, the target receives none.
 func (l *coldLimiter) allows(now time.Time, v *View, t *control.Target) bool {
+	share, ok := coldShare(v, t)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ok && len(l.recent(now, t)) < share
+}
+
+// coldShare returns how many requests per second this host may send to the cold target. It reports
+// false if the routing document lacks the service.
+func coldShare(v *View, t *control.Target) (int, bool) {
 	service := v.Routing.Service(t.Service)
 	if service == nil {
-		return false
+		return 0, false
 	}
-	share := int(service.ColdRate * v.Share)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.recent(now, t)) < share
+	return int(service.ColdRate * v.Share), true
 }
 
 // recent returns the times of the requests within the window. The caller holds l.mu.
@@ -86,11 +92,18 @@
 	return sent
 }
 
-func (l *coldLimiter) record(now time.Time, t *control.Target) {
+// take records a request to the cold target if this host may send one more now. It reports
+// whether it may: between allows and take, another request may have used the allowance.
+func (l *coldLimiter) take(now time.Time, v *View, t *control.Target) bool {
+	share, ok := coldShare(v, t)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !ok || len(l.recent(now, t)) >= share {
+		return false
+	}
 	if l.sent == nil || len(l.sent) > maxColdTargets {
 		l.sent = map[string][]time.Time{}
 	}
 	l.sent[t.Name] = append(l.recent(now, t), now)
+	return true
 }
