Mend four faults that reading the code had shown

A target that gets requests wins now, then the smaller name. - exchange: when an old address of a control host was forgotten, the targets of the host that had returned at another address were dropped. They stay while the host is polled. - exchange: a poll request that waited for further changes ignored that its connection had ended. - certificate: a server without a certificate dereferenced nil in each handshake. It refuses them with an error.

--- a/certificate/certificate.go
+++ b/certificate/certificate.go
@@ -62,6 +62,9 @@
 		MinVersion: tls.VersionTLS12,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			creds := s.refresh()
+			if creds.certificate == nil {
+				return nil, errors.New("this server has no certificate")
+			}
 			c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*creds.certificate}}
 			if creds.roots != nil {
 				c.ClientCAs, c.ClientAuth = creds.roots, tls.RequireAndVerifyClientCert
--- a/certificate/certificate_test.go
+++ b/certificate/certificate_test.go
@@ -117,6 +117,19 @@
 	is.True(err != nil)
 }
 
+// Guards against a panic in each handshake of a server whose settings name only an authority.
+func TestServerWithoutCertificate(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClockAt(time.Now())
+	dir := t.TempDir()
+	writeCertificate(t, dir, 1, clock.Now())
+	server := newStore(dir, clock)
+	server.Certificate, server.Key = "", ""
+	is.NoErr(server.Load())
+	_, err := server.ServerConfig().GetConfigForClient(&tls.ClientHelloInfo{})
+	is.True(err != nil)
+}
+
 func TestLoadReportsBadFiles(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -108,9 +108,22 @@
 			k.cancel()
 			k.client.Close()
 			delete(c.contacts, address)
-			c.targets.Drop(k.host.Name)
+			if !c.isContact(k.host.Name) {
+				c.targets.Drop(k.host.Name)
+			}
+		}
+	}
+}
+
+// isContact reports whether a control host of that name is polled. A control host that has returned
+// at another address has a second contact. The caller holds c.mu.
+func (c *Client) isContact(name string) bool {
+	for _, k := range c.contacts {
+		if k.host.Name == name {
+			return true
 		}
 	}
+	return false
 }
 
 // addContact starts to poll a control host. The caller holds c.mu.
--- a/exchange/serve.go
+++ b/exchange/serve.go
@@ -36,9 +36,22 @@
 		case <-timer.Chan():
 			request.Wait = 0
 		case <-changed:
-			h.Clock.Sleep(settleTime)
 		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-h.Clock.After(settle(&request)):
+		}
+	}
+}
+
+// settle returns how long to wait for further changes after a change or, if the wait time of the
+// request has ended, not at all.
+func settle(request *PollRequest) time.Duration {
+	if request.Wait == 0 {
+		return 0
 	}
+	return settleTime
 }
 
 // respond returns the encoded poll response. If nothing has changed and the request may wait,
--- a/registry/merge.go
+++ b/registry/merge.go
@@ -86,7 +86,7 @@
 	all := m.merge(now)
 	owners := map[netip.AddrPort]*mergedTarget{}
 	for _, c := range all {
-		if o := owners[c.Address]; o == nil || c.StartUnixMilli > o.StartUnixMilli {
+		if o := owners[c.Address]; o == nil || c.ownsRatherThan(o) {
 			owners[c.Address] = c
 		}
 	}
@@ -134,6 +134,19 @@
 	return all
 }
 
+// ownsRatherThan reports whether the target owns the address that another one also announces: the
+// later start wins and, between equal ones, a target that gets requests, then the smaller name, so
+// that all hosts agree.
+func (c *mergedTarget) ownsRatherThan(o *mergedTarget) bool {
+	if c.StartUnixMilli != o.StartUnixMilli {
+		return c.StartUnixMilli > o.StartUnixMilli
+	}
+	if ready := c.State == Ready && !c.silent; ready != (o.State == Ready && !o.silent) {
+		return ready
+	}
+	return c.Target < o.Target
+}
+
 func (c *mergedTarget) target(now time.Time) *control.Target {
 	t := &control.Target{
 		Name: c.Target, Incarnation: strconv.FormatInt(c.StartUnixMilli, 10), Service: c.Service, Version: c.Version,
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -153,3 +153,20 @@
 	is.Equal(services["s"][0].State, control.Warm)
 	is.True(next.IsZero())
 }
+
+// Guards against hosts that send requests to different targets at one address, by chance, because
+// both started in the same millisecond, and against a target that left and still owns its address.
+func TestAddressOfTwoTargets(t *testing.T) {
+	for range 20 { // the order of maps varies
+		is := is.New(t)
+		var m MergedTable
+		m.Update(start, "a", 1, recordsOf(ready("t", 1, 3), ready("u", 1, 3)), time.Second)
+		services, _ := m.Targets(start)
+		is.Equal(len(services["s"]), 1)
+		is.Equal(services["s"][0].Name, "t")
+		m.Update(start, "a", 1, recordsOf(gone(ready("t", 1, 4))), time.Second)
+		services, _ = m.Targets(start)
+		is.Equal(len(services["s"]), 1)
+		is.Equal(services["s"][0].Name, "u")
+	}
+}
