Wait for a shard that a response needs, and refuse at once what can't be served

A request that can't be served any more still waited for its other shards. Change: the last shards that may be left out are withdrawn; the others are waited for until the pool refuses them, because they can't be served before the deadline. A request is refused as soon as too many of its shards have failed.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -89,9 +89,11 @@
 	switch {
 	case f.reassign():
 		f.hedgeAt = now.Add(f.hedge)
-	case len(f.j.route.Shards) > 0 && newest.withdraw():
-		// All targets of the shard are busy. The response omits the shard, or the caller is
-		// refused while there is time for a retry: a longer queue would only add delay.
+	case len(f.j.route.Shards) > 0 && f.canOmitOne() && newest.withdraw():
+		// All targets of the shard are busy. The response omits the shard: a longer queue would
+		// only add delay.
+	case newest.state.Load() == waiting:
+		f.hedgeAt = now.Add(f.hedge) // another target may have room by then
 	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts && f.takeBudget():
 		f.startNext()
 	}
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -20,6 +20,8 @@
 	fetches []fetch
 	// pending counts the fetches that are not done.
 	pending int
+	// failed counts the fetches that have ended without a reply.
+	failed int
 	// unreturned holds the fetches that are done and that next has not returned yet.
 	unreturned []*fetch
 	results    chan *result
@@ -88,11 +90,21 @@
 	g.unreturned = append(g.unreturned, f)
 	before := g.inTail()
 	g.pending--
+	if !f.last.succeeded() {
+		g.failed++
+	}
 	if !before && g.inTail() {
 		g.advanceHedges()
 	}
 }
 
+// canOmitOne reports whether the response is still possible if one more fetch fails. It answers the
+// load of requests to shards of which all replicas are overloaded: a response without one of them
+// is better than a late one, but a late one is better than none.
+func (g *fetchGroup) canOmitOne() bool {
+	return len(g.fetches)-g.failed-1 >= g.j.route.RequiredShards()
+}
+
 // inTail reports whether only few of the replies are left.
 func (g *fetchGroup) inTail() bool { return float64(g.pending) <= tailShare*float64(len(g.fetches)) }
 
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -63,8 +63,10 @@
 			failed = append(failed, *r)
 			pending--
 		}
-		if cutoff.IsZero() && len(parts) >= j.route.RequiredShards() {
-			break
+		enough := len(parts) >= j.route.RequiredShards()
+		possible := len(j.route.Shards)-len(failed) >= j.route.RequiredShards()
+		if cutoff.IsZero() && enough || !possible {
+			break // if it is not possible any more, the caller is told at once
 		}
 	}
 	for i := range g.fetches {
