Make the constant part of the retry budget available again in each window

Cause: the limit on extra requests is a share of the requests plus a constant in each window of 10 s, but a host gave the constant out once: what was used came back only with the share of later requests, and after a restart a host had none of it. Change: what an extra request has used of the constant becomes available again a window later; spans of a twentieth of the window expire together, rounded up. Result: TestBudgetWindow, with 20 seeds of two minutes: no window exceeds its limit, and the constant returns (the old code has no window).

--- a/answer/connect.go
+++ b/answer/connect.go
@@ -19,8 +19,10 @@
 	s.Pick, s.Start, s.Done = table.Pick, table.Start, table.Done
 	s.SuspectCold, s.ClearSuspicion, s.HedgeAfter = table.SuspectCold, table.ClearSuspicion, table.HedgeAfter
 	s.CountFirst = func(service string) { table.Budget(service).CountFirst() }
-	s.SpendBudget = func(service string, share float64) bool { return table.Budget(service).Spend(share) }
-	s.SpendEarlyBudget = func(service string, share float64) bool { return table.Budget(service).SpendEarly(share) }
+	s.SpendBudget = func(service string, share float64) bool { return table.Budget(service).Spend(s.Clock.Now(), share) }
+	s.SpendEarlyBudget = func(service string, share float64) bool {
+		return table.Budget(service).SpendEarly(s.Clock.Now(), share)
+	}
 	s.Admit = admission.Admit
 	if s.Clock == nil {
 		s.Clock = clockwork.NewRealClock()
--- a/node/entry.go
+++ b/node/entry.go
@@ -126,7 +126,7 @@
 	e.table = &route.Table{Centre: e.Settings.Centre, OnAssessment: e.logAssessment}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
-		View: e.view.Load, Ready: e.firstView, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack,
+		View: e.view.Load, Ready: e.firstView, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack, RetryWindow: e.Settings.RetryWindow,
 		Draining: e.draining.Load, Metrics: relay.NewMetrics(e.Registry),
 		Observe: func(t *control.Target, name string, latency time.Duration, o route.Outcome) {
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -68,7 +68,7 @@
 // begin starts the first attempt.
 func (f *fetch) begin(now time.Time) {
 	f.budget = f.Table.Budget(f.service)
-	f.budget.SetCapacity(f.RetrySlack*f.j.view.Share, f.j.started.Before(f.BudgetsEmptyUntil))
+	f.budget.SetCapacity(now, f.RetrySlack*f.j.view.Share, f.RetryWindow, f.j.started.Before(f.BudgetsEmptyUntil))
 	f.budget.CountFirst()
 	f.last = result{service: f.service, err: errNoTarget}
 	if !f.startNext() {
@@ -144,7 +144,7 @@
 func (f *fetch) newest() *attempt { return f.attempts[len(f.attempts)-1] }
 
 // takeBudget takes one extra request from the budget. It reports whether the budget allows it.
-func (f *fetch) takeBudget() bool { return f.budget.Spend(f.RetryShare) }
+func (f *fetch) takeBudget() bool { return f.budget.Spend(f.Clock.Now(), f.RetryShare) }
 
 // startNext starts an attempt at another target. It reports whether there is one.
 func (f *fetch) startNext() bool {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -159,7 +159,7 @@
 func (h *harness) fillBudgets() {
 	for service := range h.view.Targets {
 		b := h.service.Table.Budget(service)
-		b.SetCapacity(h.service.RetrySlack, true)
+		b.SetCapacity(time.Time{}, h.service.RetrySlack, 0, true)
 		for range int(h.service.RetrySlack) {
 			b.CountFirst()
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,8 +101,9 @@
 	// Ready is closed when the first view is available; nil if it is available already.
 	Ready <-chan struct{}
 	// RetryShare is the permitted ratio of extra requests to requests, RetrySlack the number
-	// of extra requests permitted beyond it, for all hosts together.
+	// of extra requests permitted beyond it in each RetryWindow, for all hosts together.
 	RetryShare, RetrySlack float64
+	RetryWindow            time.Duration
 	// BudgetsEmptyUntil is the time before which a service that is used for the first time gets
 	// no share of RetrySlack in advance: an earlier run of this process may have used it.
 	BudgetsEmptyUntil time.Time
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -238,8 +238,8 @@
 	h := newHarness(t, singleRoute(true, 2), a, b)
 	h.service.RetryShare, h.service.RetrySlack = 0.2, 2
 	budget := h.service.Table.Budget("s1")
-	budget.SetCapacity(2, true)
-	for budget.Spend(0.2) { // empty the budget that fillBudgets has filled
+	budget.SetCapacity(time.Time{}, 2, 0, true)
+	for budget.Spend(time.Time{}, 0.2) { // empty the budget that fillBudgets has filled
 	}
 	const requests = 50
 	for range requests {
--- a/route/budget.go
+++ b/route/budget.go
@@ -1,6 +1,9 @@
 package route
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // defaultCapacity is the capacity of a budget unless SetCapacity sets another.
 const defaultCapacity = 10
@@ -12,22 +15,36 @@
 	earlyShare = 0.6
 	// earlyCapacity is the capacity of a budget for early hedges.
 	earlyCapacity = 2
+	// chargeSpans is the number of spans that a window is divided into: extra sub-requests of one
+	// span expire together.
+	chargeSpans = 20
 )
 
 // Budget limits the extra sub-requests of a service, hedges and retries together, to a share
 // of the first sub-requests plus a constant, its capacity. The full capacity is available at
-// the start, unless SetCapacity starts it empty. It is safe for concurrent use.
+// the start, unless SetCapacity starts it empty. With a window, the limit applies to each span of
+// that length: the capacity that an extra sub-request has used becomes available again after it.
+// It is safe for concurrent use.
 type Budget struct {
 	// configured is the capacity set by SetCapacity; 0 stands for defaultCapacity.
 	configured float64
+	window     time.Duration
 
-	mu      sync.Mutex
-	spent   float64 // used part of the capacity
+	mu    sync.Mutex
+	spent float64 // used part of the capacity
+	// charges divides spent by time, the oldest first. It is used only with a window.
+	charges []charge
 	early   float64 // used part of earlyCapacity; early hedges count in spent too
 	sent    int64   // first sub-requests that are not credited yet
 	refused uint64
 }
 
+// charge is the part of the capacity that the extra sub-requests of one span have used.
+type charge struct {
+	at     time.Time
+	amount float64
+}
+
 // CountFirst records that a first sub-request was sent.
 func (b *Budget) CountFirst() {
 	b.mu.Lock()
@@ -37,54 +54,91 @@
 
 // Spend takes one extra sub-request from the budget and reports whether the budget allowed it.
 // The share is the ratio of extra to first sub-requests; 0 refuses all.
-func (b *Budget) Spend(share float64) bool {
+func (b *Budget) Spend(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire(now)
 	b.credit(share)
 	if share <= 0 || b.spent+1 > b.capacity() {
 		b.refused++
 		return false
 	}
-	b.spent++
+	b.charge(now, 1)
 	return true
 }
 
 // SpendEarly is Spend for the first hedge of a sub-request. It reserves some of the budget for
 // sub-requests that take even longer.
-func (b *Budget) SpendEarly(share float64) bool {
+func (b *Budget) SpendEarly(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire(now)
 	b.credit(share)
 	if share <= 0 || b.spent+1 > b.capacity() || b.early+1 > earlyCapacity {
 		b.refused++
 		return false
 	}
-	b.spent++
+	b.charge(now, 1)
 	b.early++
 	return true
 }
 
+// charge uses a part of the capacity.
+func (b *Budget) charge(now time.Time, amount float64) {
+	b.spent += amount
+	if b.window <= 0 {
+		return
+	}
+	if last := len(b.charges) - 1; last >= 0 && now.Sub(b.charges[last].at) < b.window/chargeSpans {
+		b.charges[last].amount += amount
+		return
+	}
+	b.charges = append(b.charges, charge{now, amount})
+}
+
+// release makes used capacity available again, that of the oldest charges first.
+func (b *Budget) release(amount float64) {
+	b.spent = max(0, b.spent-amount)
+	for len(b.charges) > 0 && amount > 0 {
+		oldest := &b.charges[0]
+		if oldest.amount > amount {
+			oldest.amount -= amount
+			return
+		}
+		amount -= oldest.amount
+		b.charges = b.charges[1:]
+	}
+}
+
+// expire releases what was charged more than a window ago.
+func (b *Budget) expire(now time.Time) {
+	for len(b.charges) > 0 && now.Sub(b.charges[0].at) >= b.window+b.window/chargeSpans {
+		b.release(b.charges[0].amount)
+	}
+}
+
 // credit adds the share of the first sub-requests that were sent since the last call.
 func (b *Budget) credit(share float64) {
 	if share <= 0 {
 		return
 	}
-	b.spent = max(0, b.spent-share*float64(b.sent))
+	b.release(share * float64(b.sent))
 	b.early = max(0, b.early-earlyShare*share*float64(b.sent))
 	b.sent = 0
 }
 
 // SetCapacity sets the number of extra sub-requests that the budget allows beyond its share in
-// any span of time. If empty is true, the first call leaves no capacity available, because the
-// previous process may have just used it.
-func (b *Budget) SetCapacity(capacity float64, empty bool) {
+// any span of the length of the window, or for good if the window is 0. If empty is true, the first
+// call leaves no capacity available, because the previous process may have just used it.
+func (b *Budget) SetCapacity(now time.Time, capacity float64, window time.Duration, empty bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.configured == 0 && empty {
-		b.spent = capacity
+	first := b.configured == 0
+	b.configured, b.window = capacity, window
+	if first && empty {
+		b.charge(now, capacity)
 	}
-	b.configured = capacity
-	b.spent = min(b.spent, capacity)
+	b.release(max(0, b.spent-capacity))
 }
 
 func (b *Budget) capacity() float64 {
--- a/route/budget_limit_test.go
+++ b/route/budget_limit_test.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -11,25 +13,81 @@
 func TestBudgetLimit(t *testing.T) {
 	is := is.New(t)
 	var b Budget
-	b.SetCapacity(4, true)
-	is.True(!b.Spend(0.5)) // the previous process may have used all of it
+	b.SetCapacity(time.Time{}, 4, 0, true)
+	is.True(!b.Spend(time.Time{}, 0.5)) // the previous process may have used all of it
 	for range 100 {
 		b.CountFirst()
 	}
 	granted := 0
-	for b.Spend(0.5) {
+	for b.Spend(time.Time{}, 0.5) {
 		granted++
 	}
 	is.Equal(granted, 4)
-	b.SetCapacity(2, true)
+	b.SetCapacity(time.Time{}, 2, 0, true)
 	b.CountFirst()
 	b.CountFirst()
-	is.True(b.Spend(0.5))  // credit for the two first sub-requests
-	is.True(!b.Spend(0.5)) // the smaller capacity applies at once
+	is.True(b.Spend(time.Time{}, 0.5))  // credit for the two first sub-requests
+	is.True(!b.Spend(time.Time{}, 0.5)) // the smaller capacity applies at once
 
 	var late Budget
-	late.SetCapacity(2, false)
-	is.True(late.Spend(0.5)) // there was no previous process
-	is.True(late.Spend(0.5))
-	is.True(!late.Spend(0.5))
+	late.SetCapacity(time.Time{}, 2, 0, false)
+	is.True(late.Spend(time.Time{}, 0.5)) // there was no previous process
+	is.True(late.Spend(time.Time{}, 0.5))
+	is.True(!late.Spend(time.Time{}, 0.5))
+}
+
+// Guards against a constant part that is used once and never available again, and against more
+// extra requests in any window than its limit, with random requests and pauses.
+func TestBudgetWindow(t *testing.T) {
+	const window, capacity, share = 10 * time.Second, 6.0, 0.2
+	start := time.Unix(100, 0)
+	t.Run("returns", func(t *testing.T) {
+		is := is.New(t)
+		var b Budget
+		spend := func(at time.Duration) (n int) {
+			for b.Spend(start.Add(at), share) {
+				n++
+			}
+			return n
+		}
+		b.SetCapacity(start, capacity, window, true)
+		is.Equal(spend(0), 0) // the previous process may have used it
+		is.Equal(spend(window), 0)
+		is.Equal(spend(window+window/chargeSpans), 6)
+		is.Equal(spend(2*window), 0)
+		is.Equal(spend(2*window+window/chargeSpans), 0)
+		is.Equal(spend(3*window), 6)
+	})
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		var b Budget
+		b.SetCapacity(start, capacity, window, false)
+		var firsts, extras []time.Time
+		for now := start; now.Sub(start) < 2*time.Minute; now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond) {
+			if rng.IntN(2) == 0 {
+				b.CountFirst()
+				firsts = append(firsts, now)
+			}
+			if rng.IntN(3) > 0 && b.Spend(now, share) {
+				extras = append(extras, now)
+				from := now.Add(-window)
+				if n, limit := after(extras, from), share*after(firsts, from)+capacity; n > limit+1e-9 {
+					t.Fatalf("seed %d: %v extra requests in the window before %s, the limit is %v", seed, n, now.Sub(start), limit)
+				}
+			}
+		}
+		if len(extras) < 60 {
+			t.Errorf("seed %d: only %d extra requests", seed, len(extras))
+		}
+	}
+}
+
+// after returns how many of the times, which are in order, are after the given one.
+func after(times []time.Time, from time.Time) float64 {
+	for i := len(times); i > 0; i-- {
+		if !times[i-1].After(from) {
+			return float64(len(times) - i)
+		}
+	}
+	return float64(len(times))
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -189,7 +189,7 @@
 					b.CountFirst()
 					sent++
 				}
-				if b.Spend(share) {
+				if b.Spend(time.Time{}, share) {
 					extra++
 				}
 				is.True(float64(extra) <= share*float64(sent)+defaultCapacity)
@@ -251,17 +251,17 @@
 	early := 0
 	for range 2000 {
 		b.CountFirst()
-		if b.SpendEarly(share) {
+		if b.SpendEarly(time.Time{}, share) {
 			early++
 		}
 	}
 	is.True(float64(early) <= earlyShare*share*2000+earlyCapacity)
 	is.True(float64(early) >= earlyShare*share*2000-1)
 	for range defaultCapacity {
-		is.True(b.Spend(share)) // the rest is reserved for sub-requests that take longer
+		is.True(b.Spend(time.Time{}, share)) // the rest is reserved for sub-requests that take longer
 	}
-	is.True(!b.Spend(share))
-	is.True(!b.SpendEarly(share))
+	is.True(!b.Spend(time.Time{}, share))
+	is.True(!b.SpendEarly(time.Time{}, share))
 }
 
 // TestHedgeAfter guards against hedges without enough samples, hedges while the whole service
--- a/route/run_test.go
+++ b/route/run_test.go
@@ -62,7 +62,7 @@
 	budget.CountFirst()
 	var send func()
 	sendExtra := func() {
-		if !done && s.now-began < queryDeadline && budget.Spend(budgetShare) {
+		if !done && s.now-began < queryDeadline && budget.Spend(time.Time{}, budgetShare) {
 			s.extraSent++
 			send()
 		}
