Leave out only as many shards as a response can spare

Cause: several attempts that wait for busy targets count as slow in the same step, and each of them was withdrawn although the response could spare fewer: the results of withdrawn attempts, by which omitted shards were counted, arrive only later. Change: a shard counts as omitted when its attempt is withdrawn, once, and no longer if another attempt succeeds. Result: TestOnlySpareShardsAreOmitted; without omit 20 of 20 shards would be left out.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -46,7 +46,8 @@
 type connection struct {
 	raw  *countingConn
 	conn net.Conn // raw, or TLS over raw
-	// socket is the socket of raw; nil if it has none that can be read directly.
+	// socket is the socket of raw; nil if it can't be read directly, because of socketErr or
+	// because raw has none.
 	socket    syscall.RawConn
 	socketErr error
 	reader    *bufio.Reader
--- a/limit/do.go
+++ b/limit/do.go
@@ -60,16 +60,16 @@
 		}
 	}
 	req, before := encoded.Request, c.raw.written
-	watch := c.watch(ctx)
+	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
-		if watch.stop() {
+		if w.stop() {
 			err = ctx.Err()
 		}
 		permit.target.discard(c)
 		return nil, &LostError{Sent: c.raw.written > before, Err: err}
 	}
 	err = c.readHeader(req)
-	interrupted := watch.stop()
+	interrupted := w.stop()
 	if err != nil {
 		return nil, p.handleHeaderError(ctx, permit, c, req, err, interrupted)
 	}
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -24,6 +24,8 @@
 	// hedgeAt is the time at which the newest attempt counts as slow; zero if that would have
 	// no further effect.
 	hedgeAt time.Time
+	// omitted is true if the response omits the shard unless an attempt in flight succeeds.
+	omitted bool
 	// done is true if last is the final result of the fetch.
 	done bool
 	last result
@@ -92,6 +94,7 @@
 	case len(f.j.route.Shards) > 0 && f.canOmitOne() && newest.withdraw():
 		// All targets of the shard are busy. The response omits the shard: a longer queue would
 		// only add delay.
+		f.omit()
 	case newest.state.Load() == waiting:
 		f.hedgeAt = now.Add(f.hedge) // another target may have room by then
 	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts && f.takeBudget():
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -20,7 +20,8 @@
 	fetches []fetch
 	// pending counts the fetches that are not done.
 	pending int
-	// failed counts the fetches that have ended without a reply.
+	// failed counts the fetches that have ended without a reply, or are about to because they are
+	// omitted.
 	failed int
 	// unreturned holds the fetches that are done and that next has not returned yet.
 	unreturned []*fetch
@@ -90,14 +91,25 @@
 	g.unreturned = append(g.unreturned, f)
 	before := g.inTail()
 	g.pending--
-	if !f.last.succeeded() {
+	switch failed := !f.last.succeeded(); {
+	case failed && !f.omitted:
 		g.failed++
+	case !failed && f.omitted:
+		g.failed--
 	}
 	if !before && g.inTail() {
 		g.advanceHedges()
 	}
 }
 
+// omit records that the response omits the shard of the fetch.
+func (f *fetch) omit() {
+	if !f.omitted {
+		f.omitted = true
+		f.failed++
+	}
+}
+
 // canOmitOne reports whether the response is still possible if one more fetch fails. It answers the
 // load of requests to shards of which all replicas are overloaded: a response without one of them
 // is better than a late one, but a late one is better than none.
--- a/relay/omit_test.go
+++ b/relay/omit_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 
 	"wasabirelay/limit"
+	"wasabirelay/route"
+	"wasabirelay/routing"
 )
 
 // narrow lets the target process one request at a time.
@@ -60,6 +62,33 @@
 	}
 }
 
+// Guards against responses that fail because several shards were left out at the same moment,
+// although only some of them may be missing.
+func TestOnlySpareShardsAreOmitted(t *testing.T) {
+	is := is.New(t)
+	j := &job{route: &routing.Route{MinShardFraction: 0.9, Shards: make([]string, 20)}} // 2 may be missing
+	g := &fetchGroup{Service: &Service{}, j: j, fetches: make([]fetch, 20), pending: 20}
+	omitted := 0
+	for i := range g.fetches {
+		f := &g.fetches[i]
+		f.fetchGroup = g
+		if g.canOmitOne() { // before the result of any withdrawn attempt has arrived
+			f.omit()
+			f.omit()
+			omitted++
+		}
+	}
+	is.Equal(omitted, 2)
+	first := &g.fetches[0]
+	first.done = true
+	g.queueIfDone(first)
+	is.True(!g.canOmitOne()) // it is counted once
+	second := &g.fetches[1]
+	second.done, second.last = true, result{outcome: route.Success, response: &limit.Response{}}
+	g.queueIfDone(second)
+	is.True(g.canOmitOne()) // an attempt in flight has succeeded after all
+}
+
 // Guards against a caller that waits for other shards although its request can't be served any
 // more.
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
