Mend three faults that reading the code had shown

Result: TestRenewalsFollowTheLease, TestNoControlHosts and TestFaultsAreInOrder fail without the change.

--- a/host/control.go
+++ b/host/control.go
@@ -33,13 +33,16 @@
 	preferred int
 }
 
+// errNoControlHost is the cause if there is no control host to call.
+var errNoControlHost = errors.New("no control host is known")
+
 // call calls the control hosts in turn until one responds. It stops early if a failed
 // request may have had an effect. The error is that of the last attempt.
 func (c *ControlClient) call(ctx context.Context, timeout time.Duration, method string, params, result any) error {
 	c.mu.Lock()
 	first := c.preferred
 	c.mu.Unlock()
-	var lastErr error
+	var lastErr error = &peer.ConnectError{Err: errNoControlHost}
 	for i := range c.Clients {
 		n := (first + i) % len(c.Clients)
 		attempt, cancel := context.WithTimeout(ctx, timeout)
--- a/host/follower.go
+++ b/host/follower.go
@@ -119,7 +119,13 @@
 // Run follows the feed and renews the lease until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	go f.subscribe(ctx)
-	ticker := f.Clock.NewTicker(f.renewInterval())
+	return f.handleEvents(ctx)
+}
+
+// handleEvents handles events and renews the lease until ctx ends.
+func (f *Follower) handleEvents(ctx context.Context) error {
+	interval := f.renewInterval()
+	ticker := f.Clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -130,6 +136,10 @@
 		case <-ticker.Chan():
 		}
 		f.tick(ctx)
+		if next := f.renewInterval(); next != interval { // operators have changed the lease
+			interval = next
+			ticker.Reset(interval)
+		}
 	}
 }
 
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -187,3 +187,39 @@
 	is.True(err != nil) // A refusal does not grant a lease.
 	is.Equal(f.ServingHosts(), []string{"h1", "h2"})
 }
+
+// Guards against a call that counts as successful although there is no control host to call.
+func TestNoControlHosts(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := (&ControlClient{}).Propose(ctx, control.Command{})
+	var d *problem.Details
+	is.True(errors.As(err, &d))
+	is.Equal(d.Executed, problem.None)
+}
+
+// Guards against leases that end between two renewals after operators have shortened them: the
+// interval followed the lease only from the next start.
+func TestRenewalsFollowTheLease(t *testing.T) {
+	is := is.New(t)
+	var renewals atomic.Int32
+	f := newFollower()
+	clock := clockwork.NewFakeClock()
+	f.Clock = clock
+	f.Control = &ControlClient{Clients: []*peer.Client{serve(t, map[string]peer.Handler{quorum.MethodRenew: func(context.Context, *peer.Conn, json.RawMessage) (any, error) {
+		renewals.Add(1)
+		return nil, &peer.RemoteError{Code: peer.CodeUnavailable, Message: "refused"}
+	}})}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = f.handleEvents(ctx) }() // without a feed, which sends further events
+	document := &inventory.Document{}
+	document.Rules.Lease.Duration = 250 * time.Millisecond
+	f.enqueue(ctx, func() { f.view.Store(&control.View{Inventory: document}) })
+	for range 20 {
+		time.Sleep(10 * time.Millisecond) // the renewal before is answered
+		clock.Advance(document.Rules.Lease.Duration / renewalsPerLease)
+	}
+	is.True(renewals.Load() >= 10)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -116,7 +117,8 @@
 
 func checkControl(s *document.Source, v *Settings) {
 	s.Require(len(v.ControlAddresses) > 0, "the peer address of at least one control host", "control")
-	for name, address := range v.ControlAddresses {
+	for _, name := range slices.Sorted(maps.Keys(v.ControlAddresses)) {
+		address := v.ControlAddresses[name]
 		s.Require(address.IsValid() && address.Port() != 0, "an IP address with a port", "control", name)
 	}
 	own, listed := v.ControlAddresses[v.Host]
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// Guards against faults whose order differs from run to run.
+func TestFaultsAreInOrder(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(validSettings, `"127.0.0.2:7201"`, `"127.0.0.2:0", "h3": "127.0.0.3:0", "h4": "127.0.0.4:0", "h5": "127.0.0.5:0"`, 1)
+	_, first := Parse("f", []byte(text))
+	is.True(first != nil)
+	for range 20 {
+		_, err := Parse("f", []byte(text))
+		is.Equal(err.Error(), first.Error())
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte(`{"host": [1, {"a": null}], // comment`))
