Divide requests to many shards among teams of hosts

Cause: a request to a target takes 68 us of a processor, so one to 90 shards occupies a host with 0.192 cores for 32 ms of an objective of 40 or 80 ms, and the replies of two fifths of the shards come from other data centres. Change: from 64 shards on, the active hosts of a data centre form teams that ask fixed groups of shards. A host leaves each group to one host of a team near its targets, which sends the signatures and the greatest records in frames as replies come in (package portion). At least a sixth of the entry hosts are active, so that teams are large enough before the load is known. Results that had arrived when a response was decided are used as well. Tried: other divisions and acknowledgements, see docs/PLATFORM.md.

--- a/exchange/active.go
+++ b/exchange/active.go
@@ -14,6 +14,9 @@
 	// with fewer entry hosts use all of them; in larger ones the loss of one host aborts the
 	// requests of at most a twentieth of the callers.
 	minActive = 20
+	// activeFraction is the minimum fraction of the entry hosts that callers are sent to: the number
+	// is then about right before the load is known, which it is only seconds after the start.
+	activeFraction = 1.0 / 6
 	// maxHostLoad is the fraction of an active host's processor that relaying may take. A
 	// request to all shards occupies a small host for about 10 ms, and at a higher load such
 	// requests wait for each other; see docs/PLATFORM.md.
@@ -63,11 +66,12 @@
 	excessSince time.Time
 }
 
-// update returns the number of active hosts for the total load of all hosts, where 1 is the
+// update returns the number of active hosts of all entry hosts for their total load, where 1 is the
 // processor capacity of one host. The number grows at once and falls after shrinkAfter.
-func (s *sizer) update(now time.Time, load float64) int {
-	needed := max(minActive, int(math.Ceil(load/maxHostLoad)))
-	withHeadroom := max(minActive, int(math.Ceil(growFactor*load/maxHostLoad)))
+func (s *sizer) update(now time.Time, entries int, load float64) int {
+	least := max(minActive, int(math.Ceil(activeFraction*float64(entries))))
+	needed := max(least, int(math.Ceil(load/maxHostLoad)))
+	withHeadroom := max(least, int(math.Ceil(growFactor*load/maxHostLoad)))
 	switch {
 	case needed > s.count:
 		s.count, s.excessSince = withHeadroom, time.Time{}
--- a/exchange/active_test.go
+++ b/exchange/active_test.go
@@ -83,7 +83,7 @@
 	var s sizer
 	for _, step := range steps {
 		t.Run(fmt.Sprint(step.at), func(t *testing.T) {
-			is.New(t).Equal(s.update(at(step.at), step.load), step.want)
+			is.New(t).Equal(s.update(at(step.at), minActive, step.load), step.want)
 		})
 	}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -46,6 +46,9 @@
 	Peer netip.AddrPort `json:"peer,omitzero"`
 	// Caller is the address for callers. It is set on entry hosts.
 	Caller netip.AddrPort `json:"caller,omitzero"`
+	// Helper is the address for other entry hosts, which leave portions of requests to this one.
+	// It is set on entry hosts that take portions.
+	Helper netip.AddrPort `json:"helper,omitzero"`
 	// Draining is true if the host is shutting down and callers must not be sent to it.
 	Draining bool `json:"draining,omitempty"`
 }
--- a/exchange/members.go
+++ b/exchange/members.go
@@ -20,7 +20,7 @@
 		load += m.load
 	}
 	before := h.sizer.count
-	if after := h.sizer.update(now, load); after != before {
+	if after := h.sizer.update(now, h.entries, load); after != before {
 		h.Log.Info().Int("active", after).Int("before", before).Float64("load", load).Msg("number of active entry hosts changed")
 		h.selectHosts()
 	}
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -42,7 +42,7 @@
 		div.hosts = append(div.hosts, fmt.Sprintf("h%02d", i))
 	}
 	for b.Loop() {
-		v.Avoid = e.avoidedTargets(v, len(div.hosts))
+		v.Avoid = e.avoidedTargets(v, &div)
 		e.connectionShares(v, &div)
 	}
 }
--- a/node/division.go
+++ b/node/division.go
@@ -36,11 +36,39 @@
 type division struct {
 	// hosts are the active hosts, the recently active ones, and this host.
 	hosts []string
+	// selected are the hosts that callers are sent to.
+	selected []exchange.Host
 	// active is true if callers are, or recently were, sent to this host. It is false until
 	// the list of hosts is synced: with too few hosts known, each would count as active.
 	active bool
 	// share is this host's share of resources that are divided evenly.
 	share float64
+	// askers holds the hosts that ask a service, for services that only some hosts ask. former are
+	// the hosts that were active recently, but are not now: they may have used shares of any.
+	askers map[string][]string
+	former []string
+	// entries is the number of all entry hosts.
+	entries int
+}
+
+// hostsOf returns the hosts that share the connections of the targets of a service and the limits
+// on requests to it. member is true if this host is one of them.
+func (d *division) hostsOf(service, self string) (hosts []string, member bool) {
+	askers, divided := d.askers[service]
+	if !divided {
+		return d.hosts, true
+	}
+	return slices.Concat(askers, d.former), slices.Contains(askers, self)
+}
+
+// serviceShares returns this host's share of the limits of the services that only some hosts ask.
+func (d *division) serviceShares(self string) map[string]float64 {
+	shares := make(map[string]float64, len(d.askers))
+	for service := range d.askers {
+		hosts, member := d.hostsOf(service, self)
+		shares[service] = hostShare(len(hosts), max(1, d.entries-len(hosts)), member)
+	}
+	return shares
 }
 
 // divide computes the division among the hosts that are currently known.
@@ -58,7 +86,14 @@
 	if !self {
 		count--
 	}
-	return division{hosts: names, active: self && synced, share: hostShare(count, others, self)}
+	selected := map[string]bool{e.Settings.Host: true}
+	for i := range active {
+		selected[active[i].Name] = true
+	}
+	former := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return selected[name] })
+	return division{
+		former: former, hosts: names, selected: active, active: self && synced, share: hostShare(count, others, self), entries: e.client.EntryCount(),
+	}
 }
 
 // recentlyActive returns the names of the active hosts and of those that were active within
@@ -97,22 +132,28 @@
 // connectionShares divides the connections of all targets among the hosts and returns the
 // shares of this host by target name.
 func (e *Entry) connectionShares(v *relay.View, d *division) map[string]limit.Share {
-	var all []*control.Target
+	out := make(map[string]limit.Share, len(v.Targets))
 	for service, list := range v.Targets {
 		s := v.Routing.Service(service)
+		if s == nil {
+			continue
+		}
+		hosts, member := d.hostsOf(service, e.Settings.Host)
 		for _, t := range list {
-			if s != nil {
-				t.Connections = usableConnections(s.Connections, len(d.hosts))
-				all = append(all, t)
+			t.Connections = usableConnections(s.Connections, len(hosts))
+		}
+		counts := limit.Shares(hosts, e.Settings.Host, list)
+		for _, t := range list {
+			n := counts[t.Name]
+			if !member { // for portions that no other host takes
+				n = min(1, t.Connections)
+			}
+			out[t.Name] = limit.Share{
+				Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warmConnections(v, d, t, member), n),
+				CloseAfterUse: !d.active || !member, CapAtWarm: true,
 			}
 		}
 	}
-	counts := limit.Shares(d.hosts, e.Settings.Host, all)
-	out := make(map[string]limit.Share, len(all))
-	for _, t := range all {
-		n := counts[t.Name]
-		out[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warmConnections(v, d, t), n), CloseAfterUse: !d.active, CapAtWarm: true}
-	}
 	return out
 }
 
@@ -126,11 +167,12 @@
 // avoidedTargets returns the targets that this host leaves to other hosts. If the targets of a
 // service accept few connections, the host uses only subsetSize of them: nearby ones first,
 // the rest chosen by rendezvous hashing, so that the hosts spread over the targets.
-func (e *Entry) avoidedTargets(v *relay.View, hosts int) map[string]bool {
+func (e *Entry) avoidedTargets(v *relay.View, d *division) map[string]bool {
 	out := map[string]bool{}
 	for service, list := range v.Targets {
 		s := v.Routing.Service(service)
-		if s == nil || len(list) <= subsetSize || s.Connections >= minConnectionsPerHost*hosts {
+		hosts, _ := d.hostsOf(service, e.Settings.Host)
+		if s == nil || len(list) <= subsetSize || s.Connections >= minConnectionsPerHost*len(hosts) {
 			continue
 		}
 		ranked := slices.Clone(list)
@@ -161,9 +203,9 @@
 
 // warmConnections returns the number of connections to open ahead of use: one to each target
 // that may get requests, so that a hedge does not wait for a new connection. A host that
-// callers are not sent to opens none.
-func (e *Entry) warmConnections(v *relay.View, d *division, t *control.Target) int {
-	if d.active && t.State == control.Warm && !v.Avoid[t.Name] {
+// callers are not sent to opens none, and no host opens any to targets that other hosts ask.
+func (e *Entry) warmConnections(v *relay.View, d *division, t *control.Target, member bool) int {
+	if d.active && member && t.State == control.Warm && !v.Avoid[t.Name] {
 		return 1
 	}
 	return 0
--- a/node/division_test.go
+++ b/node/division_test.go
@@ -29,9 +29,10 @@
 		return &relay.View{Routing: routing.NewTable(d), Targets: map[string][]*control.Target{"s": targets}}
 	}
 	used := map[string]int{}
+	all := &division{hosts: make([]string, hosts)}
 	for i := range hosts {
 		e := entryHost(fmt.Sprintf("h%d", i), fmt.Sprintf("c%d", i%3))
-		spare := e.avoidedTargets(view(minConnectionsPerHost*hosts-1), hosts)
+		spare := e.avoidedTargets(view(minConnectionsPerHost*hosts-1), all)
 		is.Equal(len(spare), len(targets)-subsetSize)
 		is.True(!spare[fmt.Sprintf("t%d", i%3)])
 		for _, target := range targets {
@@ -39,13 +40,13 @@
 				used[target.Name]++
 			}
 		}
-		is.Equal(len(e.avoidedTargets(view(minConnectionsPerHost*hosts), hosts)), 0)
+		is.Equal(len(e.avoidedTargets(view(minConnectionsPerHost*hosts), all)), 0)
 	}
 	for _, n := range used {
 		is.True(n > hosts/3 && n < hosts)
 	}
 	targets[0].State = control.Cold
-	is.True(entryHost("h0", "c0").avoidedTargets(view(1), hosts)["t0"]) // a nearby cold target ranks last
+	is.True(entryHost("h0", "c0").avoidedTargets(view(1), all)["t0"]) // a nearby cold target ranks last
 }
 
 // Guards against hosts that together exceed a shared limit, and against a small deployment
@@ -81,9 +82,9 @@
 	e := entryHost("h0", "c0")
 	v := &relay.View{}
 	target := &control.Target{Name: "t0", State: control.Warm}
-	is.Equal(e.warmConnections(v, &division{active: true}, target), 1)
-	is.Equal(e.warmConnections(v, &division{}, target), 0)
-	is.Equal(e.warmConnections(&relay.View{Avoid: map[string]bool{"t0": true}}, &division{active: true}, target), 0)
+	is.Equal(e.warmConnections(v, &division{active: true}, target, true), 1)
+	is.Equal(e.warmConnections(v, &division{}, target, true), 0)
+	is.Equal(e.warmConnections(&relay.View{Avoid: map[string]bool{"t0": true}}, &division{active: true}, target, true), 0)
 }
 
 // Guards against hosts that all count themselves as active because the list of hosts is not
--- a/node/entry.go
+++ b/node/entry.go
@@ -14,6 +14,7 @@
 	"wasabirelay/exchange"
 	"wasabirelay/limit"
 	"wasabirelay/move"
+	"wasabirelay/portion"
 	"wasabirelay/quorum"
 	"wasabirelay/relay"
 	"wasabirelay/route"
@@ -55,6 +56,10 @@
 	view     atomic.Pointer[relay.View]
 	moves    atomic.Pointer[control.View]
 	evidence move.Collector
+	// helpers are the other hosts that take portions of requests, portions are those that this
+	// host collects for others.
+	helpers  portion.Helpers
+	portions portion.Server
 	// wake requests a new view.
 	wake chan struct{}
 	// firstView is closed when the first view is in force.
@@ -71,6 +76,8 @@
 	// that could not be decoded. Both belong to the goroutine of maintainView.
 	routingTable    *routing.Table
 	rejectedVersion uint64
+	// shardLists holds the different lists of shards in the routes of routingTable.
+	shardLists [][]string
 }
 
 // Run serves until stop is done, then shuts down gracefully. It returns at once when ctx is
@@ -100,6 +107,11 @@
 			*l.server = server
 		}
 	}
+	if e.Settings.Peer.IsValid() {
+		if err := e.servePeers(ctx, g, e.portions.Handlers()); err != nil {
+			return err
+		}
+	}
 	g.Go(func() error { return e.client.Run(ctx) })
 	g.Go(func() error { return e.maintainView(ctx) })
 	g.Go(func() error { return e.reportEvidence(ctx) })
@@ -133,6 +145,11 @@
 		},
 	}
 	e.pool.CheckReply = e.relay.CheckReply
+	e.helpers = portion.Helpers{Clock: e.Clock, Log: e.Log, DialTimeout: exchange.DialTimeout}
+	e.portions = portion.Server{Collect: e.relay.Collect, Log: e.Log}
+	if e.Settings.Peer.IsValid() {
+		e.relay.Delegate, e.relay.HelpersEpoch = e.helpers.Collect, e.helpers.Epoch
+	}
 	if !e.Settings.Bootstrap {
 		e.relay.BudgetsEmptyUntil = e.Clock.Now().Add(e.Settings.RetryWindow)
 	}
@@ -141,7 +158,8 @@
 // self returns what this host reports about itself to the control hosts.
 func (e *Entry) self() exchange.Host {
 	return exchange.Host{
-		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start(), Caller: e.Settings.Caller, Draining: e.draining.Load(),
+		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start(), Caller: e.Settings.Caller, Helper: e.Settings.Peer,
+		Draining: e.draining.Load(),
 	}
 }
 
@@ -193,11 +211,14 @@
 	if table == nil {
 		return next
 	}
-	v := &relay.View{Routing: table, Targets: targets, Out: map[string]bool{}, Moves: state.Moves, Share: d.share}
+	v := &relay.View{
+		Routing: table, Targets: targets, Out: map[string]bool{}, Moves: state.Moves, Share: d.share,
+	}
 	for _, centre := range state.Out {
 		v.Out[centre] = true
 	}
-	v.Avoid = e.avoidedTargets(v, len(d.hosts))
+	e.divideRequests(v, &d)
+	v.Avoid = e.avoidedTargets(v, &d)
 	e.pool.SetShares(e.connectionShares(v, &d))
 	live := map[string]bool{}
 	for _, list := range targets {
@@ -259,7 +280,7 @@
 		e.Log.Error().Err(err).Uint64("version", r.Version).Msg("failed to decode the routing document; the previous one stays in force")
 		return e.routingTable
 	}
-	e.routingTable = routing.NewTable(d)
+	e.routingTable, e.shardLists = routing.NewTable(d), d.ShardLists()
 	e.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Msg("routing document in force")
 	return e.routingTable
 }
@@ -301,6 +322,7 @@
 			e.Log.Warn().Err(err).Msg("graceful shutdown: requests were still running")
 		}
 	}
+	e.portions.Drain(shutdownCtx)
 	e.pool.Close()
 	e.Log.Info().Msg("graceful shutdown: done")
 }
--- /dev/null
+++ b/portion/server.go
@@ -0,0 +1,124 @@
+package portion
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"wasabirelay/peer"
+)
+
+// Server collects portions for other hosts. Exported fields are set before use. It is safe for
+// concurrent use.
+type Server struct {
+	// Collect collects the replies of a portion until ctx ends. It passes frames to send as they
+	// are due and returns the last one.
+	Collect func(ctx context.Context, r *Request, send func(*Frame)) *Frame
+	Log     zerolog.Logger
+
+	mu      sync.Mutex
+	running map[collectionKey]context.CancelFunc
+	// closed is true once new portions are refused. idle is closed when the last one has ended.
+	closed bool
+	idle   chan struct{}
+}
+
+// collectionKey identifies a portion in progress: IDs are unique per connection.
+type collectionKey struct {
+	conn *peer.Conn
+	id   uint64
+}
+
+// Handlers returns the handlers of the methods of this package.
+func (s *Server) Handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{MethodCollect: s.collect, MethodCancel: s.cancel}
+}
+
+func (s *Server) collect(ctx context.Context, conn *peer.Conn, params json.RawMessage) (any, error) {
+	var r Request
+	if err := peer.Decode(params, &r); err != nil {
+		return nil, err
+	}
+	if err := r.Check(); err != nil {
+		return nil, &peer.RemoteError{Code: peer.CodeInvalidParams, Message: err.Error()}
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	key := collectionKey{conn, r.ID}
+	if !s.begin(key, cancel) {
+		return &Frame{ID: r.ID, Refused: "this host shuts down", Last: true}, nil
+	}
+	defer s.end(key)
+	go func() { // nobody needs the replies once the connection is lost
+		select {
+		case <-conn.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	last := s.Collect(ctx, &r, func(f *Frame) {
+		f.ID = r.ID
+		if err := conn.Notify(ctx, MethodFrame, f); err != nil {
+			s.Log.Debug().Err(err).Msg("failed to send a frame of a portion")
+			cancel()
+		}
+	})
+	last.ID, last.Last = r.ID, true
+	return last, nil
+}
+
+func (s *Server) cancel(_ context.Context, conn *peer.Conn, params json.RawMessage) (any, error) {
+	var r cancelRequest
+	if err := peer.Decode(params, &r); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel := s.running[collectionKey{conn, r.ID}]; cancel != nil {
+		cancel()
+	}
+	return nil, nil
+}
+
+// begin registers a portion. It reports false if new portions are refused.
+func (s *Server) begin(key collectionKey, cancel context.CancelFunc) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if s.running == nil {
+		s.running = map[collectionKey]context.CancelFunc{}
+	}
+	s.running[key] = cancel
+	return true
+}
+
+func (s *Server) end(key collectionKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, key)
+	if s.closed && len(s.running) == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// Drain refuses new portions and waits until the last one has ended or ctx ends.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.closed = true
+	if len(s.running) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	idle := make(chan struct{})
+	s.idle = idle
+	s.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -28,8 +28,7 @@
 	if view == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no routing document is known yet", retry: retryAfter}
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	rt := view.Routing.Match(r.Host, path)
+	rt := view.Routing.Match(r.Host, pathOf(r.RequestURI))
 	if rt == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route matches"}
 	}
@@ -42,12 +41,21 @@
 		refused.route = rt.Name
 		return nil, refused
 	}
-	j := &job{Request: r, body: body, id: id, view: view, route: rt, started: started}
+	j := &job{Request: r, body: body, id: id, view: view, route: rt, started: started, spare: spareShards(rt)}
 	j.partialAfter = started.Add(rt.Objective - margin(r))
 	j.deadline = started.Add(s.timeout(r, rt) - endMargin)
 	return j, nil
 }
 
+// pathOf returns the path of a request URI.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
+
+// spareShards returns the number of shards that a response can do without.
+func spareShards(r *routing.Route) int { return len(r.Shards) - r.RequiredShards() }
+
 // awaitView returns the current view. Directly after the start of this host it waits for the
 // first one: that arrives sooner than a retry of the caller would.
 func (s *Service) awaitView(r *http.Request) *View {
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -70,7 +70,7 @@
 // begin starts the first attempt.
 func (f *fetch) begin(now time.Time) {
 	f.budget = f.Table.Budget(f.service)
-	f.budget.SetCapacity(now, f.RetrySlack*f.j.view.Share, f.RetryWindow, f.j.started.Before(f.BudgetsEmptyUntil))
+	f.budget.SetCapacity(now, f.RetrySlack*f.j.view.share(f.service), f.RetryWindow, f.j.started.Before(f.BudgetsEmptyUntil))
 	f.budget.CountFirst()
 	f.last = result{service: f.service, err: errNoTarget}
 	if !f.startNext() {
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"wasabirelay/portion"
 )
 
 // fetchGroup runs the fetches of one request, one for each service that it needs a reply from.
@@ -21,8 +23,17 @@
 	// pending counts the fetches that are not done.
 	pending int
 	// failed counts the fetches that have ended without a reply, or are about to because they are
-	// omitted.
-	failed int
+	// omitted. spare is how many of them the response can do without.
+	failed, spare int
+	// delegations are the portions that other hosts collect, delegated counts the shards in them
+	// that are not reported yet.
+	delegations []*delegation
+	delegated   int
+	frames      chan delegationEvent
+	// portionsChanged is true if next has not returned portionChanged since the last change.
+	portionsChanged bool
+	// received holds the replies so far.
+	received gathered
 	// unreturned holds the fetches that are done and that next has not returned yet.
 	unreturned []*fetch
 	results    chan *result
@@ -39,6 +50,8 @@
 const (
 	// fetchEnded means that a fetch is done.
 	fetchEnded event = iota
+	// portionChanged means that another host has sent replies of its portion, or that it has ended.
+	portionChanged
 	// cutoffReached means that the cutoff has been reached.
 	cutoffReached
 	// requestEnded means that the deadline has been reached or the caller has left.
@@ -56,27 +69,44 @@
 // idleTimer is the initial duration of a timer that nothing waits for yet.
 const idleTimer = time.Hour
 
-// startFetches starts a fetch from each of the services. The caller stops the group when ctx
-// ends.
-func (s *Service) startFetches(ctx context.Context, j *job, services []string) *fetchGroup {
+// startFetches starts the fetches of this host and leaves the portions of the plan to others. The
+// caller stops the group when ctx ends.
+func (s *Service) startFetches(ctx context.Context, j *job, plan *portion.Plan) *fetchGroup {
+	total := plan.Count()
 	g := &fetchGroup{
-		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), hedge: s.hedgeDelay(j),
-		fetches: make([]fetch, len(services)), results: make(chan *result, len(services)), timer: s.Clock.NewTimer(idleTimer),
+		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), hedge: s.hedgeDelay(j), spare: j.spare,
+		// Fetches must not move: each shard has at most one.
+		fetches: make([]fetch, 0, total), results: make(chan *result, total), timer: s.Clock.NewTimer(idleTimer),
 	}
-	g.pending = len(services)
+	left := g.delegate(plan.Portions, total)
 	now := s.Clock.Now()
-	for i, service := range services {
-		f := &g.fetches[i]
-		f.fetchGroup, f.service = g, service
-		f.begin(now)
-		g.queueIfDone(f)
+	for _, service := range plan.Own {
+		g.startFetch(service, now)
+	}
+	for _, service := range left {
+		g.startFetch(service, now)
 	}
 	return g
 }
 
+// startFetch starts to fetch from a service.
+func (g *fetchGroup) startFetch(service string, now time.Time) {
+	g.fetches = append(g.fetches, fetch{fetchGroup: g, service: service})
+	g.pending++
+	f := &g.fetches[len(g.fetches)-1]
+	f.begin(now)
+	g.queueIfDone(f)
+}
+
+// complete reports whether the results of all shards have been returned.
+func (g *fetchGroup) complete() bool {
+	return g.pending == 0 && g.delegated == 0 && len(g.unreturned) == 0
+}
+
 // stop cancels the attempts that are still in flight; the pool waits for their replies.
 func (g *fetchGroup) stop() {
 	g.timer.Stop()
+	g.cancelDelegations()
 	for i := range g.fetches {
 		for _, a := range g.fetches[i].attempts {
 			a.end()
@@ -113,9 +143,7 @@
 // canOmitOne reports whether the response is still possible if one more fetch fails. It answers the
 // load of requests to shards of which all replicas are overloaded: a response without one of them
 // is better than a late one, but a late one is better than none.
-func (g *fetchGroup) canOmitOne() bool {
-	return len(g.fetches)-g.failed-1 >= g.j.route.RequiredShards()
-}
+func (g *fetchGroup) canOmitOne() bool { return g.failed+1 <= g.spare }
 
 // inTail reports whether only few of the replies are left.
 func (g *fetchGroup) inTail() bool { return float64(g.pending) <= tailShare*float64(len(g.fetches)) }
@@ -142,15 +170,22 @@
 			g.unreturned = g.unreturned[:n-1]
 			return &f.last, fetchEnded
 		}
+		if g.portionsChanged {
+			g.portionsChanged = false
+			return nil, portionChanged
+		}
 		g.arm(cutoff)
 		select {
 		case r := <-g.results:
 			g.handleResult(r)
+		case e := <-g.frames:
+			g.handleFrame(&e)
 		case <-g.timer.Chan():
 			g.timerAt = time.Time{}
 			g.handleReceived() // replies that are here already need no hedge
 			now := g.Clock.Now()
 			g.handleSlow(now)
+			g.handleSilence(now)
 			if !cutoff.IsZero() && !now.Before(cutoff) {
 				return nil, cutoffReached
 			}
@@ -168,6 +203,11 @@
 			next = due
 		}
 	}
+	for _, d := range g.delegations {
+		if !d.done && !d.silentAt.IsZero() && (next.IsZero() || d.silentAt.Before(next)) {
+			next = d.silentAt
+		}
+	}
 	if next.IsZero() || next.Equal(g.timerAt) {
 		return // a timer that fires for an outdated time has no effect
 	}
@@ -183,12 +223,14 @@
 	}
 }
 
-// handleReceived handles the results that have arrived.
+// handleReceived handles the results and frames that have arrived.
 func (g *fetchGroup) handleReceived() {
 	for {
 		select {
 		case r := <-g.results:
 			g.handleResult(r)
+		case e := <-g.frames:
+			g.handleFrame(&e)
 		default:
 			return
 		}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -8,10 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"wasabirelay/limit"
-	"wasabirelay/route"
+	"wasabirelay/portion"
 )
 
 // gather serves a request with the replies of one target of each shard. It responds when the
@@ -26,83 +24,43 @@
 		})
 		return
 	}
-	parts, failed := s.collect(ctx, j)
-	if len(parts) >= j.route.RequiredShards() {
-		s.writeMerged(w, j, parts, failed)
+	required, shards := j.route.RequiredShards(), len(j.route.Shards)
+	c := s.collect(ctx, j, s.planOf(j), []time.Time{j.partialAfter}, func(c *gathered, passed int) bool {
+		enough, possible := len(c.signatures) >= required, shards-len(c.failed) >= required
+		return passed > 0 && enough || !possible // if it is not possible any more, the caller is told at once
+	})
+	if len(c.signatures) >= required {
+		s.writeMerged(w, j, c)
 		return
 	}
 	if j.Context().Err() != nil {
 		s.recordCallerLeft(j)
 		return
 	}
-	s.refuseIncomplete(w, j, len(parts) > 0, failed)
+	s.refuseIncomplete(w, j, c)
 }
 
-// errPending is the error of a shard that has not replied when the response is sent.
-var errPending = errors.New("no reply yet")
-
-// collect fetches from all shards. It returns the replies as parts, and the results of the
-// shards that have failed or not replied.
-func (s *Service) collect(ctx context.Context, j *job) (parts, failed []result) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	g := s.startFetches(ctx, j, j.route.Shards)
-	defer g.stop()
-	cutoff := j.partialAfter
-	for pending := len(j.route.Shards); pending > 0; {
-		r, event := g.next(cutoff)
-		switch {
-		case event == cutoffReached:
-			cutoff = time.Time{}
-		case event == requestEnded:
-			pending = 0
-		case r.succeeded():
-			parts = append(parts, *r)
-			pending--
-		default:
-			failed = append(failed, *r)
-			pending--
-		}
-		enough := len(parts) >= j.route.RequiredShards()
-		possible := len(j.route.Shards)-len(failed) >= j.route.RequiredShards()
-		if cutoff.IsZero() && enough || !possible {
-			break // if it is not possible any more, the caller is told at once
-		}
-	}
-	for i := range g.fetches {
-		if f := &g.fetches[i]; !f.done {
-			failed = append(failed, result{service: f.service, outcome: route.TimedOut, ran: true, err: errPending})
-		}
-	}
-	return parts, failed
-}
-
-// writeMerged merges the parts and sends the response.
-func (s *Service) writeMerged(w http.ResponseWriter, j *job, parts, failed []result) {
-	bodies := make([][]byte, len(parts))
-	signatures := make([]string, len(parts))
-	for i := range parts {
-		bodies[i] = parts[i].response.Body
-		signatures[i] = parts[i].response.Header.Get(s.Headers.Signature)
-	}
-	missing := len(j.route.Shards) - len(parts)
-	body := merge(bodies, j.route.ResultLimit)
+// writeMerged merges the replies and sends the response.
+func (s *Service) writeMerged(w http.ResponseWriter, j *job, c *gathered) {
+	missing := len(j.route.Shards) - len(c.signatures)
+	body := merge(c.bodies, j.route.ResultLimit)
 	h := w.Header()
 	h.Set(s.Headers.Request, j.id)
-	h.Set(s.Headers.Parts, strings.Join(signatures, ", "))
+	h.Set(s.Headers.Parts, strings.Join(c.signatures, ", "))
 	h.Set(s.Headers.Missing, strconv.Itoa(missing))
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(body) // an error means that the caller has left
-	s.recordResponse(j, http.StatusOK, missing, extraAttempts(parts)+extraAttempts(failed), failed)
+	s.recordResponse(j, http.StatusOK, missing, c.extra, c.failed)
 }
 
-// refuseIncomplete refuses a request that too few shards have replied to. ran is true if any of
-// them has: only a request that no target has executed is reported as not run.
-func (s *Service) refuseIncomplete(w http.ResponseWriter, j *job, ran bool, failed []result) {
-	for i := range failed {
-		ran = ran || failed[i].ran
+// refuseIncomplete refuses a request that too few shards have replied to: only a request that no
+// target has executed is reported as not run.
+func (s *Service) refuseIncomplete(w http.ResponseWriter, j *job, c *gathered) {
+	ran := len(c.signatures) > 0
+	for i := range c.failed {
+		ran = ran || c.failed[i].ran
 	}
 	f := &refusal{status: http.StatusServiceUnavailable, reason: "too few shards can be asked", retry: retryAfter, route: j.route.Name}
 	if ran {
@@ -111,7 +69,7 @@
 	if !s.Clock.Now().Before(j.deadline) {
 		f.status, f.retry = http.StatusGatewayTimeout, 0
 	}
-	f.reason += ": " + describeFailures(failed)
+	f.reason += ": " + describeFailures(c.failed)
 	s.refuse(w, j.Request, f)
 }
 
@@ -121,7 +79,7 @@
 	switch {
 	case r.response != nil && r.ran && r.err == nil:
 		s.writeReply(w, j, r.response)
-		s.recordResponse(j, r.response.Status, 0, extraAttempts([]result{r}), nil)
+		s.recordResponse(j, r.response.Status, 0, extraAttempts(&r), nil)
 	case j.Context().Err() != nil:
 		s.recordCallerLeft(j)
 	case !r.ran:
@@ -139,7 +97,7 @@
 func (s *Service) fetchOne(ctx context.Context, j *job, service string) result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	g := s.startFetches(ctx, j, []string{service})
+	g := s.startFetches(ctx, j, &portion.Plan{Own: []string{service}})
 	defer g.stop()
 	if r, event := g.next(time.Time{}); event == fetchEnded {
 		return *r
@@ -195,14 +153,8 @@
 	e.Msg("request " + kind)
 }
 
-// extraAttempts returns the number of hedges and retries: all attempts but the first ones.
-func extraAttempts(results []result) int {
-	n := 0
-	for i := range results {
-		n += max(0, results[i].attempts-1)
-	}
-	return n
-}
+// extraAttempts returns the number of hedges and retries: all attempts but the first one.
+func extraAttempts(r *result) int { return max(0, r.attempts-1) }
 
 // describeFailures lists the first failed shards with their reasons.
 func describeFailures(failed []result) string {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -16,6 +16,7 @@
 	missing  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	replies  prometheus.Histogram
+	portions *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
@@ -43,7 +44,10 @@
 			Name: "wasabirelay_relay_attempt_seconds", Help: "Time of successful requests to targets.", Buckets: latencyBuckets,
 		}),
 	}
-	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies)
+	m.portions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wasabirelay_relay_portions_total", Help: "Portions of requests between hosts, by what became of them.",
+	}, []string{"outcome"})
+	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions)
 	return m
 }
 
@@ -60,6 +64,12 @@
 	}
 }
 
+func (m *Metrics) portion(outcome string) {
+	if m != nil {
+		m.portions.WithLabelValues(outcome).Inc()
+	}
+}
+
 func (m *Metrics) attempt(service string, o route.Outcome, took time.Duration) {
 	if m == nil {
 		return
--- a/relay/omit_test.go
+++ b/relay/omit_test.go
@@ -67,7 +67,7 @@
 func TestOnlySpareShardsAreOmitted(t *testing.T) {
 	is := is.New(t)
 	j := &job{route: &routing.Route{MinShardFraction: 0.9, Shards: make([]string, 20)}} // 2 may be missing
-	g := &fetchGroup{Service: &Service{}, j: j, fetches: make([]fetch, 20), pending: 20}
+	g := &fetchGroup{Service: &Service{}, j: j, fetches: make([]fetch, 20), pending: 20, spare: spareShards(j.route)}
 	omitted := 0
 	for i := range g.fetches {
 		f := &g.fetches[i]
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"wasabirelay/control"
 	"wasabirelay/eventlog"
 	"wasabirelay/limit"
+	"wasabirelay/portion"
 	"wasabirelay/route"
 	"wasabirelay/routing"
 )
@@ -85,6 +86,21 @@
 	// Share is the fraction that this host has of the limits that all hosts divide: the limits
 	// on extra requests and on requests to cold targets.
 	Share float64
+	// ServiceShares holds the fractions for the services whose limits only some hosts divide.
+	ServiceShares map[string]float64
+	// Planner divides requests to many shards among hosts; nil if this host asks all shards.
+	Planner *portion.Planner
+
+	// plans holds the *cachedPlan of each *routing.Route that was used.
+	plans sync.Map
+}
+
+// share returns the fraction that this host has of the limits of a service.
+func (v *View) share(service string) float64 {
+	if share, ok := v.ServiceShares[service]; ok {
+		return share
+	}
+	return v.Share
 }
 
 // Service relays requests. Exported fields are set before use. It is safe for
@@ -112,12 +128,19 @@
 	// Draining reports whether callers are notified to close their connections.
 	Draining func() bool
 	Metrics  *Metrics
+	// HelpersEpoch, if set, returns a number that changes with the hosts that take portions.
+	HelpersEpoch func() uint64
+	// Delegate, if set, leaves a portion of a request to one of some hosts; see
+	// portion.Helpers.Collect.
+	Delegate func(hosts []string, r *portion.Request, receive func(*portion.Frame, error)) (*portion.Collection, error)
 
 	splitter     trafficSplitter
 	startWorkers sync.Once
 	workers      *workers[*attempt]
 	cold         coldLimiter
 	attempts     atomic.Int64
+	// gathering counts the requests whose shards this host is asking.
+	gathering atomic.Int64
 }
 
 // Attempts returns the number of requests to targets so far.
@@ -134,6 +157,8 @@
 	deadline time.Time
 	// partialAfter is the time from which an incomplete response is sent.
 	partialAfter time.Time
+	// spare is the number of shards that this host may leave out of the response.
+	spare int
 }
 
 // connectionKey is the context key of the state of a caller's connection.
--- a/relay/split.go
+++ b/relay/split.go
@@ -80,7 +80,7 @@
 	if service == nil {
 		return 0, false
 	}
-	return int(service.ColdRate * v.Share), true
+	return int(service.ColdRate * v.share(t.Service)), true
 }
 
 // recent returns the times of the requests within the window. The caller holds l.mu.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -150,6 +150,21 @@
 	return max(1, int(math.Ceil(r.MinShardFraction*float64(len(r.Shards))-rounding)))
 }
 
+// ShardLists returns the different lists of shards that routes have.
+func (d *Document) ShardLists() [][]string {
+	var lists [][]string
+	seen := map[string]bool{}
+	for i := range d.Routes {
+		shards := d.Routes[i].Shards
+		key := strings.Join(shards, "\x00")
+		if len(shards) > 0 && !seen[key] {
+			seen[key] = true
+			lists = append(lists, shards)
+		}
+	}
+	return lists
+}
+
 // Table looks up the route of a request.
 type Table struct {
 	Document *Document
