Send the last frames of portions before a host ends, and close connections to hosts that are gone

Cause: reading showed that a host could end between the end of a portion and the write of its last frame, and that the connection to a host that left the list with a portion in progress stayed open. Change: Drain waits 20 ms after the last portion; the last portion of a host that is gone closes its connection.

--- a/node/entry.go
+++ b/node/entry.go
@@ -146,7 +146,7 @@
 	}
 	e.pool.CheckReply = e.relay.CheckReply
 	e.helpers = portion.Helpers{Clock: e.Clock, Log: e.Log, DialTimeout: exchange.DialTimeout}
-	e.portions = portion.Server{Collect: e.relay.Collect, Log: e.Log}
+	e.portions = portion.Server{Collect: e.relay.Collect, Clock: e.Clock, Log: e.Log}
 	if e.Settings.Peer.IsValid() {
 		e.relay.Delegate, e.relay.HelpersEpoch = e.helpers.Collect, e.helpers.Epoch
 	}
--- a/portion/helpers.go
+++ b/portion/helpers.go
@@ -82,9 +82,7 @@
 	for name, one := range h.hosts {
 		if next[name] != one {
 			h.endAvoiding(one)
-			if len(one.receivers) == 0 {
-				one.client.Close()
-			}
+			h.closeUnused(one)
 		}
 	}
 	h.hosts = next
@@ -211,9 +209,20 @@
 	defer h.mu.Unlock()
 	receive := one.receivers[id]
 	delete(one.receivers, id)
+	if h.hosts[one.Name] != one {
+		h.closeUnused(one)
+	}
 	return receive
 }
 
+// closeUnused closes the connection to a host that is gone once its last portion has ended. The
+// caller holds h.mu.
+func (h *Helpers) closeUnused(one *helper) {
+	if len(one.receivers) == 0 {
+		go one.client.Close() // it waits for a connection that is being opened
+	}
+}
+
 // avoid keeps portions away from the host for a while.
 func (h *Helpers) avoid(one *helper) {
 	h.mu.Lock()
--- a/portion/portion_test.go
+++ b/portion/portion_test.go
@@ -33,7 +33,7 @@
 func newPair(t *testing.T, collect func(ctx context.Context, r *Request, send func(*Frame)) *Frame) *pair {
 	t.Helper()
 	p := &pair{
-		server:  &Server{Collect: collect, Log: zerolog.Nop()},
+		server:  &Server{Collect: collect, Clock: clockwork.NewRealClock(), Log: zerolog.Nop()},
 		helpers: &Helpers{Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), DialTimeout: time.Second},
 		calls:   make(chan received, 16),
 	}
@@ -179,6 +179,30 @@
 	is.True(p.helpers.Usable("h1"))
 }
 
+// Guards against connections to hosts that are gone that stay open, and against portions that are
+// lost because their host has left the list.
+func TestConnectionsOfGoneHostsAreClosed(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	p := newPair(t, func(_ context.Context, _ *Request, send func(*Frame)) *Frame {
+		send(&Frame{})
+		<-release
+		return &Frame{}
+	})
+	p.collect(t, nil)
+	p.next(t)
+	conn, err := p.helpers.hosts["h1"].client.Connect(context.Background())
+	is.NoErr(err)
+	p.helpers.Set(nil)
+	close(release)
+	is.True(p.next(t).frame.Last)
+	select {
+	case <-conn.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
+
 // Guards against a graceful shutdown that cuts portions off.
 func TestDrainWaitsForPortions(t *testing.T) {
 	is := is.New(t)
--- a/portion/server.go
+++ b/portion/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"wasabirelay/peer"
@@ -16,6 +18,7 @@
 	// Collect collects the replies of a portion until ctx ends. It passes frames to send as they
 	// are due and returns the last one.
 	Collect func(ctx context.Context, r *Request, send func(*Frame)) *Frame
+	Clock   clockwork.Clock
 	Log     zerolog.Logger
 
 	mu      sync.Mutex
@@ -106,19 +109,27 @@
 	}
 }
 
-// Drain refuses new portions and waits until the last one has ended or ctx ends.
+// flushTime is the time in which the last frame of a portion that has ended is sent.
+const flushTime = 20 * time.Millisecond
+
+// Drain refuses new portions and waits until the last frame of each has been sent or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.closed = true
+	idle := make(chan struct{})
 	if len(s.running) == 0 {
-		s.mu.Unlock()
-		return
+		close(idle)
+	} else {
+		s.idle = idle
 	}
-	idle := make(chan struct{})
-	s.idle = idle
 	s.mu.Unlock()
 	select {
 	case <-idle:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-s.Clock.After(flushTime):
 	case <-ctx.Done():
 	}
 }
