Send requests again to targets that have refused them unexecuted

After two attempts 12 of 90 shards have no reply, 4 may be missing: 297 of 613 requests failed. Change: a fetch whose attempts are used up sends the request again to the target that refused it, half a hedge delay later, up to four times within the budget (package relay, resend). Attempts bound the targets of a request, and a refused one has not run. Hosts outside a team keep the connections that they open, and portions have their part of the shards that a response can spare.

--- a/node/division.go
+++ b/node/division.go
@@ -150,7 +150,7 @@
 			}
 			out[t.Name] = limit.Share{
 				Incarnation: t.Incarnation, Address: t.Address, Connections: n, Slots: t.Slots, Warm: min(e.warmConnections(v, d, t, member), n),
-				CloseAfterUse: !d.active || !member, CapAtWarm: true,
+				CloseAfterUse: !d.active, CapAtWarm: true,
 			}
 		}
 	}
--- a/portion/plan.go
+++ b/portion/plan.go
@@ -14,7 +14,7 @@
 const (
 	// MinSize is the number of shards from which a portion is left to another host: the messages
 	// between two hosts take as much processor time as a few requests to targets.
-	MinSize = 6
+	MinSize = 3
 	// divideFrom is the number of shards from which requests are divided. Below it, one host asks
 	// all shards before the replies to the first ones arrive.
 	divideFrom = 64
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -109,6 +109,12 @@
 	return d.Sum64()
 }
 
+// spareOf returns how many of the spare shards of a request belong to n shards that follow before
+// others, of total. Those of all portions add up to spare.
+func spareOf(spare, before, n, total int) int {
+	return spare*(before+n)/total - spare*before/total
+}
+
 // delegate leaves the portions of the plan to other hosts. It returns the shards that this host asks
 // itself: those that no other host takes, and those of its own team unless it is busy.
 func (g *fetchGroup) delegate(portions []portion.Portion, total int) (left []string) {
@@ -119,8 +125,11 @@
 	g.frames = make(chan delegationEvent, total+framesPerPortion*len(portions))
 	header := endToEndHeaders(g.j.Header)
 	hash := routeHash(g.j.route)
+	before := 0 // shards of earlier portions
 	for i := range portions {
 		p := &portions[i]
+		spare := spareOf(g.j.spare, before, len(p.Shards), total)
+		before += len(p.Shards)
 		if p.Member && left == nil && g.gathering.Load() == 0 {
 			left = append(left, p.Shards...)
 			continue
@@ -128,7 +137,7 @@
 		now := g.Clock.Now()
 		d := &delegation{
 			pending: make(map[string]bool, len(p.Shards)), sent: now,
-			silentAt: now.Add(time.Duration(suspectShare * float64(g.j.route.Objective))), spare: g.j.spare * len(p.Shards) / total,
+			silentAt: now.Add(time.Duration(suspectShare * float64(g.j.route.Objective))), spare: spare,
 		}
 		for _, service := range p.Shards {
 			d.pending[service] = true
--- a/relay/delegate_test.go
+++ b/relay/delegate_test.go
@@ -177,3 +177,18 @@
 	}}
 	is.Equal(PortionShards([]string{"s"}, targets, map[string]bool{"c": true}), []portion.Shard{{Service: "s", Centres: []string{"a"}}})
 }
+
+// Guards against portions that together leave out more shards than the response can spare, and
+// against small portions that may leave out none.
+func TestSpareShardsOfPortions(t *testing.T) {
+	is := is.New(t)
+	const spare, total = 4, 90
+	sum, before := 0, 0
+	for _, n := range []int{9, 11, 7, 13, 10, 9, 12, 19} {
+		share := spareOf(spare, before, n, total)
+		is.True(share >= 0 && share <= 1)
+		sum, before = sum+share, before+n
+	}
+	is.Equal(before, total)
+	is.Equal(sum, spare)
+}
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -24,6 +24,8 @@
 	// hedgeAt is the time at which the newest attempt counts as slow; zero if that would have
 	// no further effect.
 	hedgeAt time.Time
+	// resend decides whether the request is sent again to targets that have refused it.
+	resend resend
 	// omitted is true if the response omits the shard unless an attempt in flight succeeds.
 	omitted bool
 	// done is true if last is the final result of the fetch.
@@ -82,6 +84,11 @@
 
 // handleSlow handles an attempt that has no reply after the hedge delay.
 func (f *fetch) handleSlow(now time.Time) {
+	if t := f.resend.take(); t != nil {
+		f.hedgeAt = time.Time{}
+		f.startResend(now, t)
+		return
+	}
 	newest := f.newest()
 	if due := f.slowAt(newest); now.Before(due) {
 		f.hedgeAt = due
@@ -121,6 +128,10 @@
 		if f.mayRetry(r) && (!reached(r) || f.takeBudget()) && f.startNext() {
 			return
 		}
+		if refusedUnrun(r) && f.inFlight == 0 && f.resend.schedule(r.target) {
+			f.hedgeAt = f.Clock.Now().Add(resendDelay(f.hedge))
+			return
+		}
 	}
 	if f.inFlight == 0 {
 		f.finish()
@@ -138,7 +149,7 @@
 // finish ends the fetch and cancels the attempts in flight; the pool waits for their replies.
 func (f *fetch) finish() {
 	f.done, f.hedgeAt = true, time.Time{}
-	f.last.attempts = f.sent
+	f.last.attempts = f.sent + f.resend.count
 	for _, a := range f.attempts {
 		a.end()
 	}
@@ -186,6 +197,18 @@
 	f.attemptWorkers().start(a)
 }
 
+// startResend sends the request again to a target that has refused it. The refused attempt does not
+// count any more, so that the request is sent to no more targets than its route allows.
+func (f *fetch) startResend(now time.Time, t *control.Target) {
+	if f.ctx.Err() != nil || !f.takeBudget() {
+		f.finish()
+		return
+	}
+	f.sent--
+	f.start(t)
+	f.hedgeAt = now.Add(f.hedge)
+}
+
 // keepBest keeps the most informative result: one that may have been executed takes precedence
 // over one that has not, and a reply over a missing one.
 func (f *fetch) keepBest(r *result) {
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -152,7 +152,7 @@
 func (g *fetchGroup) advanceHedges() {
 	for i := range g.fetches {
 		f := &g.fetches[i]
-		if f.hedgeAt.IsZero() || f.newest().sent.Load() == 0 {
+		if f.hedgeAt.IsZero() || f.resend.target != nil || f.newest().sent.Load() == 0 {
 			continue
 		}
 		if due := g.slowAt(f.newest()); due.Before(f.hedgeAt) {
