Send no request again to a cold target

Cause: reading showed that another try at a target that refuses is not counted in the allowance of a cold one. Change: only warm targets get a request again. Measured: TestColdTargetIsNotSentTheRequestAgain fails before, passes now.

--- a/relay/resend.go
+++ b/relay/resend.go
@@ -25,9 +25,10 @@
 	count  int
 }
 
-// schedule schedules one more try at the target. It reports false if there were enough.
+// schedule schedules one more try at the target. It reports false if there were enough, or if the
+// target is cold: its allowance is counted per attempt.
 func (s *resend) schedule(t *control.Target) bool {
-	if s.count >= maxResends {
+	if s.count >= maxResends || t.State != control.Warm {
 		return false
 	}
 	s.target = t
--- a/relay/resend_test.go
+++ b/relay/resend_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"wasabirelay/control"
 )
 
 // refuses makes the target refuse the requests for which refuse returns true.
@@ -109,3 +111,15 @@
 	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(a.requests.Load(), int64(1))
 }
+
+// Guards against a cold target that gets more requests than it can run because it refuses some.
+func TestColdTargetIsNotSentTheRequestAgain(t *testing.T) {
+	is := is.New(t)
+	a := newTarget("a", "s1").status(503, false)
+	h := newHarness(t, singleRoute(true, 1), a)
+	h.view.Targets["s1"][0].State = control.Cold
+	h.view.Routing.Service("s1").ColdRate = 10
+	res, _ := h.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(a.requests.Load(), int64(1))
+}
