--- a/relay/collect.go
+++ b/relay/collect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -126,6 +127,9 @@
 	if rt == nil || !rt.Idempotent || routeHash(rt) != r.Route {
 		return nil, "another route is in force here"
 	}
+	if slices.ContainsFunc(r.Shards, func(service string) bool { return !slices.Contains(rt.Shards, service) }) {
+		return nil, "the route lacks a shard of the portion"
+	}
 	part, now := *rt, s.Clock.Now()
 	part.Shards = r.Shards
 	request := &http.Request{Method: r.Method, RequestURI: r.URI, Host: r.Host, Header: r.Header}
--- a/relay/delegate_test.go
+++ b/relay/delegate_test.go
@@ -161,6 +161,8 @@
 	last := h.service.Collect(context.Background(), r, func(*portion.Frame) {})
 	is.Equal(last.Refused, "")
 	is.Equal(len(last.Parts), 1)
+	r.Shards = []string{"s1", "other"}
+	is.True(h.service.Collect(context.Background(), r, nil).Refused != "")
 	other := h.view.Routing.Document.Routes[0]
 	other.ResultLimit++
 	is.True(routeHash(&other) != r.Route)
