Keep the count of avoided hosts right when one leaves

Cause: reading showed that a host that left while it was being avoided stayed counted. Change: only listed hosts are avoided. Measured: portion tests pass.

--- a/portion/helpers.go
+++ b/portion/helpers.go
@@ -227,6 +227,9 @@
 func (h *Helpers) avoid(one *helper) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.hosts[one.Name] != one {
+		return // it has left
+	}
 	if one.avoidUntil.IsZero() {
 		h.avoided++
 		h.epoch++
