Count a try that the budget does not allow no more as an extra request

Cause: a scheduled try was counted before the budget decided, so that logs and frames reported one extra request too many. Change: the try is counted when it is sent. Nothing that is sent changes.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -205,6 +205,7 @@
 		return
 	}
 	f.sent--
+	f.resend.count++
 	f.start(t)
 	f.hedgeAt = now.Add(f.hedge)
 }
--- a/relay/resend.go
+++ b/relay/resend.go
@@ -22,7 +22,8 @@
 type resend struct {
 	// target is the target of the next try, or nil if none is scheduled.
 	target *control.Target
-	count  int
+	// count is the number of tries so far.
+	count int
 }
 
 // schedule schedules one more try at the target. It reports false if there were enough, or if the
@@ -32,7 +33,6 @@
 		return false
 	}
 	s.target = t
-	s.count++
 	return true
 }
 
--- a/relay/resend_test.go
+++ b/relay/resend_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -123,3 +125,19 @@
 	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(a.requests.Load(), int64(1))
 }
+
+// Guards against logs that count a try that the budget did not allow as an extra request.
+func TestRefusedResendIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 1), newTarget("a", "s1").status(503, false))
+	h.service.RetryShare, h.service.RetrySlack = 0, 0
+	req := httptest.NewRequest(http.MethodGet, "/q/x", nil)
+	req.Host = "h"
+	req.Header.Set(headers.Request, "r1")
+	j, refusal := h.service.accept(req)
+	is.True(refusal == nil)
+	ctx, cancel := context.WithDeadline(t.Context(), j.deadline)
+	defer cancel()
+	r := h.service.fetchOne(ctx, j, "s1")
+	is.Equal(extraAttempts(&r), 0)
+}
