--- a/control/pack_test.go
+++ b/control/pack_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 )
 
-// largeDocument returns a routing document with many routes to 90 shards, 1.3 MB in size.
+// largeDocument returns the text of a routing document with many routes to 90 shards, 1.2 MB in size.
 func largeDocument() []byte {
 	shards := make([]string, 90)
 	for i := range shards {
@@ -19,7 +19,7 @@
 	}
 	var b bytes.Buffer
 	for i := range 1400 {
-		fmt.Fprintf(&b, `{"name":"r-%d","path-prefix":"/p%d/","fanout-services":[%s]},`, i, i*31, strings.Join(shards, ","))
+		fmt.Fprintf(&b, `{"route":"r-%d","prefix":"/p%d/","shards":[%s]},`, i, i*31, strings.Join(shards, ","))
 	}
 	return b.Bytes()
 }
--- a/node/division.go
+++ b/node/division.go
@@ -77,7 +77,8 @@
 	synced := e.client.Synced()
 	names := e.recentlyActive(active, synced)
 	self := slices.Contains(names, e.Settings.Host)
-	others := max(0, e.client.EntryCount()-len(active))
+	entries := e.client.EntryCount()
+	others := max(0, entries-len(active))
 	if !self {
 		names, others = append(names, e.Settings.Host), max(1, others)
 	}
@@ -92,7 +93,7 @@
 	}
 	former := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return selected[name] })
 	return division{
-		former: former, hosts: names, selected: active, active: self && synced, share: hostShare(count, others, self), entries: e.client.EntryCount(),
+		former: former, hosts: names, selected: active, active: self && synced, share: hostShare(count, others, self), entries: entries,
 	}
 }
 
@@ -171,8 +172,10 @@
 	out := map[string]bool{}
 	for service, list := range v.Targets {
 		s := v.Routing.Service(service)
-		hosts, _ := d.hostsOf(service, e.Settings.Host)
-		if s == nil || len(list) <= subsetSize || s.Connections >= minConnectionsPerHost*len(hosts) {
+		if s == nil || len(list) <= subsetSize {
+			continue
+		}
+		if hosts, _ := d.hostsOf(service, e.Settings.Host); s.Connections >= minConnectionsPerHost*len(hosts) {
 			continue
 		}
 		ranked := slices.Clone(list)
--- a/portion/message.go
+++ b/portion/message.go
@@ -57,8 +57,8 @@
 	return nil
 }
 
-// Frame carries replies of a portion. The first frame has none: it states that the host works on
-// the portion.
+// Frame carries replies of a portion. It may have none: the first frame is due after a while in any
+// case, so that its receiver knows that the host works on the portion.
 type Frame struct {
 	ID uint64 `json:"id"`
 	// Parts are the replies that have arrived since the previous frame, Records the greatest of
--- a/portion/plan.go
+++ b/portion/plan.go
@@ -66,22 +66,22 @@
 	Usable func(host string) bool
 }
 
-// Groups returns the number of groups that a request to n shards is divided into, if there are
+// groups returns the number of groups that a request to n shards is divided into, if there are
 // enough hosts.
-func (p *Planner) Groups(n int) int {
+func (p *Planner) groups(n int) int {
 	if p.Size <= 0 || n < divideFrom {
 		return 1
 	}
-	return max(1, (n+p.Size-1)/p.Size)
+	return (n + p.Size - 1) / p.Size
 }
 
 // Plan divides the shards. It answers two loads: requests to so many shards that asking them
 // occupies a small host for a large part of the time that callers allow, and replies from other
 // data centres that are larger than the few records that the response needs of them.
 func (p *Planner) Plan(shards []Shard) *Plan {
-	shards = slices.SortedFunc(slices.Values(shards), func(a, b Shard) int { return cmp.Compare(a.Service, b.Service) })
+	shards = sorted(shards)
 	plan := &Plan{}
-	if p.Groups(len(shards)) == 1 {
+	if p.groups(len(shards)) == 1 {
 		for i := range shards {
 			plan.Own = append(plan.Own, shards[i].Service)
 		}
@@ -173,10 +173,10 @@
 // Askers returns the hosts that ask each of the shards, if requests to them are divided: the teams
 // of the data centres that have a target for it. It returns nil if they are not.
 func (p *Planner) Askers(shards []Shard) map[string][]string {
-	if p.Groups(len(shards)) == 1 {
+	if p.groups(len(shards)) == 1 {
 		return nil
 	}
-	shards = slices.SortedFunc(slices.Values(shards), func(a, b Shard) int { return cmp.Compare(a.Service, b.Service) })
+	shards = sorted(shards)
 	askers := make(map[string][]string, len(shards))
 	for centre, teams := range p.allTeams(len(shards)) {
 		for i, s := range shards {
@@ -193,7 +193,7 @@
 
 // teams returns the number of teams of a data centre for requests to n shards.
 func (p *Planner) teams(centre string, n int) int {
-	return max(1, min(p.Groups(n), len(p.Hosts[centre])))
+	return max(1, min(p.groups(n), len(p.Hosts[centre])))
 }
 
 // members divides the hosts of a data centre among teams of equal size. Each host belongs to the
@@ -240,4 +240,9 @@
 	return best
 }
 
+// sorted returns the shards in order of their names, which routes list in any order.
+func sorted(shards []Shard) []Shard {
+	return slices.SortedFunc(slices.Values(shards), func(a, b Shard) int { return cmp.Compare(a.Service, b.Service) })
+}
+
 func uniqueOf(list []string) []string { return slices.Compact(slices.Sorted(slices.Values(list))) }
--- a/portion/server.go
+++ b/portion/server.go
@@ -12,6 +12,9 @@
 	"wasabirelay/peer"
 )
 
+// flushTime is the time in which the last frame of a portion that has ended is sent.
+const flushTime = 20 * time.Millisecond
+
 // Server collects portions for other hosts. Exported fields are set before use. It is safe for
 // concurrent use.
 type Server struct {
@@ -109,9 +112,6 @@
 	}
 }
 
-// flushTime is the time in which the last frame of a portion that has ended is sent.
-const flushTime = 20 * time.Millisecond
-
 // Drain refuses new portions and waits until the last frame of each has been sent or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -38,6 +38,11 @@
 	c.bodies = append(c.bodies, r.response.Body)
 }
 
+// fail adds a shard without a reply. ran is true if a target may have executed the request.
+func (c *gathered) fail(service string, ran bool, err error) {
+	c.failed = append(c.failed, result{service: service, outcome: route.TimedOut, ran: ran, err: err})
+}
+
 // errPending is the error of a shard that has not replied when the response is sent.
 var errPending = errors.New("no reply yet")
 
@@ -61,14 +66,11 @@
 		switch event {
 		case cutoffReached:
 			passed++
-		case requestEnded:
-			g.failUnfinished()
-			return &g.received
 		case fetchEnded:
 			g.received.add(r, s.Headers.Signature)
-		case portionChanged:
+		case portionChanged, requestEnded:
 		}
-		if stop(&g.received, passed) {
+		if event == requestEnded || stop(&g.received, passed) {
 			break
 		}
 	}
@@ -85,10 +87,14 @@
 	g.unreturned = nil
 	for i := range g.fetches {
 		if f := &g.fetches[i]; !f.done {
-			g.received.failed = append(g.received.failed, result{service: f.service, outcome: route.TimedOut, ran: true, err: errPending})
+			g.received.fail(f.service, true, errPending)
+		}
+	}
+	for _, d := range g.delegations {
+		for service := range d.pending {
+			g.received.fail(service, true, errPending)
 		}
 	}
-	g.failPending()
 }
 
 // Collect collects a portion for another host. It passes a frame to send after a share of the
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -9,7 +9,6 @@
 
 	"wasabirelay/control"
 	"wasabirelay/portion"
-	"wasabirelay/route"
 	"wasabirelay/routing"
 )
 
@@ -58,17 +57,13 @@
 	plan  *portion.Plan
 }
 
-// planOf returns how the shards of a request are divided among hosts.
+// planOf returns how the shards of a request are divided among hosts. It is computed once per view
+// and change of the usable hosts.
 func (s *Service) planOf(j *job) *portion.Plan {
-	if s.Delegate == nil || j.view.Planner == nil {
-		return &portion.Plan{Own: j.route.Shards}
+	v, r := j.view, j.route
+	if s.Delegate == nil || v.Planner == nil {
+		return &portion.Plan{Own: r.Shards}
 	}
-	return s.portionPlan(j.view, j.route)
-}
-
-// portionPlan returns how the shards of the route are divided among hosts. It is computed once per
-// view and change of the usable hosts.
-func (s *Service) portionPlan(v *View, r *routing.Route) *portion.Plan {
 	epoch := uint64(0)
 	if s.HelpersEpoch != nil {
 		epoch = s.HelpersEpoch()
@@ -76,8 +71,7 @@
 	if cached, ok := v.plans.Load(r); ok && cached.(*cachedPlan).epoch == epoch {
 		return cached.(*cachedPlan).plan
 	}
-	shards := PortionShards(r.Shards, v.Targets, v.Out)
-	plan := v.Planner.Plan(shards)
+	plan := v.Planner.Plan(PortionShards(r.Shards, v.Targets, v.Out))
 	v.plans.Store(r, &cachedPlan{epoch, plan})
 	return plan
 }
@@ -121,7 +115,7 @@
 	if len(portions) == 0 {
 		return nil
 	}
-	const framesPerPortion = 3 // the one that accepts it, the last one, and its end
+	const framesPerPortion = 3 // those that may have no replies: two that are due at a time, and the last one
 	g.frames = make(chan delegationEvent, total+framesPerPortion*len(portions))
 	header := endToEndHeaders(g.j.Header)
 	hash := routeHash(g.j.route)
@@ -228,7 +222,7 @@
 func (g *fetchGroup) failDelegated(d *delegation, service string, ran bool, err error) {
 	delete(d.pending, service)
 	g.delegated--
-	g.received.failed = append(g.received.failed, result{service: service, outcome: route.TimedOut, ran: ran, err: err})
+	g.received.fail(service, ran, err)
 	if d.spare > 0 {
 		d.spare--
 	} else {
@@ -278,18 +272,6 @@
 	}
 }
 
-// failPending adds the shards of portions that are not reported when the response is sent.
-func (g *fetchGroup) failPending() {
-	for _, d := range g.delegations {
-		if d.done {
-			continue
-		}
-		for service := range d.pending {
-			g.received.failed = append(g.received.failed, result{service: service, outcome: route.TimedOut, ran: true, err: errPending})
-		}
-	}
-}
-
 // cancelDelegations ends the portions whose replies are not needed any more.
 func (g *fetchGroup) cancelDelegations() {
 	for _, d := range g.delegations {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -43,10 +43,10 @@
 		replies: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "wasabirelay_relay_attempt_seconds", Help: "Time of successful requests to targets.", Buckets: latencyBuckets,
 		}),
+		portions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_relay_portions_total", Help: "Portions of requests between hosts, by what became of them.",
+		}, []string{"outcome"}),
 	}
-	m.portions = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "wasabirelay_relay_portions_total", Help: "Portions of requests between hosts, by what became of them.",
-	}, []string{"outcome"})
 	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions)
 	return m
 }
