--- a/command/query/query.go
+++ b/command/query/query.go
@@ -59,7 +59,7 @@
 	if q.Request.Request == "" {
 		q.Request.Request = o.Identity()
 	}
-	resend := ""
+	resend := "send the same query again; it may have run already"
 	if o.Once {
 		if q.Key == "" {
 			q.Key = o.Identity()
--- a/command/root/root_test.go
+++ b/command/root/root_test.go
@@ -102,6 +102,8 @@
 		{name: "query with invalid coverage", args: `query order-desk {} --coverage 0`, code: 2, err: "next: "},
 		{name: "query with a key but without once", args: `query order-desk {} --key k`, code: 2, err: "next: add --once"},
 		{name: "query once", args: `query order-desk {} --once`, reply: "POST /v1/services/order-desk/query " + complete, out: complete, sent: `id-1{"request":"id-1","query":{},"accept":{"coverage":1},"idempotent":false}`},
+		{name: "query with a lost reply", args: `query order-desk {}`, reply: "POST /v1/services/order-desk/query abort", code: 6, err: "next: the outcome is not known; send the same query again"},
+		{name: "query that may have run", args: `query order-desk {}`, reply: `POST /v1/services/order-desk/query !503 {"title":"lost","executed":"unknown","retry":2}`, code: 6, err: "lost\nnext: the outcome is not known"},
 		{name: "query once with a lost reply", args: `query order-desk {} --once --key k`, reply: "POST /v1/services/order-desk/query abort", code: 6, err: "next: the outcome is not known; send the same query again with --once --request id-1 --key k"},
 
 		{name: "apply without base", args: "inventory apply -", code: 2, err: "next: add --base"},
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -113,10 +113,17 @@
 	answered map[shardRequest]bool
 }
 
-// suspect holds the confirmed deaths of one fingerprint and their shards.
+// suspect holds the confirmed deaths of one fingerprint.
 type suspect struct {
 	until  time.Time
-	deaths map[targetIncarnation]int
+	deaths map[death]struct{}
+}
+
+// death is the death of a target with a request for the shard in flight. A target that holds
+// several shards can die with requests for more than one of them.
+type death struct {
+	targetIncarnation
+	shard int
 }
 
 // Begin records a sub-request that is about to be sent and returns its number.
@@ -227,7 +234,7 @@
 		}
 	}
 	if s := t.suspects[sub.Fingerprint]; s != nil {
-		maps.DeleteFunc(s.deaths, func(_ targetIncarnation, shard int) bool { return shard == sub.Shard })
+		maps.DeleteFunc(s.deaths, func(d death, _ struct{}) bool { return d.shard == sub.Shard })
 		if len(s.deaths) == 0 {
 			delete(t.suspects, sub.Fingerprint)
 		}
@@ -322,9 +329,9 @@
 		return 0
 	}
 	most, shards := 0, map[int]int{}
-	for _, shard := range s.deaths {
-		shards[shard]++
-		most = max(most, shards[shard])
+	for d := range s.deaths {
+		shards[d.shard]++
+		most = max(most, shards[d.shard])
 	}
 	return most
 }
@@ -428,12 +435,12 @@
 	s := t.suspects[key.fingerprint]
 	if s == nil || !now.Before(s.until) {
 		t.evictSuspect(now)
-		s = &suspect{deaths: map[targetIncarnation]int{}}
+		s = &suspect{deaths: map[death]struct{}{}}
 		t.suspects[key.fingerprint] = s
 	}
 	s.until = now.Add(report.hold)
 	for _, d := range report.deaths {
-		s.deaths[targetIncarnation{d.Target, d.Incarnation}] = key.shard
+		s.deaths[death{targetIncarnation{d.Target, d.Incarnation}, key.shard}] = struct{}{}
 	}
 	return report.deaths
 }
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -80,6 +80,26 @@
 	is.Equal(tr.Deaths(start, "bad"), 0)
 }
 
+// Guards against a death that is forgotten because the target died with requests for two of its
+// shards, and one of these was answered by another target.
+func TestDeathWithTwoShards(t *testing.T) {
+	for i := range 20 { // the order of maps varies
+		answered := 3 + i%2
+		is := is.New(t)
+		var tr Tracker
+		first, second := newSubrequest("bad", "a"), newSubrequest("bad", "a")
+		first.Shard, second.Shard = 3, 4
+		tr.Begin(first)
+		is.True(tr.Reset(start, tr.Begin(second)))
+		tr.HealthChecked(start, "a", "1", false, hold)
+		is.Equal(len(tr.DueReports(start.Add(GracePeriod))), 2)
+		other := newSubrequest("bad", "b")
+		other.Shard = answered
+		tr.Succeeded(start.Add(GracePeriod), other, true)
+		is.Equal(tr.Deaths(start.Add(GracePeriod), "bad"), 1) // of the other shard
+	}
+}
+
 // Guards against suspects from a target that is alive, and against removing a reset before a new
 // incarnation can prove that the target died.
 func TestObserveIncarnations(t *testing.T) {
--- a/tracing/tracing.go
+++ b/tracing/tracing.go
@@ -60,5 +60,9 @@
 		return nil, nil, errors.Wrap(err, "open trace file")
 	}
 	e, err := stdouttrace.New(stdouttrace.WithWriter(f))
-	return e, f, errors.Wrap(err, "open file exporter")
+	if err != nil {
+		f.Close()
+		return nil, nil, errors.Wrap(err, "open file exporter")
+	}
+	return e, f, nil
 }
