--- /dev/null
+++ b/move/cut_test.go
@@ -0,0 +1,205 @@
+package move
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wasabirelay/control"
+	"wasabirelay/route"
+)
+
+// cut is a time during which some hosts reach no target.
+type cut struct {
+	from, to time.Duration
+	hosts    int
+	outcome  route.Outcome
+}
+
+// cuts lists the cuts that moves are simulated beside.
+var cuts = map[string]cut{
+	"none":                      {},
+	"three hosts at the start":  {0, 4 * time.Second, 3, route.TimedOut},
+	"three hosts later":         {3 * time.Second, 7 * time.Second, 3, route.TimedOut},
+	"most hosts":                {time.Second, 6 * time.Second, 5, route.TimedOut},
+	"connections are refused":   {time.Second, 5 * time.Second, 4, route.ConnectFailed},
+	"connections are reset":     {time.Second, 2 * time.Second, 4, route.Reset},
+	"all hosts, and the leader": {2 * time.Second, 4 * time.Second, 7, route.TimedOut},
+}
+
+// fleet simulates hosts that ask the targets of a service during a move, and the leader that
+// decides on it. Only one of the shards of a request belongs to the service.
+type fleet struct {
+	rand       *rand.Rand
+	cut        cut
+	version    behaviour
+	collectors [7]Collector
+	machine    Machine
+	record     control.MoveRecord
+	now        time.Time
+	maxShare   float64
+	// all counts the requests, exposed those to the version, and bad its bad answers. lastRequest
+	// is the time of its last request, and limit the time after which it must not get another one.
+	all, exposed, bad  int
+	lastRequest, limit time.Time
+	ended              time.Time
+	// concentrated is true if the hosts ask mostly one target of the version.
+	concentrated bool
+}
+
+// Bounds of the platform on a bad version: the share of all requests, and the time after the
+// given number of bad answers.
+const (
+	maxExposure    = 0.1
+	exposureSlack  = 50
+	maxBadAnswers  = 50
+	rollbackWithin = 5 * time.Second
+)
+
+func newFleet(seed uint64, by time.Duration, c cut, version behaviour) *fleet {
+	return &fleet{
+		rand: rand.New(rand.NewPCG(seed, 2)), cut: c, version: version, now: startTime,
+		record: control.MoveRecord{
+			Service: "s", Version: "v2", Started: startTime, Deadline: startTime.Add(by), TrialShare: maxExposure / 2, Step: Trial, Share: maxExposure / 2,
+		},
+	}
+}
+
+// request simulates one request of a host.
+func (f *fleet) request(host int, v *control.View) {
+	const shards = 10
+	at := f.now.Sub(startTime)
+	f.all++
+	isCut := host < f.cut.hosts && at >= f.cut.from && at < f.cut.to
+	for shard := range shards {
+		t := &control.Target{Name: fmt.Sprint("other", shard), Service: fmt.Sprint("other", shard), Version: "v1"}
+		fails, slow := healthy("", 0, 0)
+		isNew := false
+		if shard == 0 {
+			isNew = f.rand.Float64() < f.record.Share
+			t = &control.Target{Name: fmt.Sprint("old", f.rand.IntN(3)), Service: "s", Version: "v1"}
+		}
+		if isNew {
+			t = &control.Target{Name: fmt.Sprint("new", f.pickNew()), Service: "s", Version: "v2"}
+			fails, slow = f.version("", f.record.Share, at)
+			f.lastRequest = f.now
+			f.exposed++
+		}
+		outcome, latency := route.Success, time.Duration(float64(9*time.Millisecond)*math.Exp(0.5*f.rand.NormFloat64())*slow)
+		switch {
+		case isCut:
+			outcome, latency = f.cut.outcome, 385*time.Millisecond
+		case f.rand.Float64() < fails:
+			outcome = route.Failed
+		}
+		if isNew && (outcome == route.Failed || slow > 2) && !isCut {
+			if f.bad++; f.bad == maxBadAnswers {
+				f.limit = f.now.Add(rollbackWithin)
+			}
+		}
+		f.collectors[host].Observe(v, t, "a", latency, outcome)
+	}
+}
+
+func (f *fleet) pickNew() int {
+	if f.concentrated && f.rand.Float64() < 0.95 {
+		return 0
+	}
+	return f.rand.IntN(3)
+}
+
+// simulate runs the simulation for length. It sends the requests of a report interval one after
+// the other, then the reports, then lets the leader decide.
+func (f *fleet) simulate(t testing.TB, length time.Duration) *fleet {
+	const perHost = 13
+	for end := startTime.Add(length); f.now.Before(end) && f.ended.IsZero(); {
+		for range perHost {
+			f.now = f.now.Add(reportInterval / perHost)
+			v := &control.View{Moves: map[string]control.MoveRecord{"s": f.record}}
+			for host := range f.collectors {
+				f.request(host, v)
+			}
+		}
+		v := &control.View{Moves: map[string]control.MoveRecord{"s": f.record}}
+		for host := range f.collectors {
+			reports, err := f.collectors[host].Take(v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range reports {
+				f.machine.AddEvidence(f.now, r.Counts)
+			}
+		}
+		s := f.machine.Step(f.now, &Input{Record: f.record, Ready: true, Targets: 3})
+		if s == nil {
+			continue
+		}
+		f.record.Step, f.record.Share, f.record.Reverted, f.record.Reason = s.Step, s.Share, s.Revert, s.Reason
+		f.maxShare = max(f.maxShare, s.Share)
+		if s.Revert || s.Step == Done {
+			f.ended = f.now
+		}
+	}
+	return f
+}
+
+// badBesideCuts lists faults of a version that shows them from the first request on.
+var badBesideCuts = map[string]behaviour{
+	"a quarter fails": func(string, float64, time.Duration) (float64, float64) { return 0.25, 1 },
+	"two fifths fail": func(string, float64, time.Duration) (float64, float64) { return 0.4, 1 },
+	"slow":            func(string, float64, time.Duration) (float64, float64) { return 0, 4 },
+}
+
+// Guards against a bad version that gets more traffic, or keeps its traffic, because hosts have lost
+// their links to targets of both versions or ask mostly one target of the version.
+func TestBadVersionBesideCutIsBounded(t *testing.T) {
+	for cutName, c := range cuts {
+		for name, version := range badBesideCuts {
+			for _, concentrated := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/concentrated=%v", cutName, name, concentrated), func(t *testing.T) {
+					t.Parallel()
+					for seed := range uint64(4) {
+						f := newFleet(seed, 14*time.Second, c, version)
+						f.concentrated = concentrated
+						f.simulate(t, 14*time.Second)
+						f.check(t, seed)
+						if f.maxShare > maxExposure/2 && name != "slow" {
+							t.Errorf("seed %d: share raised to %g: %s", seed, f.maxShare, f.record.Reason)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// check checks the bounds on a bad version.
+func (f *fleet) check(t *testing.T, seed uint64) {
+	t.Helper()
+	if !f.record.Reverted {
+		t.Errorf("seed %d: not reverted after %d bad answers: %s", seed, f.bad, f.record.Reason)
+	}
+	if most := maxExposure*float64(f.all) + exposureSlack; float64(f.exposed) > most {
+		t.Errorf("seed %d: %d of %d requests, share %g: %s", seed, f.exposed, f.all, f.maxShare, f.record.Reason)
+	}
+	if !f.limit.IsZero() && f.lastRequest.After(f.limit) {
+		t.Errorf("seed %d: a request %s after bad answer %d: %s", seed, f.lastRequest.Sub(f.limit)+rollbackWithin, maxBadAnswers, f.record.Reason)
+	}
+}
+
+// Guards against a good version that is reverted or late because hosts have lost their links.
+func TestGoodVersionBesideCutIsDone(t *testing.T) {
+	for name, c := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				f := newFleet(seed, 30*time.Second, c, healthy).simulate(t, 30*time.Second)
+				if f.record.Step != Done {
+					t.Errorf("seed %d: %+v", seed, f.record)
+				}
+			}
+		})
+	}
+}
