Count the failures of the target that gets nearly all sub-requests of a version

Cause: the failures of the target that fails most are left out, so that a dead target does not revert its version, but its sub-requests are not. Hosts eject the targets of a bad version one by one and then ask mostly one: nothing is left to judge by. Change: its sub-requests are left out as well, and nothing is if it got over three quarters of all.

--- a/move/collector.go
+++ b/move/collector.go
@@ -50,6 +50,7 @@
 		return
 	}
 	n.Total++
+	addCount(n.TotalByTarget, t.Name, 1)
 	if failed {
 		n.Failed++
 		n.addFailures(t.Name, 1)
--- a/move/compare.go
+++ b/move/compare.go
@@ -68,10 +68,10 @@
 }
 
 func (c *comparison) compareFailures(s *versionPair) finding {
-	failed := s.new.failuresWithoutWorstTarget(c.targets)
-	p := failureTest(s.old, s.new.Total, failed)
+	total, failed := s.new.withoutWorstTarget(c.targets)
+	p := failureTest(s.old, total, failed)
 	if c.reference != nil {
-		p = max(p, failureTest(c.reference, s.new.Total, failed))
+		p = max(p, failureTest(c.reference, total, failed))
 	}
 	return finding{p, fmt.Sprintf("%d of %d sub-requests%s failed, %d of %d of the old version (p %.1g)",
 		s.new.Failed, s.new.Total, c.routeSuffix(), s.old.Failed, s.old.Total, p)}
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -22,27 +22,37 @@
 	longWindow  = time.Minute
 	// maxRouteCounts bounds the counts in one report and in one slot.
 	maxRouteCounts = 256
-	// maxFailingTargets bounds the entries of Counts.FailedByTarget.
-	maxFailingTargets = 64
+	// maxCountedTargets bounds the entries of Counts.TotalByTarget and Counts.FailedByTarget.
+	maxCountedTargets = 64
+	// mainTargetShare is the share of the sub-requests of a version above which one of its
+	// targets gets nearly all of them, if it got minMainTarget at least.
+	mainTargetShare = 0.75
+	minMainTarget   = 20
 )
 
 // Counts holds the outcomes of sub-requests.
 type Counts struct {
 	Total  int `json:"total"`
 	Failed int `json:"failed,omitempty"`
-	// FailedByTarget holds the number of failures by target, for at most 64 targets.
+	// TotalByTarget and FailedByTarget hold the numbers by target, for at most 64 targets each.
+	TotalByTarget  map[string]int `json:"asked,omitempty"`
 	FailedByTarget map[string]int `json:"failing,omitempty"`
 	// Latency is in microseconds. It does not include failed sub-requests.
 	Latency *hdrhistogram.Histogram `json:"-"`
 }
 
 func newCounts() *Counts {
-	return &Counts{FailedByTarget: map[string]int{}, Latency: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)}
+	return &Counts{
+		TotalByTarget: map[string]int{}, FailedByTarget: map[string]int{}, Latency: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits),
+	}
 }
 
 func (c *Counts) add(o *Counts) {
 	c.Total += o.Total
 	c.Failed += o.Failed
+	for name, n := range o.TotalByTarget {
+		addCount(c.TotalByTarget, name, n)
+	}
 	for name, n := range o.FailedByTarget {
 		c.addFailures(name, n)
 	}
@@ -51,9 +61,12 @@
 	}
 }
 
-func (c *Counts) addFailures(name string, n int) {
-	if _, ok := c.FailedByTarget[name]; ok || len(c.FailedByTarget) < maxFailingTargets {
-		c.FailedByTarget[name] += n
+func (c *Counts) addFailures(name string, n int) { addCount(c.FailedByTarget, name, n) }
+
+// addCount adds n to the count of a target unless there are counts of too many others.
+func addCount(counts map[string]int, target string, n int) {
+	if _, ok := counts[target]; ok || len(counts) < maxCountedTargets {
+		counts[target] += n
 	}
 }
 
@@ -62,17 +75,24 @@
 	_ = c.Latency.RecordValue(min(max(latency.Microseconds(), minLatencyMicros), maxLatencyMicros))
 }
 
-// failuresWithoutWorstTarget returns the number of failures without those of the target
-// that failed most. With a single target, all failures count.
-func (c *Counts) failuresWithoutWorstTarget(targets int) int {
+// withoutWorstTarget returns the numbers of sub-requests and of failures without those of the
+// target that failed most. They include it if it is the only target, or if it got nearly all
+// sub-requests: hosts soon avoid a dead target for the others of its version.
+func (c *Counts) withoutWorstTarget(targets int) (total, failed int) {
 	if targets < 2 {
-		return c.Failed
+		return c.Total, c.Failed
 	}
-	worst := 0
-	for _, n := range c.FailedByTarget {
-		worst = max(worst, n)
+	name, worst := "", 0
+	for target, n := range c.FailedByTarget {
+		if n > worst || n == worst && target < name {
+			name, worst = target, n
+		}
 	}
-	return c.Failed - worst
+	asked := c.TotalByTarget[name]
+	if asked >= minMainTarget && float64(asked) > mainTargetShare*float64(c.Total) {
+		return c.Total, c.Failed
+	}
+	return c.Total - asked, c.Failed - worst
 }
 
 // Key identifies counts: those of the new version or of the old versions on a route.
@@ -103,6 +123,12 @@
 	if rc.Total < 0 || rc.Failed < 0 || rc.Failed > rc.Total {
 		return errors.Errorf("%d failures of %d sub-requests", rc.Failed, rc.Total)
 	}
+	if err := checkByTarget(rc.TotalByTarget, rc.Total); err != nil {
+		return errors.Wrap(err, "sub-requests by target")
+	}
+	if err := checkByTarget(rc.FailedByTarget, rc.Failed); err != nil {
+		return errors.Wrap(err, "failures by target")
+	}
 	rc.Latency = hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
 	if len(rc.Encoded) == 0 {
 		return nil
@@ -117,6 +143,20 @@
 	return nil
 }
 
+// checkByTarget checks that the counts by target are part of a total.
+func checkByTarget(counts map[string]int, total int) error {
+	if len(counts) > maxCountedTargets {
+		return errors.Errorf("%d targets", len(counts))
+	}
+	for name, n := range counts {
+		if n < 0 || n > total {
+			return errors.Errorf("%d of target %q, %d in all", n, name, total)
+		}
+		total -= n
+	}
+	return nil
+}
+
 // Report is the evidence of one host for one move.
 type Report struct {
 	Service string `json:"service"`
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -231,6 +231,37 @@
 	is.True(c.compareFailures(&versionPair{old, one}).p < 1e-9)
 }
 
+// Guards against failures that don't count because hosts ask mostly one target of the version,
+// as after its other targets were ejected.
+func TestMainTargetCounts(t *testing.T) {
+	is := is.New(t)
+	counts := func(asked map[string]int, failed map[string]int) *Counts {
+		c := &Counts{TotalByTarget: asked, FailedByTarget: failed}
+		for _, n := range asked {
+			c.Total += n
+		}
+		for _, n := range failed {
+			c.Failed += n
+		}
+		return c
+	}
+	for name, c := range map[string]struct {
+		counts        *Counts
+		total, failed int
+	}{
+		"the main target fails":   {counts(map[string]int{"1": 90, "2": 5, "3": 5}, map[string]int{"1": 36, "2": 2}), 100, 38},
+		"a target is dead":        {counts(map[string]int{"1": 20, "2": 40, "3": 40}, map[string]int{"1": 20, "2": 1}), 80, 1},
+		"few sub-requests so far": {counts(map[string]int{"1": 9, "2": 1}, map[string]int{"1": 9}), 1, 0},
+	} {
+		total, failed := c.counts.withoutWorstTarget(3)
+		if total != c.total || failed != c.failed {
+			t.Errorf("%s: %d of %d, want %d of %d", name, failed, total, c.failed, c.total)
+		}
+	}
+	bad := RouteCounts{Counts: Counts{Total: 2, Failed: 1, FailedByTarget: map[string]int{"1": 1, "2": 1}}}
+	is.True(bad.Decode() != nil)
+}
+
 // Guards against steps that are taken without warm targets, too early, without evidence
 // or after the end of the move.
 func TestSteps(t *testing.T) {
