Count sub-requests that a host's own lost links end for neither version

Cause: a host without links loses the sub-requests to both versions, and both counted. The old version then looks bad enough that the new one is not worse. Change: a host counts what ended without a reply apart.

--- a/move/collector.go
+++ b/move/collector.go
@@ -26,16 +26,27 @@
 	// first holds the number of sub-requests to each incarnation of a target that did not fail,
 	// up to skippedLatencies.
 	first map[string]int
+	links links
 }
 
 type moveCounts struct {
 	version string
-	counts  map[Key]*Counts
+	counts  map[Key]*hostCounts
 }
 
+// hostCounts are the counts of this host for one key. Sub-requests without a reply are counted
+// apart until the host knows whether its links were impaired.
+type hostCounts struct{ replied, silent *Counts }
+
 // Observe counts the outcome of a sub-request if a move of its service is running.
 func (c *Collector) Observe(v *control.View, t *control.Target, route string, latency time.Duration, o route.Outcome) {
+	if len(v.Moves) == 0 {
+		return
+	}
 	r, ok := v.Moves[t.Service]
+	if !ok || t.Version != r.Version {
+		c.links.observe(o)
+	}
 	if !ok || !Running(&r) {
 		return
 	}
@@ -45,10 +56,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.countsFor(&r, Key{Route: route, New: t.Version == r.Version})
-	if n == nil {
+	h := c.countsFor(&r, Key{Route: route, New: t.Version == r.Version})
+	if h == nil {
 		return
 	}
+	n := h.replied
+	if !hasReply(o) {
+		n = h.silent
+	}
 	n.Total++
 	addCount(n.TotalByTarget, t.Name, 1)
 	if failed {
@@ -59,7 +74,7 @@
 	}
 }
 
-func (c *Collector) countsFor(r *control.MoveRecord, key Key) *Counts {
+func (c *Collector) countsFor(r *control.MoveRecord, key Key) *hostCounts {
 	g := c.moves[r.Service]
 	if g == nil || g.version != r.Version {
 		if c.moves == nil {
@@ -68,12 +83,12 @@
 		if g == nil && len(c.moves) >= maxMoves {
 			return nil
 		}
-		g = &moveCounts{r.Version, map[Key]*Counts{}}
+		g = &moveCounts{r.Version, map[Key]*hostCounts{}}
 		c.moves[r.Service] = g
 	}
 	n := g.counts[key]
 	if n == nil && len(g.counts) < maxRouteCounts {
-		n = newCounts()
+		n = &hostCounts{newCounts(), newCounts()}
 		g.counts[key] = n
 	}
 	return n
@@ -102,6 +117,7 @@
 		c.first = map[string]int{}
 	}
 	c.mu.Unlock()
+	impaired := c.links.takeImpaired()
 	var reports []Report
 	for service, g := range moves {
 		r, ok := v.Moves[service]
@@ -110,7 +126,10 @@
 		}
 		report := Report{Service: service, Version: g.version}
 		for key, n := range g.counts {
-			p := RouteCounts{Key: key, Counts: *n}
+			if !impaired {
+				n.replied.add(n.silent)
+			}
+			p := RouteCounts{Key: key, Counts: *n.replied}
 			if err := p.encode(); err != nil {
 				return nil, err
 			}
--- a/move/cut_test.go
+++ b/move/cut_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"wasabirelay/control"
 	"wasabirelay/route"
 )
@@ -203,3 +205,24 @@
 		})
 	}
 }
+
+// Guards against sub-requests that count against a version although the host has lost its links.
+func TestLostLinksCountForNoVersion(t *testing.T) {
+	is := is.New(t)
+	v := &control.View{Moves: map[string]control.MoveRecord{"s": {Service: "s", Version: "v2", Step: Trial, Share: 0.05}}}
+	take := func(others route.Outcome) Counts {
+		var c Collector
+		for range 10 {
+			c.Observe(v, &control.Target{Name: "other", Service: "other", Version: "v1"}, "a", time.Second, others)
+		}
+		for _, o := range []route.Outcome{route.Success, route.Failed, route.TimedOut, route.Reset, route.ConnectFailed, route.Cancelled} {
+			c.Observe(v, &control.Target{Name: "new", Service: "s", Version: "v2"}, "a", time.Millisecond, o)
+		}
+		reports, err := c.Take(v)
+		is.NoErr(err)
+		return reports[0].Counts[0].Counts
+	}
+	impaired, sound := take(route.TimedOut), take(route.Success)
+	is.Equal([2]int{impaired.Failed, impaired.Total}, [2]int{1, 2}) // the failure that the target replied, and the success
+	is.Equal([2]int{sound.Failed, sound.Total}, [2]int{4, 6})       // a version that sends no reply is at fault
+}
