Judge the latency of a new version from its second sub-request on each host

Cause: the first 8 sub-requests to a target on each host are left out, because they include connecting. With seven hosts and three targets these are 168, more than a trial share of a few seconds. Change: the relay passes the time from the first byte sent, so that only the first sub-request is left out.

--- a/move/collector.go
+++ b/move/collector.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -9,9 +10,8 @@
 )
 
 const (
-	// skippedLatencies is the number of first sub-requests to a target whose latency is
-	// not counted. They open connections, which takes several times as long.
-	skippedLatencies = 8
+	// defaultSkippedLatencies is the default of Collector.SkippedLatencies.
+	defaultSkippedLatencies = 8
 	// maxMoves and maxTargets bound the moves and the targets for which a host collects
 	// evidence.
 	maxMoves   = 64
@@ -21,10 +21,15 @@
 // Collector collects the evidence of one host between its reports. It is safe for
 // concurrent use. The zero value is ready to use.
 type Collector struct {
+	// SkippedLatencies is the number of first sub-requests to a target whose latency is not
+	// counted, 8 if 0. If latencies include the time to open a connection, it has to exceed the
+	// number of connections to a target.
+	SkippedLatencies int
+
 	mu    sync.Mutex
 	moves map[string]*moveCounts
 	// first holds the number of sub-requests to each incarnation of a target that did not fail,
-	// up to skippedLatencies.
+	// up to SkippedLatencies.
 	first map[string]int
 	links links
 }
@@ -98,7 +103,7 @@
 // not counted.
 func (c *Collector) connected(t *control.Target) bool {
 	id := t.Name + "/" + t.Incarnation
-	if c.first[id] >= skippedLatencies {
+	if c.first[id] >= cmp.Or(c.SkippedLatencies, defaultSkippedLatencies) {
 		return true
 	}
 	if len(c.first) < maxTargets {
--- a/move/cut_test.go
+++ b/move/cut_test.go
@@ -61,12 +61,16 @@
 )
 
 func newFleet(seed uint64, by time.Duration, c cut, version behaviour) *fleet {
-	return &fleet{
+	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 2)), cut: c, version: version, now: startTime,
 		record: control.MoveRecord{
 			Service: "s", Version: "v2", Started: startTime, Deadline: startTime.Add(by), TrialShare: maxExposure / 2, Step: Trial, Share: maxExposure / 2,
 		},
 	}
+	for host := range f.collectors {
+		f.collectors[host].SkippedLatencies = 1
+	}
+	return f
 }
 
 // request simulates one request of a host.
--- a/node/entry.go
+++ b/node/entry.go
@@ -149,6 +149,7 @@
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
 	}
+	e.evidence.SkippedLatencies = 1 // the latencies that relay passes include no connecting
 	e.pool.CheckReply = e.relay.CheckReply
 	e.helpers = portion.Helpers{Clock: e.Clock, Log: e.Log, DialTimeout: exchange.DialTimeout}
 	e.portions = portion.Server{Collect: e.relay.Collect, Clock: e.Clock, Log: e.Log}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -128,7 +128,7 @@
 	ended = func() {}
 	s.Metrics.attempt(t.Service, r.outcome, now.Sub(started))
 	if s.Observe != nil {
-		s.Observe(t, j.route.Name, now.Sub(started), r.outcome)
+		s.Observe(t, j.route.Name, a.sinceSent(now, started), r.outcome)
 	}
 	s.logAttempt(j, r, now.Sub(started))
 	return r
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -69,6 +69,15 @@
 	return nil
 }
 
+// sinceSent returns the time since the first byte was about to be sent, or since the attempt was
+// started if nothing was sent.
+func (a *attempt) sinceSent(now, started time.Time) time.Duration {
+	if sent := a.sent.Load(); sent > 0 {
+		started = a.fetch.j.started.Add(time.Duration(sent))
+	}
+	return now.Sub(started)
+}
+
 // begin starts the first attempt.
 func (f *fetch) begin(now time.Time) {
 	f.budget = f.Table.Budget(f.service)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -127,7 +127,8 @@
 	// BudgetsEmptyUntil is the time before which a service that is used for the first time gets
 	// no share of RetrySlack in advance: an earlier run of this process may have used it.
 	BudgetsEmptyUntil time.Time
-	// Observe, if set, is called with the outcome of each request to a target.
+	// Observe, if set, is called with the outcome of each request to a target and the time since it
+	// was sent.
 	Observe func(t *control.Target, route string, latency time.Duration, o route.Outcome)
 	// Draining reports whether callers are notified to close their connections.
 	Draining func() bool
