Raise the share of a version only if it fails about as often as the old one

Cause: growing asked only that no test was below 0.001, which a sample of 60 sub-requests rarely is. Change: the share grows only if the failures since the last growth are not significantly more at the level of 0.05. A good version waits for a look or two at times.

--- a/move/compare.go
+++ b/move/compare.go
@@ -15,6 +15,9 @@
 	// suspicionLevel is the p-value below which the share does not grow. It is not
 	// corrected for the number of tests. The move waits for more evidence instead.
 	suspicionLevel = 1e-3
+	// growthLevel is the p-value of the failures since the last growth below which the share
+	// does not grow: more traffic needs evidence that the version is good enough.
+	growthLevel = 0.05
 
 	// The new version may be worse by these amounts, because large samples show
 	// differences that no caller notices: 0.5 percentage points of failures, and a
--- a/move/move.go
+++ b/move/move.go
@@ -199,6 +199,13 @@
 		return m.keepShare(now, r, r.Reason)
 	}
 	_, all := m.pool.window(m.changedAt)
+	c := comparison{targets: in.Targets}
+	if r.Share > majorityShare {
+		c.reference = m.referenceAllRoutes
+	}
+	if f := c.compareFailures(all); f.p < growthLevel {
+		return m.keepShare(now, r, "held: "+f.reason)
+	}
 	reason := fmt.Sprintf("%d of %d sub-requests failed, %d of %d of the old version; median latency %s, %s of the old version",
 		all.new.Failed, all.new.Total, all.old.Failed, all.old.Total, latencyAt(all.new, quantiles[0]), latencyAt(all.old, quantiles[0]))
 	share := nextShare(r.Share)
