Pass requests on to other hosts while this one has lost its links to targets

Cause: a host asked its targets for as long as its callers came, whatever it had heard of them, although other hosts reached the same targets. Class of fault: a part of a host's work fails while its neighbours see it run. The host then passes whole requests on over the connections of portions: one hop more, the deadline less the way back, to another host only if the first has refused and so started nothing. The other host serves it if it has the same route in force and links of its own. Probes restore the links; what targets were ejected for meanwhile is forgotten. Evidence: TestHostWithoutLinksPassesRequestsOn fails before in all three cases.

--- a/node/entry.go
+++ b/node/entry.go
@@ -17,6 +17,7 @@
 	"wasabirelay/move"
 	"wasabirelay/portion"
 	"wasabirelay/quorum"
+	"wasabirelay/reach"
 	"wasabirelay/relay"
 	"wasabirelay/route"
 	"wasabirelay/routing"
@@ -119,6 +120,7 @@
 	g.Go(func() error { return e.client.Run(ctx) })
 	g.Go(func() error { return e.maintainView(ctx) })
 	g.Go(func() error { return e.reportEvidence(ctx) })
+	g.Go(func() error { return e.relay.RunProbes(ctx) })
 	e.Log.Info().Stringer("callers", e.Settings.Caller).Int64("start", e.start()).Int("seeds", len(e.Settings.Seeds)).Msg("entry host started")
 	go func() {
 		select {
@@ -144,7 +146,7 @@
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
 		View: e.view.Load, Ready: e.firstView, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack, RetryWindow: e.Settings.RetryWindow,
 		Draining: e.draining.Load, Metrics: relay.NewMetrics(e.Registry), DecodeDeclaration: e.Interfaces.DecodeDeclaration,
-		Declared: declaration.Table{OnChange: e.logDeclaration},
+		Declared: declaration.Table{OnChange: e.logDeclaration}, Reach: reach.Judge{OnChange: e.reachChanged},
 		Observe: func(t *control.Target, name string, latency time.Duration, o route.Outcome) {
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
@@ -154,7 +156,7 @@
 	e.helpers = portion.Helpers{Clock: e.Clock, Log: e.Log, DialTimeout: exchange.DialTimeout}
 	e.portions = portion.Server{Collect: e.relay.Collect, Clock: e.Clock, Log: e.Log}
 	if e.Settings.Peer.IsValid() {
-		e.relay.Delegate, e.relay.HelpersEpoch = e.helpers.Collect, e.helpers.Epoch
+		e.relay.Delegate, e.relay.HelpersEpoch, e.relay.Helpers = e.helpers.Collect, e.helpers.Epoch, e.helpers.UsableHosts
 	}
 	if !e.Settings.Bootstrap {
 		e.relay.BudgetsEmptyUntil = e.Clock.Now().Add(e.Settings.RetryWindow)
@@ -252,6 +254,18 @@
 		Int("omitted", omitted).Msg("target assessment changed")
 }
 
+// reachChanged logs that this host has lost its links to targets, or that they were restored. What
+// the targets were ejected for meanwhile was the fault of the links.
+func (e *Entry) reachChanged(c reach.Change) {
+	if !c.Lost {
+		e.table.ReinstateAll(e.Clock.Now())
+		e.Log.Info().Dur("after", c.Silence).Dur("hold", c.Hold).Msg("links to targets restored; requests are sent to them again")
+		return
+	}
+	e.Log.Warn().Int("lost", c.Requests).Int("targets", c.Targets).Dur("silence", c.Silence).Dur("hold", c.Hold).
+		Msg("links to targets lost; requests are passed on to other hosts")
+}
+
 // logDeclaration logs that a target has declared something else than before.
 func (e *Entry) logDeclaration(c declaration.Change) {
 	omitted, ok := e.events.Allow("declared", maxChangeLines)
--- a/portion/message.go
+++ b/portion/message.go
@@ -23,7 +23,7 @@
 	maxTimeout = time.Minute
 )
 
-// Request asks another host to collect the replies of some shards.
+// Request asks another host to collect the replies of some shards, or to serve the whole request.
 type Request struct {
 	// ID identifies the portion on its connection.
 	ID uint64 `json:"id"`
@@ -33,7 +33,9 @@
 	Host   string      `json:"host"`
 	Header http.Header `json:"header"`
 	Body   []byte      `json:"body,omitempty"`
-	Shards []string    `json:"shards"`
+	Shards []string    `json:"shards,omitempty"`
+	// Whole asks for the response to the whole request instead of the replies of shards.
+	Whole bool `json:"whole,omitempty"`
 	// Spare is the number of these shards that the response can do without.
 	Spare int `json:"spare,omitempty"`
 	// Route is a hash of the route in force. A host with another route refuses the portion.
@@ -49,7 +51,9 @@
 	switch {
 	case r.Method == "" || r.URI == "" || r.Host == "":
 		return errors.New("the request has no method, URI or host")
-	case len(r.Shards) == 0 || len(r.Shards) > maxShards:
+	case r.Whole && len(r.Shards) > 0:
+		return errors.New("a whole request names shards")
+	case !r.Whole && len(r.Shards) == 0 || len(r.Shards) > maxShards:
 		return errors.Errorf("the portion has %d shards", len(r.Shards))
 	case r.Timeout <= 0 || r.Timeout > maxTimeout:
 		return errors.Errorf("the timeout is %s", r.Timeout)
@@ -73,6 +77,15 @@
 	Refused string `json:"refused,omitempty"`
 	// Last is true on the last frame.
 	Last bool `json:"last,omitempty"`
+	// Reply is the response to a whole request, in its last frame.
+	Reply *Reply `json:"reply,omitempty"`
+}
+
+// Reply is the response to a whole request.
+type Reply struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
 }
 
 // Part is the reply of one shard.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -127,8 +127,10 @@
 	s.Table.Done(now, t, j.route.Name, now.Sub(started), r.outcome)
 	ended = func() {}
 	s.Metrics.attempt(t.Service, r.outcome, now.Sub(started))
+	sinceSent := a.sinceSent(now, started)
+	s.recordReach(now, r, sinceSent)
 	if s.Observe != nil {
-		s.Observe(t, j.route.Name, a.sinceSent(now, started), r.outcome)
+		s.Observe(t, j.route.Name, sinceSent, r.outcome)
 	}
 	s.logAttempt(j, r, now.Sub(started))
 	return r
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"wasabirelay/portion"
 	"wasabirelay/route"
+	"wasabirelay/routing"
 )
 
 // gathered holds the replies to a request to all shards.
@@ -101,12 +103,15 @@
 // objective, so that the other host knows that this one works on the portion, and from the cutoff
 // on whenever there are new replies. It returns the last frame.
 func (s *Service) Collect(ctx context.Context, r *portion.Request, send func(*portion.Frame)) *portion.Frame {
-	j, reason := s.acceptPortion(r)
+	j, reason := s.acceptPortion(ctx, r)
 	if reason != "" {
 		s.Metrics.portion("refused")
 		return &portion.Frame{Refused: reason}
 	}
 	s.Metrics.portion("collected")
+	if r.Whole {
+		return s.serveWhole(ctx, j, send)
+	}
 	out := portionOutput{limit: j.route.ResultLimit}
 	report := j.started.Add(time.Duration(reportShare * float64(j.route.Objective)))
 	if report.After(j.partialAfter) {
@@ -124,23 +129,32 @@
 }
 
 // acceptPortion returns the job for a portion, or the reason why this host doesn't work on it.
-func (s *Service) acceptPortion(r *portion.Request) (j *job, reason string) {
+func (s *Service) acceptPortion(ctx context.Context, r *portion.Request) (j *job, reason string) {
 	view := s.View()
-	if view == nil {
+	switch {
+	case view == nil:
 		return nil, "no routing document is known yet"
+	case s.Reach.Lost():
+		return nil, "this host has lost its links to targets"
 	}
 	rt := view.Routing.Match(r.Host, pathOf(r.URI))
-	if rt == nil || !rt.Idempotent || routeHash(rt) != r.Route {
+	if rt == nil || !rt.Idempotent && !r.Whole || routeHash(rt) != r.Route {
 		return nil, "another route is in force here"
 	}
 	if slices.ContainsFunc(r.Shards, func(service string) bool { return !slices.Contains(rt.Shards, service) }) {
 		return nil, "the route lacks a shard of the portion"
 	}
-	part, now := *rt, s.Clock.Now()
-	part.Shards = r.Shards
-	request := &http.Request{Method: r.Method, RequestURI: r.URI, Host: r.Host, Header: r.Header}
+	part, spare, now := rt, r.Spare, s.Clock.Now()
+	if r.Whole {
+		spare = spareShards(rt)
+	} else {
+		part = &routing.Route{}
+		*part = *rt
+		part.Shards = r.Shards
+	}
+	request := (&http.Request{Method: r.Method, URL: &url.URL{Path: pathOf(r.URI)}, RequestURI: r.URI, Host: r.Host, Header: r.Header}).WithContext(ctx)
 	return &job{
-		Request: request, body: r.Body, id: r.Header.Get(s.Headers.Request), view: view, route: &part, spare: r.Spare,
+		Request: request, body: r.Body, id: r.Header.Get(s.Headers.Request), view: view, route: part, spare: spare,
 		started: now, partialAfter: now.Add(r.Cutoff), deadline: now.Add(r.Timeout),
 	}, ""
 }
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,15 +93,19 @@
 	return shards
 }
 
-// routeHash identifies what two hosts have to agree on to divide a request: which shards it has,
-// and how many attempts and records.
+// routeHash identifies what two hosts have to agree on to divide a request or to pass it on: where
+// it goes, whether it may be repeated, and how many attempts and records it has.
 func routeHash(r *routing.Route) uint64 {
 	d := xxhash.New()
 	for _, service := range r.Shards {
 		_, _ = d.WriteString(service)
 		_, _ = d.Write([]byte{0})
 	}
+	for _, b := range r.Backends {
+		_, _ = fmt.Fprintf(d, "%s %g\n", b.Service, b.Weight)
+	}
 	_, _ = d.Write([]byte{byte(r.Attempts), byte(r.ResultLimit), byte(r.ResultLimit >> 8), byte(r.ResultLimit >> 16)})
+	_, _ = d.WriteString(strconv.FormatBool(r.Idempotent))
 	return d.Sum64()
 }
 
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -123,12 +123,17 @@
 		h[name] = values
 	}
 	h.Set(s.Headers.Request, j.id)
-	h.Set("Content-Length", strconv.Itoa(len(res.Body)))
+	setLength(h, len(res.Body))
+	w.WriteHeader(res.Status)
+	_, _ = w.Write(res.Body) // an error means that the caller has left
+}
+
+// setLength sets the length of the body of a response.
+func setLength(h http.Header, length int) {
+	h.Set("Content-Length", strconv.Itoa(length))
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // prevents net/http from detecting a type
 	}
-	w.WriteHeader(res.Status)
-	_, _ = w.Write(res.Body) // an error means that the caller has left
 }
 
 // recordCallerLeft counts and logs a caller that has left before the response.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -17,6 +17,7 @@
 	attempts *prometheus.CounterVec
 	replies  prometheus.Histogram
 	portions *prometheus.CounterVec
+	passes   *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
@@ -46,8 +47,11 @@
 		portions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabirelay_relay_portions_total", Help: "Portions of requests between hosts, by what became of them.",
 		}, []string{"outcome"}),
+		passes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabirelay_relay_passes_total", Help: "Requests passed on to other hosts, by what became of them.",
+		}, []string{"outcome"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions)
+	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes)
 	return m
 }
 
@@ -70,6 +74,12 @@
 	}
 }
 
+func (m *Metrics) pass(outcome string) {
+	if m != nil {
+		m.passes.WithLabelValues(outcome).Inc()
+	}
+}
+
 func (m *Metrics) attempt(service string, o route.Outcome, took time.Duration) {
 	if m == nil {
 		return
--- /dev/null
+++ b/relay/pass.go
@@ -0,0 +1,175 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wasabirelay/portion"
+)
+
+const (
+	// maxPasses bounds the other hosts that a request is passed on to, one after the other. Each of
+	// them but the last has refused it.
+	maxPasses = 3
+	// passMargin is how long before the deadline of a request another host has to end it.
+	passMargin = 2 * returnMargin
+)
+
+// passEvent is a frame of a request that was passed on, or its end.
+type passEvent struct {
+	frame *portion.Frame
+	err   error
+}
+
+// passOn passes the request on to other hosts until one of them serves it. It reports false if
+// none does, so that no target can have executed the request.
+func (s *Service) passOn(ctx context.Context, w http.ResponseWriter, j *job) bool {
+	if s.Delegate == nil || s.Helpers == nil {
+		return false
+	}
+	hosts := s.Helpers()
+	for range maxPasses {
+		host, passed := s.passTo(ctx, w, j, hosts)
+		if passed {
+			return true
+		}
+		if host == "" {
+			break
+		}
+		hosts = slices.DeleteFunc(hosts, func(name string) bool { return name == host })
+	}
+	s.Metrics.pass("refused")
+	return false
+}
+
+// passTo passes the request on to one of the hosts and sends its response. It reports false, and
+// the name of the host, if that has refused the request.
+func (s *Service) passTo(ctx context.Context, w http.ResponseWriter, j *job, hosts []string) (host string, passed bool) {
+	now := s.Clock.Now()
+	left := j.deadline.Sub(now) - passMargin
+	if left <= 0 || len(hosts) == 0 {
+		return "", false
+	}
+	request := &portion.Request{
+		Method: j.Method, URI: j.RequestURI, Host: j.Host, Header: endToEndHeaders(j.Header), Body: j.body, Whole: true,
+		Route: routeHash(j.route), Cutoff: j.partialAfter.Sub(now) - returnMargin, Timeout: left,
+	}
+	const frames = 2 // the first one, which shows that the host works on the request, and the last one
+	events := make(chan passEvent, frames)
+	collection, err := s.Delegate(hosts, request, func(f *portion.Frame, err error) {
+		select {
+		case events <- passEvent{f, err}:
+		case <-ctx.Done(): // the request has ended
+		}
+	})
+	if err != nil {
+		return "", false
+	}
+	silent := s.Clock.NewTimer(time.Duration(suspectShare * float64(j.route.Objective)))
+	defer silent.Stop()
+	for {
+		select {
+		case e := <-events:
+			var refused *portion.RefusedError
+			if errors.As(e.err, &refused) {
+				return collection.Host, false
+			}
+			silent.Stop()
+			if e.err != nil || e.frame.Last {
+				s.endPass(w, j, &e)
+				return collection.Host, true
+			}
+		case <-silent.Chan():
+			collection.Suspect()
+		case <-ctx.Done():
+			collection.Cancel()
+			s.endPass(w, j, &passEvent{err: ctx.Err()})
+			return collection.Host, true
+		case <-s.stopper.done():
+			collection.Cancel()
+			s.endPass(w, j, &passEvent{err: errors.New("this host stops")})
+			return collection.Host, true
+		}
+	}
+}
+
+// endPass sends the response of another host, or a refusal if there is none: a target may have
+// executed the request.
+func (s *Service) endPass(w http.ResponseWriter, j *job, e *passEvent) {
+	switch {
+	case j.Context().Err() != nil:
+		s.Metrics.pass("left")
+		s.recordCallerLeft(j)
+	case e.err == nil && e.frame.Reply != nil && http.StatusText(e.frame.Reply.Status) != "":
+		s.Metrics.pass("served")
+		reply := e.frame.Reply
+		h := w.Header()
+		for name, values := range endToEndHeaders(reply.Header) {
+			h[name] = values
+		}
+		setLength(h, len(reply.Body))
+		w.WriteHeader(reply.Status)
+		_, _ = w.Write(reply.Body) // an error means that the caller has left
+		s.recordResponse(j, reply.Status, 0, 0, nil)
+	default:
+		s.Metrics.pass("lost")
+		f := &refusal{status: http.StatusBadGateway, reason: "no reply of the host that the request was passed on to", route: j.route.Name}
+		if e.err != nil {
+			f.reason += ": " + e.err.Error()
+		}
+		if !s.Clock.Now().Before(j.deadline) {
+			f.status = http.StatusGatewayTimeout
+		}
+		s.refuse(w, j.Request, f)
+	}
+}
+
+// serveWhole serves a request that another host has passed on. It passes a first frame to send after
+// a share of the objective, so that the other host knows that this one works on the request.
+func (s *Service) serveWhole(ctx context.Context, j *job, send func(*portion.Frame)) *portion.Frame {
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	reply := &replyRecorder{header: http.Header{}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.serve(ctx, reply, j)
+	}()
+	report := s.Clock.NewTimer(time.Duration(reportShare * float64(j.route.Objective)))
+	defer report.Stop()
+	select {
+	case <-done:
+	case <-report.Chan():
+		send(&portion.Frame{})
+		<-done
+	}
+	if reply.status == 0 { // the other host has left, and nothing was written
+		return &portion.Frame{}
+	}
+	return &portion.Frame{Reply: &portion.Reply{Status: reply.status, Header: reply.header, Body: reply.body.Bytes()}}
+}
+
+// replyRecorder is an http.ResponseWriter that keeps a response.
+type replyRecorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (r *replyRecorder) Header() http.Header { return r.header }
+
+func (r *replyRecorder) WriteHeader(status int) {
+	if r.status == 0 {
+		r.status = status
+	}
+}
+
+func (r *replyRecorder) Write(b []byte) (int, error) {
+	r.WriteHeader(http.StatusOK)
+	return r.body.Write(b)
+}
--- /dev/null
+++ b/relay/pass_test.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/limit"
+	"wasabirelay/portion"
+	"wasabirelay/routing"
+)
+
+// loseLinks makes the host judge that it has lost its links.
+func (h *harness) loseLinks() {
+	for i := range 10 {
+		h.service.Reach.RecordLoss(time.Now(), fmt.Sprint(i))
+	}
+}
+
+// cutOff closes the ways of the harness to its targets, as if connections to them were refused.
+func (h *harness) cutOff() {
+	shares := map[string]limit.Share{}
+	for _, list := range h.view.Targets {
+		for _, t := range list {
+			shares[t.Name] = limit.Share{Incarnation: t.Incarnation, Address: netip.MustParseAddrPort("127.0.0.1:1"), Connections: 8, Slots: 8}
+		}
+	}
+	h.service.Pool.SetShares(shares)
+}
+
+// passTo makes the harness pass requests on to others by name. It returns the hosts that were asked.
+func (h *harness) passTo(others map[string]func(ctx context.Context, r *portion.Request, receive func(*portion.Frame, error))) (asked *[]string) {
+	var names []string
+	for name := range others {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	asked = &[]string{}
+	h.service.Helpers = func() []string { return slices.Clone(names) }
+	h.service.Delegate = func(hosts []string, r *portion.Request, receive func(*portion.Frame, error)) (*portion.Collection, error) {
+		name := hosts[0]
+		*asked = append(*asked, name)
+		ctx, cancel := context.WithCancel(context.Background())
+		go others[name](ctx, r, receive)
+		return &portion.Collection{Host: name, Cancel: cancel, Suspect: func() {}}, nil
+	}
+	return asked
+}
+
+func idempotentShards() routing.Route { return shardsRoute(1, "s1", "s2") }
+
+// Guards against a host without links to targets that fails its callers while other hosts reach them.
+func TestHostWithoutLinksPassesRequestsOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		route routing.Route
+		body  string
+	}{
+		"one target, idempotent":     {singleRoute(true, 2), string(record("b"))},
+		"one target, not idempotent": {singleRoute(false, 2), string(record("b"))},
+		"all shards":                 {idempotentShards(), string(record("b")) + string(record("a"))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			one, two := newTarget("t1", "s1").records("b"), newTarget("t2", "s2").records("a")
+			other := newHarness(t, c.route, one, two)
+			h := newHarness(t, c.route, newTarget("t1", "s1"), newTarget("t2", "s2"))
+			h.cutOff()
+			h.loseLinks()
+			asked := h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectHere})
+			res, body := h.get(t, nil)
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(body, c.body)
+			is.Equal(res.Header.Get(headers.Request), "r1")
+			is.Equal(one.ran.Load(), int64(1))
+			is.Equal(*asked, []string{"other"})
+		})
+	}
+}
+
+// Guards against requests that are given up because the first of the other hosts can't serve them,
+// and against requests that run twice because the first one may have served them.
+func TestFailedPass(t *testing.T) {
+	type other = func(context.Context, *portion.Request, func(*portion.Frame, error))
+	refused := func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
+		receive(nil, &portion.RefusedError{Reason: "r"})
+	}
+	lost := func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
+		receive(nil, &portion.LostError{Host: "a"})
+	}
+	silent := func(context.Context, *portion.Request, func(*portion.Frame, error)) {}
+	malformed := func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
+		receive(&portion.Frame{Last: true}, nil)
+	}
+	for name, c := range map[string]struct {
+		first  other
+		status int
+		asked  []string
+	}{
+		"refused":   {refused, http.StatusOK, []string{"a", "b"}},
+		"lost":      {lost, http.StatusBadGateway, []string{"a"}},
+		"silent":    {silent, http.StatusGatewayTimeout, []string{"a"}},
+		"malformed": {malformed, http.StatusBadGateway, []string{"a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := newTarget("t1", "s1").records("b")
+			good := newHarness(t, singleRoute(false, 2), target)
+			h := newHarness(t, singleRoute(false, 2), newTarget("t1", "s1"))
+			h.loseLinks()
+			asked := h.passTo(map[string]other{"a": c.first, "b": good.collectHere})
+			res, _ := h.get(t, func(r *http.Request) { r.Header.Set(headers.Timeout, "300") })
+			is.Equal(res.StatusCode, c.status)
+			is.Equal(*asked, c.asked)
+			is.Equal(target.ran.Load(), int64(len(c.asked)-1))
+		})
+	}
+}
+
+// Guards against a request that goes back and forth between hosts that have all lost their links,
+// and against a refusal that is late or says more than is known: nothing was sent.
+func TestAllHostsWithoutLinks(t *testing.T) {
+	is := is.New(t)
+	a, b := newHarness(t, singleRoute(false, 2), newTarget("t1", "s1")), newHarness(t, singleRoute(false, 2), newTarget("t1", "s1"))
+	for _, h := range []*harness{a, b} {
+		h.cutOff()
+		h.loseLinks()
+	}
+	asked := a.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"b": b.collectHere})
+	b.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"a": a.collectHere})
+	res, _ := a.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.True(res.Header.Get("Retry-After") != "")
+	is.Equal(*asked, []string{"b"})
+}
+
+// Guards against a host that serves requests of others by an older or a newer route than theirs.
+func TestPassedRequestNeedsTheSameRoute(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 2), newTarget("t1", "s1").records("b"))
+	ask := func(route routing.Route) *portion.Frame {
+		return h.service.Collect(context.Background(), &portion.Request{
+			Method: http.MethodGet, URI: "/q/x", Host: "h", Header: http.Header{headers.Request: {"r1"}}, Whole: true,
+			Route: routeHash(&route), Cutoff: time.Second, Timeout: time.Second,
+		}, func(*portion.Frame) {})
+	}
+	same, moved, limited := singleRoute(true, 2), singleRoute(true, 2), singleRoute(true, 1)
+	moved.Backends = []routing.Backend{{Service: "s2", Weight: 1}}
+	is.True(ask(moved).Refused != "")
+	is.True(ask(limited).Refused != "")
+	is.Equal(ask(same).Reply.Status, http.StatusOK)
+}
+
+// Guards against a host that takes requests itself no more after its links were restored.
+func TestProbeRestoresLinks(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 2), newTarget("t1", "s1").records("b"))
+	h.loseLinks()
+	is.True(h.service.Reach.Lost())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = h.service.RunProbes(ctx) }()
+	for deadline := time.Now().Add(5 * time.Second); h.service.Reach.Lost() && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(!h.service.Reach.Lost())
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"wasabirelay/eventlog"
 	"wasabirelay/limit"
 	"wasabirelay/portion"
+	"wasabirelay/reach"
 	"wasabirelay/route"
 	"wasabirelay/routing"
 )
@@ -143,6 +144,11 @@
 	// Delegate, if set, leaves a portion of a request to one of some hosts; see
 	// portion.Helpers.Collect.
 	Delegate func(hosts []string, r *portion.Request, receive func(*portion.Frame, error)) (*portion.Collection, error)
+	// Helpers, if set, returns the other hosts that requests can be left to.
+	Helpers func() []string
+	// Reach judges whether this host has lost its links to targets. Requests are passed on to
+	// other hosts then.
+	Reach reach.Judge
 
 	splitter     trafficSplitter
 	stopper      stopper
@@ -204,6 +210,14 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
+	if s.Reach.Lost() && s.passOn(ctx, w, j) {
+		return
+	}
+	s.serve(ctx, w, j)
+}
+
+// serve serves a request with replies of targets.
+func (s *Service) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	if len(j.route.Shards) > 0 {
 		s.gather(ctx, w, j)
 		return
--- a/route/health.go
+++ b/route/health.go
@@ -217,6 +217,20 @@
 	t.notify(now, s)
 }
 
+// ReinstateAll makes all targets available for regular selection again, after this host had lost its
+// links to them.
+func (t *Table) ReinstateAll(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.targets {
+		s.failures, s.probeInterval = 0, 0
+		if s.ejected {
+			s.ejected, s.since, s.probingUntil = false, now, time.Time{}
+			t.notify(now, s)
+		}
+	}
+}
+
 // pickProbe returns an ejected replica that is due for a probe. Each target has at most one
 // probe in progress.
 func (t *Table) pickProbe(now time.Time, ejected *candidates) (*control.Target, bool) {
