--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -23,8 +23,11 @@
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
 var latencyBuckets = []float64{.005, .01, .02, .03, .04, .06, .08, .1, .15, .25, .4, 1, 4}
 
-// routeLabel is the label for the name of the route.
-const routeLabel = "route"
+// Labels of the name of the route and of the outcome.
+const (
+	routeLabel   = "route"
+	outcomeLabel = "outcome"
+)
 
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
@@ -40,16 +43,16 @@
 		}, []string{routeLabel}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabirelay_relay_attempts_total", Help: "Requests to targets by service and outcome.",
-		}, []string{"service", "outcome"}),
+		}, []string{"service", outcomeLabel}),
 		replies: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "wasabirelay_relay_attempt_seconds", Help: "Time of successful requests to targets.", Buckets: latencyBuckets,
 		}),
 		portions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabirelay_relay_portions_total", Help: "Portions of requests between hosts, by what became of them.",
-		}, []string{"outcome"}),
+		}, []string{outcomeLabel}),
 		passes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabirelay_relay_passes_total", Help: "Requests passed on to other hosts, by what became of them.",
-		}, []string{"outcome"}),
+		}, []string{outcomeLabel}),
 	}
 	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes)
 	return m
