Say that a request may have run only if something of it was sent

Cause: an attempt in progress at the deadline, or when too few shards were left, counted as executed, also while it waited for a connection; past the deadline the status was 504 whatever had happened. Change: attempts of which nothing was sent are withdrawn at the end of a request, and only what was sent counts. A request of which nothing was executed gets 503.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -18,7 +18,9 @@
 // result is the result of an attempt at one target, or of all attempts for a service.
 type result struct {
 	// fetch is the fetch that the attempt belongs to.
-	fetch   *fetch
+	fetch *fetch
+	// attempt is nil in the result of all attempts.
+	attempt *attempt
 	service string
 	// target is the target of the attempt, or nil if there was no attempt.
 	target   *control.Target
@@ -92,7 +94,7 @@
 // send sends the request to a target and waits for the reply.
 func (g *fetchGroup) send(ctx context.Context, m *message, a *attempt) (r *result) {
 	s, j, t := g.Service, g.j, a.target
-	r = &result{fetch: a.fetch, service: t.Service, target: t}
+	r = &result{fetch: a.fetch, attempt: a, service: t.Service, target: t}
 	ended := func() {}
 	defer func() {
 		if p := recover(); p != nil { // one request must not end the process
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -89,7 +89,7 @@
 	g.unreturned = nil
 	for i := range g.fetches {
 		if f := &g.fetches[i]; !f.done {
-			g.received.fail(f.service, true, errPending)
+			g.received.fail(f.service, f.abandon(), errPending)
 		}
 	}
 	for _, d := range g.delegations {
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -41,6 +41,8 @@
 	state  atomic.Int32
 	// sent is the age of the request at which the first byte was about to be sent; 0 before.
 	sent atomic.Int64
+	// ended is true once the fetch has handled the result.
+	ended bool
 }
 
 // States of an attempt.
@@ -121,6 +123,7 @@
 // handleResult handles the result of an attempt.
 func (f *fetch) handleResult(r *result) {
 	f.inFlight--
+	r.attempt.ended = true
 	switch {
 	case r.withdrawn:
 		f.keepBest(r)
@@ -150,11 +153,23 @@
 // timeOut ends a fetch whose request has reached its deadline.
 func (f *fetch) timeOut() {
 	f.last = result{
-		service: f.service, outcome: route.TimedOut, err: f.ctx.Err(), ran: f.sent > 0, target: f.newest().target,
+		service: f.service, outcome: route.TimedOut, err: f.ctx.Err(), ran: f.abandon(), target: f.newest().target,
 	}
 	f.finish()
 }
 
+// abandon withdraws the attempts of which nothing has been sent. It reports whether a target may
+// have executed the request.
+func (f *fetch) abandon() (ran bool) {
+	ran = f.last.ran
+	for _, a := range f.attempts {
+		if !a.ended && !a.withdraw() && a.state.Load() == committed {
+			ran = true
+		}
+	}
+	return ran
+}
+
 // finish ends the fetch and cancels the attempts in flight; the pool waits for their replies.
 func (f *fetch) finish() {
 	f.done, f.hedgeAt = true, time.Time{}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -69,9 +69,9 @@
 	f := &refusal{status: http.StatusServiceUnavailable, reason: "too few shards can be asked", retry: retryAfter, route: j.route.Name}
 	if ran {
 		f.status, f.reason = http.StatusBadGateway, "too few shards replied"
-	}
-	if !s.Clock.Now().Before(j.deadline) {
-		f.status, f.retry = http.StatusGatewayTimeout, 0
+		if !s.Clock.Now().Before(j.deadline) {
+			f.status, f.retry = http.StatusGatewayTimeout, 0
+		}
 	}
 	f.reason += ": " + describeFailures(c.failed)
 	s.refuse(w, j.Request, f)
