Leave no portions or requests to hosts that have lost their links to targets

Cause: hosts did not know of each other's links. Change: a host reports to the control hosts that its links are lost or restored, at once; hosts form teams without it and pass no requests on to it. Its shares of limits and its place among the active hosts stay. Evidence: TestStrandedHostsGetNoRequestsOfOthers.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -51,6 +51,9 @@
 	Helper netip.AddrPort `json:"helper,omitzero"`
 	// Draining is true if the host is shutting down and callers must not be sent to it.
 	Draining bool `json:"draining,omitempty"`
+	// Stranded is true if the host has lost its links to targets. It still serves callers, with the
+	// help of other hosts.
+	Stranded bool `json:"stranded,omitempty"`
 }
 
 // IsControl reports whether the host is a control host.
--- a/node/division_test.go
+++ b/node/division_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -102,3 +103,21 @@
 	clock.Advance(time.Second)
 	is.Equal(e.recentlyActive([]exchange.Host{a}, true), []string{"a"})
 }
+
+// Guards against portions and requests that are left to hosts that reach no target.
+func TestStrandedHostsGetNoRequestsOfOthers(t *testing.T) {
+	is := is.New(t)
+	e := entryHost("h0", "c0")
+	e.Settings.Peer = netip.MustParseAddrPort("127.0.0.1:7000")
+	var hosts []exchange.Host
+	for i := range 4 {
+		hosts = append(hosts, exchange.Host{
+			Name: fmt.Sprintf("h%d", i), Centre: fmt.Sprintf("c%d", i%2), Helper: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 7000+i)), Stranded: i == 2,
+		})
+	}
+	v := &relay.View{}
+	e.divideRequests(v, &division{selected: hosts})
+	is.Equal(v.Planner.Hosts, map[string][]string{"c0": {"h0"}, "c1": {"h1", "h3"}})
+	is.Equal(v.Helpers, []string{"h1", "h3"})
+	is.True(e.helpers.Usable("h2")) // its connection is kept: its links may be restored soon
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -65,8 +65,8 @@
 	// host collects for others.
 	helpers  portion.Helpers
 	portions portion.Server
-	// wake requests a new view.
-	wake chan struct{}
+	// wake requests a new view, notify a notification of the control hosts.
+	wake, notify chan struct{}
 	// firstView is closed when the first view is in force.
 	firstView chan struct{}
 	// lastActive holds the time at which each active or recently active host was last active.
@@ -121,6 +121,7 @@
 	g.Go(func() error { return e.maintainView(ctx) })
 	g.Go(func() error { return e.reportEvidence(ctx) })
 	g.Go(func() error { return e.relay.RunProbes(ctx) })
+	g.Go(func() error { return e.notifyChanges(ctx) })
 	e.Log.Info().Stringer("callers", e.Settings.Caller).Int64("start", e.start()).Int("seeds", len(e.Settings.Seeds)).Msg("entry host started")
 	go func() {
 		select {
@@ -134,7 +135,7 @@
 }
 
 func (e *Entry) prepare() {
-	e.wake, e.firstView = make(chan struct{}, 1), make(chan struct{})
+	e.wake, e.notify, e.firstView = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	e.lastActive = map[string]time.Time{}
 	e.moves.Store(&control.View{})
 	e.client = exchange.Client{
@@ -156,7 +157,8 @@
 	e.helpers = portion.Helpers{Clock: e.Clock, Log: e.Log, DialTimeout: exchange.DialTimeout}
 	e.portions = portion.Server{Collect: e.relay.Collect, Clock: e.Clock, Log: e.Log}
 	if e.Settings.Peer.IsValid() {
-		e.relay.Delegate, e.relay.HelpersEpoch, e.relay.Helpers = e.helpers.Collect, e.helpers.Epoch, e.helpers.UsableHosts
+		e.relay.Delegate, e.relay.HelpersEpoch = e.helpers.Collect, e.helpers.Epoch
+		e.relay.UsableHelper = e.helpers.Usable
 	}
 	if !e.Settings.Bootstrap {
 		e.relay.BudgetsEmptyUntil = e.Clock.Now().Add(e.Settings.RetryWindow)
@@ -167,7 +169,7 @@
 func (e *Entry) self() exchange.Host {
 	return exchange.Host{
 		Name: e.Settings.Host, Centre: e.Settings.Centre, Start: e.start(), Caller: e.Settings.Caller, Helper: e.Settings.Peer,
-		Draining: e.draining.Load(),
+		Draining: e.draining.Load(), Stranded: e.relay.Reach.Lost(),
 	}
 }
 
@@ -181,6 +183,20 @@
 	}
 }
 
+// notifyChanges notifies the control hosts of changes of this host until ctx ends.
+func (e *Entry) notifyChanges(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.notify:
+		}
+		notifyCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
+		e.client.Notify(notifyCtx)
+		cancel()
+	}
+}
+
 // maintainView updates the view after changes and at the end of cold phases.
 func (e *Entry) maintainView(ctx context.Context) error {
 	ticker := e.Clock.NewTicker(sweepInterval)
@@ -257,6 +273,11 @@
 // reachChanged logs that this host has lost its links to targets, or that they were restored. What
 // the targets were ejected for meanwhile was the fault of the links.
 func (e *Entry) reachChanged(c reach.Change) {
+	e.requestView()
+	select {
+	case e.notify <- struct{}{}:
+	default: // a notification is already requested
+	}
 	if !c.Lost {
 		e.table.ReinstateAll(e.Clock.Now())
 		e.Log.Info().Dur("after", c.Silence).Dur("hold", c.Hold).Msg("links to targets restored; requests are sent to them again")
--- a/node/portions.go
+++ b/node/portions.go
@@ -33,10 +33,16 @@
 		if !h.Helper.IsValid() {
 			continue
 		}
-		planner.Hosts[h.Centre] = append(planner.Hosts[h.Centre], h.Name)
 		if h.Name != e.Settings.Host {
 			others = append(others, portion.Host{Name: h.Name, Address: h.Helper})
 		}
+		if h.Stranded {
+			continue
+		}
+		planner.Hosts[h.Centre] = append(planner.Hosts[h.Centre], h.Name)
+		if h.Name != e.Settings.Host {
+			v.Helpers = append(v.Helpers, h.Name)
+		}
 	}
 	e.helpers.Set(others)
 	v.Planner = planner
--- a/portion/helpers.go
+++ b/portion/helpers.go
@@ -268,19 +268,6 @@
 	return h.epoch
 }
 
-// UsableHosts returns the names of the hosts that take portions and are not avoided.
-func (h *Helpers) UsableHosts() []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	names := make([]string, 0, len(h.hosts))
-	for name, one := range h.hosts {
-		if one.avoidUntil.IsZero() {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // Usable reports whether the host takes portions and is not avoided.
 func (h *Helpers) Usable(host string) bool {
 	h.mu.Lock()
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -29,10 +29,12 @@
 // passOn passes the request on to other hosts until one of them serves it. It reports false if
 // none does, so that no target can have executed the request.
 func (s *Service) passOn(ctx context.Context, w http.ResponseWriter, j *job) bool {
-	if s.Delegate == nil || s.Helpers == nil {
+	if s.Delegate == nil {
 		return false
 	}
-	hosts := s.Helpers()
+	hosts := slices.DeleteFunc(slices.Clone(j.view.Helpers), func(name string) bool {
+		return s.UsableHelper != nil && !s.UsableHelper(name)
+	})
 	for range maxPasses {
 		host, passed := s.passTo(ctx, w, j, hosts)
 		if passed {
--- a/relay/pass_test.go
+++ b/relay/pass_test.go
@@ -42,7 +42,7 @@
 	}
 	slices.Sort(names)
 	asked = &[]string{}
-	h.service.Helpers = func() []string { return slices.Clone(names) }
+	h.view.Helpers = names
 	h.service.Delegate = func(hosts []string, r *portion.Request, receive func(*portion.Frame, error)) (*portion.Collection, error) {
 		name := hosts[0]
 		*asked = append(*asked, name)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,6 +92,8 @@
 	ServiceDivisions map[string]*declaration.Division
 	// Planner divides requests to many shards among hosts; nil if this host asks all shards.
 	Planner *portion.Planner
+	// Helpers holds the names of the other hosts that requests can be passed on to.
+	Helpers []string
 
 	// plans holds the *cachedPlan of each *routing.Route that was used.
 	plans sync.Map
@@ -144,8 +146,8 @@
 	// Delegate, if set, leaves a portion of a request to one of some hosts; see
 	// portion.Helpers.Collect.
 	Delegate func(hosts []string, r *portion.Request, receive func(*portion.Frame, error)) (*portion.Collection, error)
-	// Helpers, if set, returns the other hosts that requests can be left to.
-	Helpers func() []string
+	// UsableHelper, if set, reports whether another host can be left requests now.
+	UsableHelper func(host string) bool
 	// Reach judges whether this host has lost its links to targets. Requests are passed on to
 	// other hosts then.
 	Reach reach.Judge
