Keep a control host running while its disk refuses writes

Reported by other operators: disks were full for a few seconds one after another, and changes were refused long after. Change: the replica leaves its group as if its process had ended, answers what needs no group, and tries the disk four times a second. Once it takes data again, what was not known to be durable is erased, so that a record whose sync has failed is not read back from memory, and the state is read from the disk as after a restart. Gauge wasabirelay_control_disk_failing, one log line at each change.

--- a/journal/journal.go
+++ b/journal/journal.go
@@ -24,6 +24,9 @@
 	// zeros distinguish a truncated segment from one whose last record was not written.
 	// The size is a small share of the available disks, which have 128 MB.
 	segmentBlock = 64 << 10
+
+	// trialFile is the file with which Discard checks the disk.
+	trialFile = "trial" + temporarySuffix
 )
 
 // paddedSize returns the file size of a segment whose records end at end.
@@ -48,6 +51,51 @@
 
 	// sync makes a file or directory durable. Tests replace it.
 	sync func(*os.File) error
+	// fault is called before each operation that changes the disk; nil if there is none.
+	fault func() error
+}
+
+// Disk opens journals. The zero value uses the file system as it is.
+type Disk struct {
+	// Fault, if set, is called before each operation that changes the disk. Its error is
+	// returned instead of the result of the operation.
+	Fault func() error
+
+	// sync replaces (*os.File).Sync in tests.
+	sync func(*os.File) error
+}
+
+// check returns the error of a fault.
+func (j *Journal) check() error {
+	if j.fault == nil {
+		return nil
+	}
+	return j.fault()
+}
+
+// Discard erases what may have been written after the last record that is known to be durable, and
+// checks that the disk takes new data. It is called after an operation has failed, until it
+// succeeds; the journal has to be opened again then. Without it, a record whose sync has failed
+// would be read back from memory and taken for durable.
+func (j *Journal) Discard() error {
+	if err := j.check(); err != nil {
+		return err
+	}
+	path := filepath.Join(j.dir, trialFile)
+	if err := writeSynced(path, make([]byte, segmentBlock), j.sync); err != nil {
+		return errors.Wrap(err, "write trial file")
+	}
+	if err := os.Remove(path); err != nil {
+		return errors.Wrap(err, "remove trial file")
+	}
+	info, err := j.file.Stat()
+	if err != nil {
+		return errors.Wrap(err, "read size of log")
+	}
+	if _, err := j.file.WriteAt(make([]byte, max(0, info.Size()-j.end)), j.end); err != nil {
+		return errors.Wrap(err, "erase the end of the log")
+	}
+	return errors.Wrap(j.sync(j.file), "sync log")
 }
 
 // Recovery describes what Open has read and repaired.
@@ -101,6 +149,9 @@
 
 // append writes a record to the end of the segment and syncs the file.
 func (j *Journal) append(b []byte) error {
+	if err := j.check(); err != nil {
+		return j.fail(err, "write log")
+	}
 	if size := paddedSize(j.end + int64(len(b))); size > j.size {
 		if err := j.file.Truncate(size); err != nil {
 			return j.fail(err, "extend log")
@@ -199,6 +250,9 @@
 
 // writeFile writes a file atomically: after a crash it is either complete or absent.
 func (j *Journal) writeFile(name string, content []byte) error {
+	if err := j.check(); err != nil {
+		return j.fail(err, "write "+name)
+	}
 	path := filepath.Join(j.dir, name)
 	if err := replaceFile(path, content, j.directory, j.sync); err != nil {
 		return j.fail(err, "write "+name)
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -416,16 +416,99 @@
 	is.NoErr(j.Save(&consensus.HardState{Term: 2, Vote: "h2/b"}, entries(2, 2, 2)))
 	is.NoErr(j.Close())
 	synced := map[string]bool{}
-	j, saved, err := open(dir, func(f *os.File) error {
+	j, saved, err := (&Disk{sync: func(f *os.File) error {
 		synced[filepath.Base(f.Name())] = true
 		return f.Sync()
-	})
+	}}).Open(dir)
 	is.NoErr(err)
 	is.Equal(saved.Hard, consensus.HardState{Term: 2, Vote: "h2/b"})
 	is.True(synced[segmentName(0)])
 
 	cause := errors.New("disk failure")
 	is.NoErr(j.Close())
-	_, _, err = open(dir, func(*os.File) error { return cause })
+	_, _, err = (&Disk{sync: func(*os.File) error { return cause }}).Open(dir)
 	is.True(errors.Is(err, cause)) // it is not relied on unless it is synced
 }
+
+// Guards against a record whose sync has failed and that is read back as durable, and against a
+// journal that is opened again before the disk takes data.
+func TestDiscardAfterFailedWrite(t *testing.T) {
+	is := is.New(t)
+	j, dir := newJournal(t)
+	is.NoErr(j.Save(&consensus.HardState{Term: 1}, entries(1, 2, 1)))
+	cause := errors.New("disk failure")
+	sync := j.sync
+	j.sync = func(*os.File) error { return cause }
+	is.True(errors.Is(j.Save(&consensus.HardState{Term: 2, Vote: "h2/b"}, entries(3, 3, 2)), cause))
+	is.True(errors.Is(j.Discard(), cause))
+	j.sync = sync
+	is.True(errors.Is(j.Save(nil, entries(3, 3, 2)), cause)) // not before it is opened again
+	is.NoErr(j.Discard())
+	j, saved := reopen(t, j, dir)
+	is.Equal(saved.Hard, consensus.HardState{Term: 1})
+	is.Equal(len(saved.Entries), 2)
+	is.NoErr(j.Save(nil, entries(3, 3, 1)))
+}
+
+// Guards against lost entries if the disk is full at any write of a series of saves and snapshots.
+func TestFullDiskAtEachWrite(t *testing.T) {
+	cause := errors.New("no space left on device")
+	for failing := range 40 {
+		is := is.New(t)
+		dir := filepath.Join(t.TempDir(), "data")
+		writes, full := 0, false
+		disk := &Disk{Fault: func() error {
+			if writes++; writes == failing {
+				full = true
+			}
+			if full {
+				return cause
+			}
+			return nil
+		}}
+		var j *Journal
+		next, saved := uint64(1), consensus.SavedState{}
+		for next <= 12 {
+			if j == nil {
+				var err error
+				if j, saved, err = disk.Open(dir); err != nil {
+					is.True(errors.Is(err, cause))
+					full, j = false, nil
+					continue
+				}
+				last := uint64(0)
+				if saved.Snapshot != nil {
+					last = saved.Snapshot.Index
+				}
+				is.True(last+uint64(len(saved.Entries))+1 >= next) // nothing that was saved is lost
+				next = last + uint64(len(saved.Entries)) + 1
+			}
+			err := func() error {
+				if _, ok := j.Identity(); !ok {
+					if err := j.WriteIdentity(member); err != nil {
+						return err
+					}
+				}
+				if err := j.Save(&consensus.HardState{Term: 1}, entries(next, next, 1)); err != nil {
+					return err
+				}
+				next++
+				if (next-1)%4 == 0 {
+					return j.SaveSnapshot(snapshot(next-1, 1))
+				}
+				return nil
+			}()
+			if err != nil {
+				is.True(errors.Is(err, cause))
+				is.True(j.Discard() != nil)
+				full = false
+				is.NoErr(j.Discard())
+				is.NoErr(j.Close())
+				j = nil
+			}
+		}
+		if j != nil {
+			is.NoErr(j.Close())
+		}
+	}
+}
--- a/journal/open.go
+++ b/journal/open.go
@@ -17,12 +17,14 @@
 // Open opens the journal in the directory, which it creates if necessary, and
 // returns the saved state. A new journal has a zero SavedState and no identity. The
 // errors are *CorruptError, *LockedError and those of the file system.
-func Open(dir string) (*Journal, consensus.SavedState, error) {
-	return open(dir, (*os.File).Sync)
-}
+func Open(dir string) (*Journal, consensus.SavedState, error) { return (&Disk{}).Open(dir) }
 
-// open is Open with the function that makes a file or directory durable.
-func open(dir string, sync func(*os.File) error) (*Journal, consensus.SavedState, error) {
+// Open is like the function Open.
+func (d *Disk) Open(dir string) (*Journal, consensus.SavedState, error) {
+	sync := d.sync
+	if sync == nil {
+		sync = (*os.File).Sync
+	}
 	if err := createDirectory(dir); err != nil {
 		return nil, consensus.SavedState{}, errors.Wrap(err, "create directory")
 	}
@@ -30,7 +32,7 @@
 	if err != nil {
 		return nil, consensus.SavedState{}, err
 	}
-	j := &Journal{dir: dir, directory: directory, sync: sync}
+	j := &Journal{dir: dir, directory: directory, sync: sync, fault: d.Fault}
 	saved, err := j.recover()
 	if err != nil {
 		directory.Close()
@@ -87,7 +89,7 @@
 	name, ok := strings.CutSuffix(name, temporarySuffix)
 	_, snapshot := indexFromName(name, snapshotPrefix)
 	_, segment := indexFromName(name, segmentPrefix)
-	return ok && (snapshot || segment || name == identityFile)
+	return ok && (snapshot || segment || name == identityFile) || name+temporarySuffix == trialFile
 }
 
 // indexFromName returns the positive index that follows the prefix in a file name.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -31,6 +31,7 @@
 	}
 	gauge("voter", "1 if this host counts towards a quorum.", local(func(l quorum.LocalStatus) float64 { return boolToFloat(l.Voter) }))
 	gauge("leader", "1 if this host leads the control hosts.", local(func(l quorum.LocalStatus) float64 { return boolToFloat(l.Leader) }))
+	gauge("disk_failing", "1 if the disk refuses writes, so that this host takes no part in the group.", local(func(l quorum.LocalStatus) float64 { return boolToFloat(l.DiskFailing) }))
 	gauge("voters", "Members that count towards a quorum.", local(func(l quorum.LocalStatus) float64 { return float64(l.Voters) }))
 	gauge("tolerated", "Voters that the group can still lose, or -1 if this host does not lead.", local(func(l quorum.LocalStatus) float64 { return float64(l.Tolerated) }))
 	gauge("applied", "Index of the last command in the state.", local(func(l quorum.LocalStatus) float64 { return float64(l.Applied) }))
--- a/quorum/bootstrap.go
+++ b/quorum/bootstrap.go
@@ -144,11 +144,16 @@
 		if ok = r.node != nil; ok {
 			return
 		}
-		if r.fatal = writeBootstrapMembers(r.Dir, members); r.fatal != nil {
+		if r.storage.failing.Load() {
+			return
+		}
+		if err := writeBootstrapMembers(r.Dir, members); err != nil {
+			r.fatal = storageFailed(err, "join a group")
 			return
 		}
 		if !isEmpty(saved) {
-			if r.fatal = r.journal.Save(&saved.Hard, saved.Entries); r.fatal != nil {
+			if err := r.journal.Save(&saved.Hard, saved.Entries); err != nil {
+				r.fatal = storageFailed(err, "join a group")
 				return
 			}
 		}
@@ -179,16 +184,19 @@
 
 // serveHello describes this replica to another control host.
 func (r *Replica) serveHello(ctx context.Context, _ *peer.Conn, _ json.RawMessage) (any, error) {
-	h := r.hello()
+	var h Hello
 	err := r.do(ctx, func() {
-		if r.node == nil {
+		if h = r.hello(); r.node == nil {
 			return
 		}
 		m := r.node.Status().Members
 		h.Members, h.BootstrapMembers = slices.Concat(m.Voters, m.Joining, m.Learners), r.bootstrapMembers
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, toRemoteError(err)
+	case r.storage.failing.Load():
+		return nil, unavailable()
 	}
 	return h, nil
 }
--- a/quorum/leases_test.go
+++ b/quorum/leases_test.go
@@ -26,7 +26,8 @@
 func newLeader(t *testing.T) (*Replica, *clockwork.FakeClock) {
 	t.Helper()
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
-	r := &Replica{Host: "h1", Clock: clock, Log: zerolog.Nop(), role: consensus.Leader, applied: 9}
+	r := &Replica{Host: "h1", Clock: clock, Log: zerolog.Nop()}
+	r.role, r.applied = consensus.Leader, 9
 	result := r.state.Apply(1, control.Command{At: clock.Now(), Inventory: &control.ApplyInventory{
 		Change: "c", Operator: "o", Text: leaseInventory,
 	}})
--- a/quorum/local.go
+++ b/quorum/local.go
@@ -18,11 +18,13 @@
 	// Tolerated is the number of voters that the group can still lose, as the leader sees it.
 	// It is -1 on a replica that is not the leader.
 	Tolerated int
+	// DiskFailing is true while the disk refuses writes, so that the replica takes no part in the group.
+	DiskFailing bool
 }
 
 // LocalStatus returns the status of this replica. It is zero while the replica is in no group.
 func (r *Replica) LocalStatus(ctx context.Context) (LocalStatus, error) {
-	var status LocalStatus
+	status := LocalStatus{DiskFailing: r.storage.failing.Load()}
 	err := r.do(ctx, func() {
 		if r.node == nil {
 			return
--- a/quorum/rejoin.go
+++ b/quorum/rejoin.go
@@ -32,7 +32,7 @@
 		return
 	}
 	j.next, j.polling = now.Add(rejoinAfter), true
-	go r.askToRejoin(r.runContext, r.bootstrapMembers)
+	go r.askToRejoin(r.membership, r.bootstrapMembers)
 }
 
 // askToRejoin polls the other control hosts and joins the group again as a learner if this
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -41,8 +41,9 @@
 // Replica is a control replica. Exported fields must be set before Open and Run.
 type Replica struct {
 	Host string
-	// Dir is the data directory.
-	Dir string
+	// Dir is the data directory, Disk opens the journal in it.
+	Dir  string
+	Disk journal.Disk
 	// Peers holds the control hosts. Hosts may be added while the replica runs.
 	Peers *Peers
 	// BootstrapHosts returns the hosts that bootstrap a group if none of them is in a
@@ -73,12 +74,18 @@
 	// NoLease is true if no host works under a lease; see consensus.Node.
 	NoLease bool
 
-	events     chan func()
-	runContext context.Context // context of Run, for the goroutines that Run starts
-	fatal      error
+	events chan func()
+	fatal  error
 
+	identity journal.Identity
+	storage  storage
+	memory
+}
+
+// memory is what a replica loses when its process ends, and reads back from its journal or learns
+// from the group.
+type memory struct {
 	journal          *journal.Journal
-	identity         journal.Identity
 	bootstrapMembers []string
 	groupID          string          // hash of bootstrapMembers
 	node             *consensus.Node // nil while the replica is in no group
@@ -101,12 +108,25 @@
 	health  groupHealth
 	rejoin  rejoin
 	reads   reads
+	// membership is the context for the goroutines of a membership, endMembership ends it.
+	membership    context.Context //nolint:containedctx // the goroutines outlive the call that starts them
+	endMembership context.CancelFunc
+}
+
+func newMemory() memory {
+	m := memory{waiters: map[uint64]waiter{}, senders: map[string]*sender{}}
+	m.feed.watchers = map[*watcher]bool{}
+	m.leases.init()
+	m.repair.leaving = map[string]time.Time{}
+	m.reads.pending = map[uint64]chan readOutcome{}
+	return m
 }
 
 // Open opens the journal. It must be called before Run, so that a damaged journal is
 // reported before anything starts. The error may be a *journal.CorruptError. If Open
-// fails, the journal is closed and its directory is unlocked.
-func (r *Replica) Open() (err error) {
+// fails, the journal is closed and its directory is unlocked. A disk that refuses writes is no
+// error: Run waits until it takes them.
+func (r *Replica) Open() error {
 	if r.Election == 0 {
 		r.Election = DefaultElectionTimeout
 	}
@@ -117,12 +137,22 @@
 		r.LeaveTimeout = DefaultLeaveTimeout
 	}
 	r.events = make(chan func(), eventBacklog)
-	r.waiters = map[uint64]waiter{}
-	r.feed.watchers = map[*watcher]bool{}
-	r.leases.init()
-	r.repair.leaving = map[string]time.Time{}
-	r.reads.pending = map[uint64]chan readOutcome{}
-	j, saved, err := journal.Open(r.Dir)
+	r.memory = newMemory()
+	err := r.load()
+	if !isStorageFailure(err) {
+		return err
+	}
+	id, ok, identityErr := journal.ReadIdentity(r.Dir)
+	if !ok || identityErr != nil {
+		return err // a host without an identity has nothing to serve
+	}
+	r.identity, r.journal, r.fatal = id, nil, storageFailed(err, "read the journal") // Run tries again
+	return nil
+}
+
+// load opens the journal and starts the log from it, if there is any.
+func (r *Replica) load() (err error) {
+	j, saved, err := r.Disk.Open(r.Dir)
 	if err != nil {
 		return errors.Wrap(err, "open journal")
 	}
@@ -142,7 +172,9 @@
 	if id.Host != r.Host {
 		return errors.Errorf("data directory %s belongs to host %s, not %s", r.Dir, id.Host, r.Host)
 	}
-	r.identity = id
+	if r.identity != id {
+		r.identity = id
+	}
 	if isEmpty(saved) {
 		return nil
 	}
@@ -196,21 +228,28 @@
 }
 
 // Run runs the replica until ctx is done or the replica fails, for example because the
-// journal cannot be written.
+// journal is damaged. While the disk refuses writes, the replica takes no part in its group.
 func (r *Replica) Run(ctx context.Context) error {
 	defer func() {
+		if r.journal == nil {
+			return
+		}
 		if err := r.journal.Close(); err != nil {
 			r.Log.Error().Err(err).Msg("failed to close the journal")
 		}
 	}()
-	r.senders = map[string]*sender{}
-	r.runContext = ctx
-	if r.node == nil {
-		go r.findGroup(ctx)
-	}
+	r.begin(ctx)
+	defer func() { r.endMembership() }()
 	ticker := r.Clock.NewTicker(r.Heartbeat / 2)
 	defer ticker.Stop()
 	for {
+		var failed *StorageError
+		if errors.As(r.fatal, &failed) {
+			r.fatal = r.recoverStorage(ctx, failed)
+		}
+		if r.fatal != nil {
+			return r.fatal
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -221,9 +260,14 @@
 				r.tick()
 			}
 		}
-		if r.fatal != nil {
-			return r.fatal
-		}
+	}
+}
+
+// begin starts the goroutines of a membership, which end with ctx or when the disk fails.
+func (r *Replica) begin(ctx context.Context) {
+	r.membership, r.endMembership = context.WithCancel(ctx)
+	if r.node == nil && r.fatal == nil {
+		go r.findGroup(r.membership)
 	}
 }
 
@@ -303,7 +347,7 @@
 // whether that succeeded; otherwise r.fatal is set.
 func (r *Replica) persist(out consensus.Output) bool {
 	if err := r.journal.Persist(out); err != nil {
-		r.fatal = errors.Wrap(err, "save log")
+		r.fatal = storageFailed(err, "save log")
 		return false
 	}
 	if out.Snapshot == nil {
@@ -358,7 +402,7 @@
 		return
 	}
 	if err := r.journal.SaveSnapshot(r.node.Snapshot()); err != nil {
-		r.fatal = errors.Wrap(err, "save snapshot")
+		r.fatal = storageFailed(err, "save snapshot")
 		return
 	}
 	r.snapshotIndex, r.logBytes, r.snapshotBytes = r.applied, 0, len(data)
--- a/quorum/send.go
+++ b/quorum/send.go
@@ -38,7 +38,7 @@
 	}
 	s := &sender{client: c, queue: make(chan consensus.Message, senderBacklog)}
 	r.senders[host] = s
-	go r.runSender(r.runContext, s)
+	go r.runSender(r.membership, s)
 	return s
 }
 
