--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -467,15 +467,16 @@
 			return nil
 		}}
 		var j *Journal
-		next, saved := uint64(1), consensus.SavedState{}
+		next := uint64(1)
 		for next <= 12 {
 			if j == nil {
-				var err error
-				if j, saved, err = disk.Open(dir); err != nil {
+				opened, saved, err := disk.Open(dir)
+				if err != nil {
 					is.True(errors.Is(err, cause))
-					full, j = false, nil
+					full = false
 					continue
 				}
+				j = opened
 				last := uint64(0)
 				if saved.Snapshot != nil {
 					last = saved.Snapshot.Index
