--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -513,3 +513,39 @@
 		}
 	}
 }
+
+// Guards against a loss of power that takes back the newest snapshot after the one before it was
+// removed: the process had ended before it synced the directory.
+func TestOlderFilesStayUntilTheNewestAreDurable(t *testing.T) {
+	is := is.New(t)
+	j, dir := newJournal(t)
+	is.NoErr(j.Save(&consensus.HardState{Term: 1}, entries(1, 4, 1)))
+	is.NoErr(j.SaveSnapshot(snapshot(2, 1)))
+	cause, directorySyncs := errors.New("killed"), 0
+	j.sync = func(f *os.File) error {
+		if f != j.directory {
+			return f.Sync()
+		}
+		if directorySyncs++; directorySyncs == 2 { // after the rename of the new segment
+			return cause
+		}
+		return f.Sync()
+	}
+	is.True(errors.Is(j.SaveSnapshot(snapshot(4, 1)), cause))
+	is.NoErr(j.Close())
+	older, syncs := filepath.Join(dir, snapshotName(2)), 0
+	j, saved, err := (&Disk{sync: func(f *os.File) error {
+		if f.Name() == dir {
+			syncs++
+			_, err := os.Stat(older)
+			is.NoErr(err)
+		}
+		return f.Sync()
+	}}).Open(dir)
+	is.NoErr(err)
+	is.Equal(saved.Snapshot.Index, uint64(4))
+	is.Equal(syncs, 1)
+	_, err = os.Stat(older)
+	is.True(os.IsNotExist(err))
+	is.NoErr(j.Close())
+}
--- a/journal/open.go
+++ b/journal/open.go
@@ -151,6 +151,13 @@
 	case j.after < index:
 		return snapshot, j.startSegment(snapshot)
 	}
+	if len(existing.segments) > 1 || len(existing.snapshots) > 1 {
+		// The names of the newest files may not be durable yet: the process may have ended before
+		// it synced the directory.
+		if err := j.sync(j.directory); err != nil {
+			return nil, errors.Wrap(err, "sync directory")
+		}
+	}
 	return snapshot, j.removeOlder()
 }
 
