Refuse requests at once while no host has links to targets

Cause: a host without links that no other host helped sent its requests to targets as before, so that callers waited for their deadline and got an answer that says nothing. A probe that failed also set the probes back, so that a host could count as cut off for long while most targets were dead. Change: such a request gets 503 and the time in which restored links are noticed; probes that fail say nothing. Evidence: TestAllHostsWithoutLinks fails before (the dial hangs until the deadline).

--- a/reach/reach.go
+++ b/reach/reach.go
@@ -17,9 +17,11 @@
 	minTargets = 3
 	// ProbeInterval is the interval of probes while the links are lost.
 	ProbeInterval = 200 * time.Millisecond
-	// probesNeeded is the number of probes in a row that must succeed before the links count as
-	// restored.
+	// probesNeeded is the number of probes that must succeed before the links count as restored.
+	// Probes that fail say nothing: their targets may be dead.
 	probesNeeded = 2
+	// RestoreTime is how long links that are restored count as lost, unless they flap.
+	RestoreTime = probesNeeded * ProbeInterval
 	// Links that are lost again within flapTime of their restoration count as lost for
 	// minHold at least; the time doubles up to maxHold.
 	flapTime = 10 * time.Second
@@ -112,12 +114,7 @@
 // RecordProbe records whether a target could be reached by a probe while the links were lost.
 func (j *Judge) RecordProbe(now time.Time, reached bool) {
 	j.mu.Lock()
-	if !j.cut.Load() {
-		j.mu.Unlock()
-		return
-	}
-	if !reached {
-		j.probes = 0
+	if !j.cut.Load() || !reached {
 		j.mu.Unlock()
 		return
 	}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"wasabirelay/portion"
+	"wasabirelay/reach"
 )
 
 const (
@@ -26,19 +27,14 @@
 	err   error
 }
 
-// passOn passes the request on to other hosts until one of them serves it. It reports false if
-// none does, so that no target can have executed the request.
-func (s *Service) passOn(ctx context.Context, w http.ResponseWriter, j *job) bool {
-	if s.Delegate == nil {
-		return false
-	}
-	hosts := slices.DeleteFunc(slices.Clone(j.view.Helpers), func(name string) bool {
-		return s.UsableHelper != nil && !s.UsableHelper(name)
-	})
+// passOn passes the request on to other hosts until one of them serves it. If none does, no target
+// can have executed the request, and this host, which has lost its links, refuses it at once.
+func (s *Service) passOn(ctx context.Context, w http.ResponseWriter, j *job) {
+	hosts := s.usableHelpers(j)
 	for range maxPasses {
 		host, passed := s.passTo(ctx, w, j, hosts)
 		if passed {
-			return true
+			return
 		}
 		if host == "" {
 			break
@@ -46,7 +42,20 @@
 		hosts = slices.DeleteFunc(hosts, func(name string) bool { return name == host })
 	}
 	s.Metrics.pass("refused")
-	return false
+	s.refuse(w, j.Request, &refusal{
+		status: http.StatusServiceUnavailable, reason: "not run: this host has lost its links to targets, and no other host takes the request",
+		retry: reach.RestoreTime, route: j.route.Name,
+	})
+}
+
+// usableHelpers returns the other hosts that the request can be passed on to.
+func (s *Service) usableHelpers(j *job) []string {
+	if s.Delegate == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(j.view.Helpers), func(name string) bool {
+		return s.UsableHelper != nil && !s.UsableHelper(name)
+	})
 }
 
 // passTo passes the request on to one of the hosts and sends its response. It reports false, and
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -212,7 +212,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
-	if s.Reach.Lost() && s.passOn(ctx, w, j) {
+	if s.Reach.Lost() {
+		s.passOn(ctx, w, j)
 		return
 	}
 	s.serve(ctx, w, j)
