Record what a target declares in a reply that another host has passed on

Found by reading: a host without links passes replies of targets on that it has not asked. If one says that its target leaves, the host may ask that target itself once its links are restored, later than it may by the users' rule on draining. Change: the other host names the target and what it declares with the reply. Evidence: TestPassedReplyDeclares fails before.

--- a/declaration/declaration.go
+++ b/declaration/declaration.go
@@ -16,12 +16,12 @@
 type Declaration struct {
 	// Limited is true if the target takes at most Limit requests per second from all hosts
 	// together.
-	Limited bool
-	Limit   float64
+	Limited bool    `json:"limited,omitempty"`
+	Limit   float64 `json:"limit,omitempty"`
 	// Leaving is true if the target is about to end. It never takes that back.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
 	// Pause is how long the target wants no requests from this host, from the reply on.
-	Pause time.Duration
+	Pause time.Duration `json:"pause,omitempty"`
 }
 
 // Change reports that a target has declared something else than before.
--- a/portion/message.go
+++ b/portion/message.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"wasabirelay/declaration"
 )
 
 const (
@@ -86,6 +88,11 @@
 	Status int         `json:"status"`
 	Header http.Header `json:"header,omitempty"`
 	Body   []byte      `json:"body,omitempty"`
+	// Target and Incarnation name the target whose reply it is, and Declared what the target declares
+	// in it: the host that sends the response to the caller keeps to that as well.
+	Target      string                   `json:"target,omitempty"`
+	Incarnation string                   `json:"incarnation,omitempty"`
+	Declared    *declaration.Declaration `json:"declared,omitempty"`
 }
 
 // Part is the reply of one shard.
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -83,6 +83,9 @@
 	r := s.fetchOne(ctx, j, service)
 	switch {
 	case r.response != nil && r.ran && r.err == nil:
+		if recorder, ok := w.(*replyRecorder); ok {
+			recorder.result = &r
+		}
 		s.writeReply(w, j, r.response)
 		s.recordResponse(j, r.response.Status, 0, extraAttempts(&r), nil)
 	case j.Context().Err() != nil:
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -119,6 +119,7 @@
 	case e.err == nil && e.frame.Reply != nil && http.StatusText(e.frame.Reply.Status) != "":
 		s.Metrics.pass("served")
 		reply := e.frame.Reply
+		s.recordPassedDeclaration(j, reply)
 		h := w.Header()
 		for name, values := range endToEndHeaders(reply.Header) {
 			h[name] = values
@@ -162,7 +163,31 @@
 	if reply.status == 0 { // the other host has left, and nothing was written
 		return &portion.Frame{}
 	}
-	return &portion.Frame{Reply: &portion.Reply{Status: reply.status, Header: reply.header, Body: reply.body.Bytes()}}
+	out := &portion.Reply{Status: reply.status, Header: reply.header, Body: reply.body.Bytes()}
+	if r := reply.result; r != nil {
+		out.Target, out.Incarnation = r.target.Name, r.target.Incarnation
+		if s.DecodeDeclaration != nil {
+			if d, ok := s.DecodeDeclaration(s.Clock.Now(), r.response.Status, &r.response.Header); ok {
+				out.Declared = &d
+			}
+		}
+	}
+	return &portion.Frame{Reply: out}
+}
+
+// recordPassedDeclaration records what a target declares in a reply that another host has passed on.
+func (s *Service) recordPassedDeclaration(j *job, reply *portion.Reply) {
+	if reply.Declared == nil {
+		return
+	}
+	for _, list := range j.view.Targets {
+		for _, t := range list {
+			if t.Name == reply.Target && t.Incarnation == reply.Incarnation {
+				s.Declared.Record(t, j.started, s.Clock.Now(), *reply.Declared)
+				return
+			}
+		}
+	}
 }
 
 // replyRecorder is an http.ResponseWriter that keeps a response.
@@ -170,6 +195,8 @@
 	header http.Header
 	status int
 	body   bytes.Buffer
+	// result is set if the response is the reply of one target.
+	result *result
 }
 
 func (r *replyRecorder) Header() http.Header { return r.header }
--- a/relay/pass_test.go
+++ b/relay/pass_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"wasabirelay/declaration"
 	"wasabirelay/limit"
 	"wasabirelay/portion"
 	"wasabirelay/routing"
@@ -158,6 +159,24 @@
 	is.Equal(ask(same).Reply.Status, http.StatusOK)
 }
 
+// Guards against a host that sends requests to a target which has said that it leaves in a reply that
+// the host has passed on: the caller can't tell which host heard it.
+func TestPassedReplyDeclares(t *testing.T) {
+	is := is.New(t)
+	other := newHarness(t, singleRoute(true, 2), newTarget("t1", "s1").records("b").declares("20"))
+	h := newHarness(t, singleRoute(true, 2), newTarget("t1", "s1"))
+	var changes []declaration.Change
+	h.service.Declared.OnChange = func(c declaration.Change) { changes = append(changes, c) }
+	other.service.DecodeDeclaration = decodeLimit
+	h.loseLinks()
+	h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectHere})
+	res, _ := h.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Target, "t1")
+	is.Equal(changes[0].After.Limit, 20.0)
+}
+
 // Guards against a host that takes requests itself no more after its links were restored.
 func TestProbeRestoresLinks(t *testing.T) {
 	is := is.New(t)
