Begin a move with four fifths of the traffic that a bad version may get

Cause: a decision needs a number of sub-requests to the new version; half of the allowed share takes twice as long for it, during which callers get the same bad answers. Change: the trial share is 0.8 of the allowed one instead of 0.5. TestBadVersionBesideCutIsBounded holds.

--- a/node/control.go
+++ b/node/control.go
@@ -231,7 +231,7 @@
 }
 
 // trialFraction is the fraction of the maximum exposure that a new version starts with.
-const trialFraction = 0.5
+const trialFraction = 0.8
 
 // StartMove implements ControlService.
 func (c *Control) StartMove(ctx context.Context, service, version string, length time.Duration) error {
