--- a/reach/reach.go
+++ b/reach/reach.go
@@ -49,7 +49,8 @@
 	cut atomic.Bool
 	// pending is true if a sub-request was lost since the last reply.
 	pending atomic.Bool
-	// lastReply is the time of the last reply in nanoseconds since the Unix epoch; 0 before the first.
+	// lastReply is the time of the last reply in nanoseconds since the Unix epoch, or of the first
+	// loss if there was none before.
 	lastReply atomic.Int64
 
 	mu      sync.Mutex
@@ -92,6 +93,7 @@
 	j.pending.Store(true)
 	j.lost++
 	j.targets[target] = true
+	j.lastReply.CompareAndSwap(0, now.UnixNano())
 	silent := now.Sub(time.Unix(0, j.lastReply.Load()))
 	if j.cut.Load() || silent < silence || j.lost < minLost || len(j.targets) < minTargets {
 		j.mu.Unlock()
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -31,11 +31,14 @@
 		"another target replies":      {time.Second, 8, 8, true, false},
 		"replies until a moment ago":  {silence / 2, 10, 10, false, false},
 		"too few sub-requests so far": {time.Second, minLost - 1, 4, false, false},
+		"no reply since the start":    {0, 10, 10, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var j Judge
-			j.RecordReply(startTime)
+			if c.after > 0 {
+				j.RecordReply(startTime)
+			}
 			now := startTime.Add(c.after)
 			loseEach(&j, now, c.n/2, c.targets)
 			if c.replied {
@@ -53,6 +56,7 @@
 	var changes []Change
 	j := Judge{OnChange: func(c Change) { changes = append(changes, c) }}
 	now := startTime
+	j.RecordReply(now)
 	lose := func() {
 		now = now.Add(time.Second)
 		for i := range minLost {
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -11,7 +11,6 @@
 
 	"wasabirelay/portion"
 	"wasabirelay/route"
-	"wasabirelay/routing"
 )
 
 // gathered holds the replies to a request to all shards.
@@ -99,7 +98,7 @@
 	}
 }
 
-// Collect collects a portion for another host. It passes a frame to send after a share of the
+// Collect collects a portion for another host, or serves a whole request that it passes on. It passes a frame to send after a share of the
 // objective, so that the other host knows that this one works on the portion, and from the cutoff
 // on whenever there are new replies. It returns the last frame.
 func (s *Service) Collect(ctx context.Context, r *portion.Request, send func(*portion.Frame)) *portion.Frame {
@@ -148,9 +147,9 @@
 	if r.Whole {
 		spare = spareShards(rt)
 	} else {
-		part = &routing.Route{}
-		*part = *rt
-		part.Shards = r.Shards
+		divided := *rt
+		divided.Shards = r.Shards
+		part = &divided
 	}
 	request := (&http.Request{Method: r.Method, URL: &url.URL{Path: pathOf(r.URI)}, RequestURI: r.URI, Host: r.Host, Header: r.Header}).WithContext(ctx)
 	return &job{
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -21,8 +21,8 @@
 	passMargin = 2 * returnMargin
 )
 
-// passEvent is a frame of a request that was passed on, or its end.
-type passEvent struct {
+// passEnd is the end of a request that was passed on: its last frame or an error.
+type passEnd struct {
 	frame *portion.Frame
 	err   error
 }
@@ -70,12 +70,18 @@
 		Method: j.Method, URI: j.RequestURI, Host: j.Host, Header: endToEndHeaders(j.Header), Body: j.body, Whole: true,
 		Route: routeHash(j.route), Cutoff: j.partialAfter.Sub(now) - returnMargin, Timeout: left,
 	}
-	const frames = 2 // the first one, which shows that the host works on the request, and the last one
-	events := make(chan passEvent, frames)
+	working, ended := make(chan struct{}, 1), make(chan passEnd, 1)
 	collection, err := s.Delegate(hosts, request, func(f *portion.Frame, err error) {
+		if err != nil || f.Last {
+			select {
+			case ended <- passEnd{f, err}:
+			default: // only a faulty host ends a request twice
+			}
+			return
+		}
 		select {
-		case events <- passEvent{f, err}:
-		case <-ctx.Done(): // the request has ended
+		case working <- struct{}{}:
+		default: // one frame shows that the host works on the request
 		}
 	})
 	if err != nil {
@@ -85,25 +91,24 @@
 	defer silent.Stop()
 	for {
 		select {
-		case e := <-events:
+		case e := <-ended:
 			var refused *portion.RefusedError
 			if errors.As(e.err, &refused) {
 				return collection.Host, false
 			}
+			s.endPass(w, j, &e)
+			return collection.Host, true
+		case <-working:
 			silent.Stop()
-			if e.err != nil || e.frame.Last {
-				s.endPass(w, j, &e)
-				return collection.Host, true
-			}
 		case <-silent.Chan():
 			collection.Suspect()
 		case <-ctx.Done():
 			collection.Cancel()
-			s.endPass(w, j, &passEvent{err: ctx.Err()})
+			s.endPass(w, j, &passEnd{err: ctx.Err()})
 			return collection.Host, true
 		case <-s.stopper.done():
 			collection.Cancel()
-			s.endPass(w, j, &passEvent{err: errors.New("this host stops")})
+			s.endPass(w, j, &passEnd{err: errors.New("this host stops")})
 			return collection.Host, true
 		}
 	}
@@ -111,7 +116,7 @@
 
 // endPass sends the response of another host, or a refusal if there is none: a target may have
 // executed the request.
-func (s *Service) endPass(w http.ResponseWriter, j *job, e *passEvent) {
+func (s *Service) endPass(w http.ResponseWriter, j *job, e *passEnd) {
 	switch {
 	case j.Context().Err() != nil:
 		s.Metrics.pass("left")
