--- a/relay/pass.go
+++ b/relay/pass.go
@@ -121,7 +121,7 @@
 	case j.Context().Err() != nil:
 		s.Metrics.pass("left")
 		s.recordCallerLeft(j)
-	case e.err == nil && e.frame.Reply != nil && http.StatusText(e.frame.Reply.Status) != "":
+	case e.err == nil && e.frame.Reply != nil && isFinalStatus(e.frame.Reply.Status):
 		s.Metrics.pass("served")
 		reply := e.frame.Reply
 		s.recordPassedDeclaration(j, reply)
@@ -146,6 +146,9 @@
 	}
 }
 
+// isFinalStatus reports whether a response may have the status.
+func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
+
 // serveWhole serves a request that another host has passed on. It passes a first frame to send after
 // a share of the objective, so that the other host knows that this one works on the request.
 func (s *Service) serveWhole(ctx context.Context, j *job, send func(*portion.Frame)) *portion.Frame {
--- a/relay/pass_test.go
+++ b/relay/pass_test.go
@@ -98,6 +98,9 @@
 	}
 	silent := func(context.Context, *portion.Request, func(*portion.Frame, error)) {}
 	malformed := func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
+		receive(&portion.Frame{Last: true, Reply: &portion.Reply{Status: 7}}, nil)
+	}
+	empty := func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
 		receive(&portion.Frame{Last: true}, nil)
 	}
 	for name, c := range map[string]struct {
@@ -109,6 +112,7 @@
 		"lost":      {lost, http.StatusBadGateway, []string{"a"}},
 		"silent":    {silent, http.StatusGatewayTimeout, []string{"a"}},
 		"malformed": {malformed, http.StatusBadGateway, []string{"a"}},
+		"empty":     {empty, http.StatusBadGateway, []string{"a"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
