Leave out the target that fails most only if the others fail less

Cause: the target that fails most was left out always. Of three targets that fail alike it has two fifths of the failures by chance, and the rest looks better than it is. Change: it counts if the others have five failures and fail half as often as it does. Evidence: TestFailuresOfVersionAreBounded fails before.

--- a/move/cut_test.go
+++ b/move/cut_test.go
@@ -268,3 +268,15 @@
 		})
 	}
 }
+
+// Guards against a version that keeps getting requests while it fails much more often than the old
+// one, because the level of the tests falls with each look.
+func TestFailuresOfVersionAreBounded(t *testing.T) {
+	worse := func(string, float64, time.Duration) (float64, float64) { return 0.18, 1 }
+	for seed := range uint64(4) {
+		f := newFleet(seed, time.Minute, cuts["none"], worse)
+		f.oldFails = 0.06
+		f.simulate(t, time.Minute)
+		f.check(t, seed)
+	}
+}
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -28,6 +28,10 @@
 	// targets gets nearly all of them, if it got minMainTarget at least.
 	mainTargetShare = 0.75
 	minMainTarget   = 20
+	// Targets fail alike if the others have minOtherFailures or more and fail at least alikeRatio
+	// times as often as the one that fails most.
+	minOtherFailures = 5
+	alikeRatio       = 0.5
 )
 
 // Counts holds the outcomes of sub-requests.
@@ -76,8 +80,8 @@
 }
 
 // withoutWorstTarget returns the numbers of sub-requests and of failures without those of the
-// target that failed most. They include it if it is the only target, or if it got nearly all
-// sub-requests: hosts soon avoid a dead target for the others of its version.
+// target that failed most, unless the others are no better: a dead target is no fault of its
+// version.
 func (c *Counts) withoutWorstTarget(targets int) (total, failed int) {
 	if targets < 2 {
 		return c.Total, c.Failed
@@ -89,12 +93,24 @@
 		}
 	}
 	asked := c.TotalByTarget[name]
-	if asked >= minMainTarget && float64(asked) > mainTargetShare*float64(c.Total) {
+	if c.isMainTarget(asked) || c.othersFailToo(asked, worst) {
 		return c.Total, c.Failed
 	}
 	return c.Total - asked, c.Failed - worst
 }
 
+// isMainTarget reports whether a target got nearly all sub-requests of the version: hosts soon
+// avoid a dead target for the others.
+func (c *Counts) isMainTarget(asked int) bool {
+	return asked >= minMainTarget && float64(asked) > mainTargetShare*float64(c.Total)
+}
+
+// othersFailToo reports whether the other targets fail about as often as the one that fails most.
+func (c *Counts) othersFailToo(asked, failed int) bool {
+	others := c.Failed - failed
+	return asked > 0 && others >= minOtherFailures && float64(others)*float64(asked) >= alikeRatio*float64(failed)*float64(c.Total-asked)
+}
+
 // Key identifies counts: those of the new version or of the old versions on a route.
 type Key struct {
 	Route string `json:"route,omitempty"`
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -252,6 +252,8 @@
 		"the main target fails":   {counts(map[string]int{"1": 90, "2": 5, "3": 5}, map[string]int{"1": 36, "2": 2}), 100, 38},
 		"a target is dead":        {counts(map[string]int{"1": 20, "2": 40, "3": 40}, map[string]int{"1": 20, "2": 1}), 80, 1},
 		"few sub-requests so far": {counts(map[string]int{"1": 9, "2": 1}, map[string]int{"1": 9}), 1, 0},
+		"all targets fail":        {counts(map[string]int{"1": 30, "2": 30, "3": 30}, map[string]int{"1": 9, "2": 5, "3": 5}), 90, 19},
+		"one target fails more":   {counts(map[string]int{"1": 30, "2": 30, "3": 30}, map[string]int{"1": 19, "2": 4, "3": 4}), 60, 8},
 	} {
 		total, failed := c.counts.withoutWorstTarget(3)
 		if total != c.total || failed != c.failed {
