Serve requests of other hosts on the goroutine that survives a panic

Found by reading: a request that another host had passed on was served on a goroutine of its own, so that a panic in it would have ended the process; handlers of peer requests recover.

--- a/move/move.go
+++ b/move/move.go
@@ -13,8 +13,8 @@
 // look k is 0.001/(k(k+1)), divided by the number of tests of that look, so that the
 // levels of all looks, windows, routes and tests add up to at most 0.001. This is a
 // union bound, which holds although windows overlap. The bound assumes that
-// sub-requests fail independently. The failures of the target that fails most are
-// excluded, because a dead target is not a fault of its version. Sub-requests without a
+// sub-requests fail independently. The target that fails most is excluded, because a dead
+// target is not a fault of its version, unless the others fail alike. Sub-requests without a
 // reply count for no version while the host that sent them has lost its links to targets.
 package move
 
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -172,7 +172,7 @@
 	if id.Host != r.Host {
 		return errors.Errorf("data directory %s belongs to host %s, not %s", r.Dir, id.Host, r.Host)
 	}
-	if r.identity != id {
+	if r.identity != id { // other goroutines read it; after a failed write it is the same
 		r.identity = id
 	}
 	if isEmpty(saved) {
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -98,9 +98,10 @@
 	}
 }
 
-// Collect collects a portion for another host, or serves a whole request that it passes on. It passes a frame to send after a share of the
-// objective, so that the other host knows that this one works on the portion, and from the cutoff
-// on whenever there are new replies. It returns the last frame.
+// Collect collects a portion for another host, or serves a whole request that it has passed on. For a
+// portion, it passes a frame to send after a share of the objective, so that the other host knows that
+// this one works on it, and from the cutoff on whenever there are new replies. It returns the last
+// frame.
 func (s *Service) Collect(ctx context.Context, r *portion.Request, send func(*portion.Frame)) *portion.Frame {
 	j, reason := s.acceptPortion(ctx, r)
 	if reason != "" {
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -155,19 +155,9 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	reply := &replyRecorder{header: http.Header{}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.serve(ctx, reply, j)
-	}()
-	report := s.Clock.NewTimer(time.Duration(reportShare * float64(j.route.Objective)))
-	defer report.Stop()
-	select {
-	case <-done:
-	case <-report.Chan():
-		send(&portion.Frame{})
-		<-done
-	}
+	report := s.Clock.AfterFunc(time.Duration(reportShare*float64(j.route.Objective)), func() { send(&portion.Frame{}) })
+	s.serve(ctx, reply, j)
+	report.Stop()
 	if reply.status == 0 { // the other host has left, and nothing was written
 		return &portion.Frame{}
 	}
