End connections between hosts when sent data stays unacknowledged

Cause: a control host returned from a loss of power with an empty disk and got its vote, but the leader's messages went into the connection of before for 2 s more: TCP sends the unacknowledged packets again at growing intervals, and messages of the log have no reply that could time out. The leader held the host for silent and removed it; before it was back, the next disk was lost. Change: TCP_USER_TIMEOUT of 1.5 s on all connections between hosts.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,12 +16,18 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sys/unix"
 )
 
 // writeTimeout limits each write, so that a peer that no longer reads or a silent
 // network partition does not block the sender.
 const writeTimeout = 2 * time.Second
 
+// unacknowledgedTimeout is how long sent data may stay unacknowledged before the connection ends. The
+// packets of a connection to a host that has lost power are sent again at growing intervals, so
+// that the host, once it is back, rejects them only seconds later; until then, messages are lost.
+const unacknowledgedTimeout = 1500 * time.Millisecond
+
 // Code classifies a RemoteError.
 type Code int64
 
@@ -84,6 +91,9 @@
 }
 
 func newConn(ctx context.Context, nc net.Conn, handlers map[string]Handler, events zerolog.Logger) *Conn {
+	if err := limitUnacknowledged(nc); err != nil {
+		events.Warn().Err(err).Msg("failed to limit how long sent data may stay unacknowledged")
+	}
 	c := &Conn{tcp: &timedConn{Conn: nc}}
 	ready := make(chan struct{})
 	stream := jsonrpc2.NewBufferedStream(c.tcp, jsonrpc2.VarintObjectCodec{})
@@ -94,6 +104,29 @@
 	return c
 }
 
+// limitUnacknowledged sets unacknowledgedTimeout on a TCP connection.
+func limitUnacknowledged(nc net.Conn) error {
+	if secure, ok := nc.(*tls.Conn); ok {
+		nc = secure.NetConn()
+	}
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
 // timedConn limits the time of each write and counts the bytes that are sent and received. It
 // closes the connection when a write fails.
 type timedConn struct {
