Classify outcomes with a reply once, and simplify what the last changes added

No change of behaviour. Packages move and relay had the same list of outcomes without a reply; route.Outcome.HasReply serves both. The time since which a disk fails is a local variable, and two requests on a channel of one share a function. The temporary file of Discard is recognized like the others.

--- a/journal/journal.go
+++ b/journal/journal.go
@@ -25,8 +25,8 @@
 	// The size is a small share of the available disks, which have 128 MB.
 	segmentBlock = 64 << 10
 
-	// trialFile is the file with which Discard checks the disk.
-	trialFile = "trial" + temporarySuffix
+	// trialFile is the temporary file with which Discard checks the disk.
+	trialFile = "trial"
 )
 
 // paddedSize returns the file size of a segment whose records end at end.
@@ -65,8 +65,8 @@
 	sync func(*os.File) error
 }
 
-// check returns the error of a fault.
-func (j *Journal) check() error {
+// checkFault returns the error of a fault.
+func (j *Journal) checkFault() error {
 	if j.fault == nil {
 		return nil
 	}
@@ -78,10 +78,10 @@
 // succeeds; the journal has to be opened again then. Without it, a record whose sync has failed
 // would be read back from memory and taken for durable.
 func (j *Journal) Discard() error {
-	if err := j.check(); err != nil {
+	if err := j.checkFault(); err != nil {
 		return err
 	}
-	path := filepath.Join(j.dir, trialFile)
+	path := filepath.Join(j.dir, trialFile+temporarySuffix)
 	if err := writeSynced(path, make([]byte, segmentBlock), j.sync); err != nil {
 		return errors.Wrap(err, "write trial file")
 	}
@@ -149,7 +149,7 @@
 
 // append writes a record to the end of the segment and syncs the file.
 func (j *Journal) append(b []byte) error {
-	if err := j.check(); err != nil {
+	if err := j.checkFault(); err != nil {
 		return j.fail(err, "write log")
 	}
 	if size := paddedSize(j.end + int64(len(b))); size > j.size {
@@ -250,7 +250,7 @@
 
 // writeFile writes a file atomically: after a crash it is either complete or absent.
 func (j *Journal) writeFile(name string, content []byte) error {
-	if err := j.check(); err != nil {
+	if err := j.checkFault(); err != nil {
 		return j.fail(err, "write "+name)
 	}
 	path := filepath.Join(j.dir, name)
--- a/journal/open.go
+++ b/journal/open.go
@@ -84,12 +84,12 @@
 	return existing, nil
 }
 
-// isTemporary reports whether the file is left from an interrupted writeFile.
+// isTemporary reports whether the file is left from an interrupted writeFile or Discard.
 func isTemporary(name string) bool {
 	name, ok := strings.CutSuffix(name, temporarySuffix)
 	_, snapshot := indexFromName(name, snapshotPrefix)
 	_, segment := indexFromName(name, segmentPrefix)
-	return ok && (snapshot || segment || name == identityFile) || name+temporarySuffix == trialFile
+	return ok && (snapshot || segment || name == identityFile || name == trialFile)
 }
 
 // indexFromName returns the positive index that follows the prefix in a file name.
--- a/move/collector.go
+++ b/move/collector.go
@@ -66,7 +66,7 @@
 		return
 	}
 	n := h.replied
-	if !hasReply(o) {
+	if !o.HasReply() {
 		n = h.silent
 	}
 	n.Total++
--- a/move/links.go
+++ b/move/links.go
@@ -22,7 +22,7 @@
 func (l *links) observe(o route.Outcome) {
 	switch {
 	case o == route.Cancelled:
-	case hasReply(o):
+	case o.HasReply():
 		l.replied.Add(1)
 	default:
 		l.lost.Add(1)
@@ -34,13 +34,3 @@
 	replied, lost := l.replied.Swap(0), l.lost.Swap(0)
 	return lost >= minLost && float64(lost) > lostShare*float64(replied+lost)
 }
-
-// hasReply reports whether the target has replied.
-func hasReply(o route.Outcome) bool {
-	switch o {
-	case route.ConnectFailed, route.Reset, route.TimedOut, route.Cancelled:
-		return false
-	default:
-		return true
-	}
-}
--- a/node/entry.go
+++ b/node/entry.go
@@ -176,10 +176,13 @@
 // serving reports whether callers may be sent to this host.
 func (e *Entry) serving() bool { return e.view.Load() != nil && !e.draining.Load() }
 
-func (e *Entry) requestView() {
+func (e *Entry) requestView() { signal(e.wake) }
+
+// signal makes a request on a channel that holds one, unless it holds one already.
+func signal(requests chan<- struct{}) {
 	select {
-	case e.wake <- struct{}{}:
-	default: // a new view is already requested
+	case requests <- struct{}{}:
+	default:
 	}
 }
 
@@ -274,10 +277,7 @@
 // the targets were ejected for meanwhile was the fault of the links.
 func (e *Entry) reachChanged(c reach.Change) {
 	e.requestView()
-	select {
-	case e.notify <- struct{}{}:
-	default: // a notification is already requested
-	}
+	signal(e.notify)
 	if !c.Lost {
 		e.table.ReinstateAll(e.Clock.Now())
 		e.Log.Info().Dur("after", c.Silence).Dur("hold", c.Hold).Msg("links to targets restored; requests are sent to them again")
--- a/quorum/bootstrap.go
+++ b/quorum/bootstrap.go
@@ -144,7 +144,7 @@
 		if ok = r.node != nil; ok {
 			return
 		}
-		if r.storage.failing.Load() {
+		if r.diskFailing.Load() {
 			return
 		}
 		if err := writeBootstrapMembers(r.Dir, members); err != nil {
@@ -195,7 +195,7 @@
 	switch {
 	case err != nil:
 		return nil, toRemoteError(err)
-	case r.storage.failing.Load():
+	case r.diskFailing.Load():
 		return nil, unavailable()
 	}
 	return h, nil
--- a/quorum/local.go
+++ b/quorum/local.go
@@ -24,7 +24,7 @@
 
 // LocalStatus returns the status of this replica. It is zero while the replica is in no group.
 func (r *Replica) LocalStatus(ctx context.Context) (LocalStatus, error) {
-	status := LocalStatus{DiskFailing: r.storage.failing.Load()}
+	status := LocalStatus{DiskFailing: r.diskFailing.Load()}
 	err := r.do(ctx, func() {
 		if r.node == nil {
 			return
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -78,7 +79,8 @@
 	fatal  error
 
 	identity journal.Identity
-	storage  storage
+	// diskFailing is true while the disk refuses writes.
+	diskFailing atomic.Bool
 	memory
 }
 
--- a/quorum/storage.go
+++ b/quorum/storage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,12 +23,6 @@
 // Unwrap returns the cause.
 func (e *StorageError) Unwrap() error { return e.Err }
 
-// storage tells whether the disk takes writes.
-type storage struct {
-	failing atomic.Bool
-	since   time.Time
-}
-
 // storageFailed returns the error of a failed write for r.fatal.
 func storageFailed(err error, operation string) error {
 	return &StorageError{errors.Wrap(err, operation)}
@@ -45,8 +38,8 @@
 // ended, and back into it once the disk takes writes again. Meanwhile it serves what needs no group.
 // It returns the error that ends the replica, if there is one.
 func (r *Replica) recoverStorage(ctx context.Context, cause *StorageError) error {
-	r.storage.since = r.Clock.Now()
-	r.storage.failing.Store(true)
+	since := r.Clock.Now()
+	r.diskFailing.Store(true)
 	r.Log.Error().Err(cause).Msg("disk refuses writes; this control host takes no part in the group until it accepts them")
 	r.suspend()
 	ticker := r.Clock.NewTicker(storageRetryInterval)
@@ -62,8 +55,8 @@
 		}
 		err := r.reload(ctx)
 		if err == nil {
-			r.storage.failing.Store(false)
-			r.Log.Info().Dur("after", r.Clock.Since(r.storage.since)).Msg("disk accepts writes again; this control host takes part in the group")
+			r.diskFailing.Store(false)
+			r.Log.Info().Dur("after", r.Clock.Since(since)).Msg("disk accepts writes again; this control host takes part in the group")
 			return nil
 		}
 		if errors.As(err, new(*journal.CorruptError)) {
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -20,15 +20,11 @@
 
 // recordReach records what an attempt shows of the links of this host.
 func (s *Service) recordReach(now time.Time, r *result, sinceSent time.Duration) {
-	switch r.outcome {
-	case route.ConnectFailed, route.Reset, route.TimedOut:
-		s.Reach.RecordLoss(now, r.target.Name)
-	case route.Cancelled:
-		if r.ran && sinceSent >= minSilence {
-			s.Reach.RecordLoss(now, r.target.Name)
-		}
-	default:
+	switch {
+	case r.outcome.HasReply():
 		s.Reach.RecordReply(now)
+	case r.outcome != route.Cancelled || r.ran && sinceSent >= minSilence:
+		s.Reach.RecordLoss(now, r.target.Name)
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -55,6 +55,16 @@
 	return outcomeNames[o]
 }
 
+// HasReply reports whether the target has replied, with whatever result.
+func (o Outcome) HasReply() bool {
+	switch o {
+	case ConnectFailed, Reset, TimedOut, Cancelled:
+		return false
+	default:
+		return true
+	}
+}
+
 // drainingExclusion is how long a target gets no sub-requests after a reply with "draining".
 // It exceeds the 6 s within which a target that left is removed from the view.
 const drainingExclusion = 10 * time.Second
