Review, case 3: a request that crashes its searchers is sent on without end

Cause: on the users' platform nothing remembers a request that has crashed the searchers that ran it; only the route's attempts bound it, for each sending anew. Package poison, which the other daemon uses, is not part of package relay. The product is unchanged.

--- a/review/_standin/latecopy.go
+++ b/review/_standin/latecopy.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -97,6 +98,8 @@
 	client *http.Client
 	wg     sync.WaitGroup
 	next   int
+	// prefix is that of the paths; "/order/" if empty.
+	prefix string
 
 	mu      sync.Mutex
 	answers map[string]int
@@ -108,8 +111,9 @@
 	id := fmt.Sprintf("a%08d", c.next)
 	entries := c.sys.entries()
 	m := entries[rand.IntN(len(entries))]
+	prefix := cmp.Or(c.prefix, "/order/")
 	c.wg.Go(func() {
-		request, err := http.NewRequest(http.MethodPost, "http://"+c.sys.address(m, frontendPort)+"/order/"+id, bytes.NewReader([]byte("book "+id)))
+		request, err := http.NewRequest(http.MethodPost, "http://"+c.sys.address(m, frontendPort)+prefix+id, bytes.NewReader([]byte("book "+id)))
 		if err != nil {
 			return
 		}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -14,7 +14,7 @@
 )
 
 func main() {
-	cases := map[string]func(*record, bool) (int, error){"1": lateCopy, "2": staleOrder}
+	cases := map[string]func(*record, bool) (int, error){"1": lateCopy, "2": staleOrder, "3": crashingRequest}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
 		os.Exit(failed)
--- a/review/_standin/searcher.go
+++ b/review/_standin/searcher.go
@@ -20,6 +20,12 @@
 	runs              *runs
 	// extra, if set, reports whether a late second copy of an answer follows it.
 	extra func() bool
+	// cold is how long the searcher is cold after its start.
+	cold time.Duration
+	// crash, if set, reports whether the searcher crashes as it begins to run a request; crashed is
+	// called after that.
+	crash   func(*http.Request) bool
+	crashed func()
 
 	listener net.Listener
 	born     int64
@@ -30,6 +36,8 @@
 	busy     chan struct{}
 	waiting  int
 	stop     chan struct{}
+	ended    sync.Once
+	conns    map[net.Conn]bool
 }
 
 // runs counts how often each request has run.
@@ -61,6 +69,7 @@
 		return err
 	}
 	s.listener, s.born, s.state = l, time.Now().UnixMilli(), "ready"
+	s.conns = map[net.Conn]bool{}
 	s.busy, s.stop = make(chan struct{}, s.slots), make(chan struct{})
 	go func() {
 		for {
@@ -68,6 +77,9 @@
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns[conn] = true
+			s.mu.Unlock()
 			go s.serve(conn)
 		}
 	}()
@@ -76,8 +88,26 @@
 }
 
 func (s *searcher) close() {
-	close(s.stop)
-	s.listener.Close()
+	s.ended.Do(func() {
+		close(s.stop)
+		s.listener.Close()
+	})
+}
+
+// die ends the searcher as a crash of its process does: its connections are reset.
+func (s *searcher) die() {
+	s.ended.Do(func() {
+		s.sys.record.write("crash", "searcher", s.id)
+		close(s.stop)
+		s.listener.Close()
+		s.mu.Lock()
+		for conn := range s.conns {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+		s.mu.Unlock()
+		go s.crashed()
+	})
 }
 
 // beat sends heartbeats to one control host, and to the next one when that fails.
@@ -91,7 +121,7 @@
 		s.sequence++
 		body, err := json.Marshal(map[string]any{
 			"service": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": "v1", "capacity": s.slots,
-			"state": s.state, "warmup-remaining-ms": 0, "sequence": s.sequence, "born": s.born,
+			"state": s.state, "warmup-remaining-ms": max(0, s.cold.Milliseconds()-(time.Now().UnixMilli()-s.born)), "sequence": s.sequence, "born": s.born,
 		})
 		s.mu.Unlock()
 		for tries := 0; err == nil && tries < len(controls); tries++ {
@@ -133,7 +163,12 @@
 
 // serve serves one request at a time on a connection.
 func (s *searcher) serve(conn net.Conn) {
-	defer conn.Close()
+	defer func() {
+		conn.Close()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+	}()
 	reader := bufio.NewReader(conn)
 	var late []byte // a second copy of the last answer, which arrives where the next one is expected
 	for {
@@ -183,6 +218,10 @@
 		return encode(503, id, map[string]string{notRunHeader: "1"}, nil)
 	}
 	defer func() { <-s.busy }()
+	if s.crash != nil && s.crash(request) {
+		s.die()
+		return nil
+	}
 	n := s.runs.add(id, s.zone)
 	s.sys.record.write("run", "searcher", s.id, "zone", s.zone, "id", id, "method", request.Method, "path", request.URL.RequestURI(), "bytes", len(body), "nth", n)
 	time.Sleep(s.work)
