Never send a request that may run once again on a connection that has carried it

Cause: a refused request is sent again to the target that refused it, half a hedge delay later and possibly on the same connection. The target echoes the caller's identity, which is the same in both sendings, so that a late copy of the refusal passes for the second reply. Change: a connection remembers the identities that it has carried. A request that may run once uses another connection, which is opened in place of an idle one if the share is used up; an idempotent request prefers another one, but takes one that has carried the identity rather than wait. Why it works: the copy can only arrive on the connection of the first sending, and no second sending waits there.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -59,6 +59,8 @@
 	// the head does not have the common form.
 	head     head
 	response *http.Response
+	// sent holds the IDs of the sub-requests that the connection has carried.
+	sent sentIDs
 	// closing is true if the connection closes after the reply.
 	closing bool
 	// expires is when the target closes the connection if it stays idle; zero if the target
--- a/limit/do.go
+++ b/limit/do.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -27,6 +28,20 @@
 	Request *http.Request
 	// Bytes is the sub-request in wire format.
 	Bytes []byte
+	// ID, if set, identifies the sub-request in its reply. If the same one is sent again, a
+	// connection that has carried it is used only if there is no other.
+	ID string
+	// Once is true if the target may run the sub-request at most once. A connection that has
+	// carried the ID is then not used for it: a late copy of the reply to the earlier sending would
+	// pass for the reply to this one.
+	Once bool
+}
+
+func (e *EncodedRequest) wanted() wanted {
+	if e.ID == "" {
+		return wanted{}
+	}
+	return wanted{id: xxhash.Sum64String(e.ID), fresh: e.Once}
 }
 
 // Do encodes the request and sends it; see Send. The error is a *LostError.
@@ -49,7 +64,8 @@
 	if isDone(ctx) {
 		return nil, &LostError{Err: ctx.Err()}
 	}
-	c, err := permit.target.get(ctx)
+	wanted := encoded.wanted()
+	c, err := permit.target.get(ctx, wanted)
 	if err != nil {
 		return nil, &LostError{Err: err}
 	}
@@ -60,6 +76,7 @@
 		}
 	}
 	req, before := encoded.Request, c.raw.written
+	c.sent.add(wanted.id)
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
 		if w.stop() {
--- a/limit/open.go
+++ b/limit/open.go
@@ -21,33 +21,50 @@
 	err        error
 }
 
+// connectionWaiter is a sub-request that waits for a connection.
+type connectionWaiter struct {
+	wanted wanted
+	result chan connectionResult
+}
+
+// wanted says which connections a sub-request may use.
+type wanted struct {
+	// id identifies the sub-request in its reply; 0 if nothing does.
+	id uint64
+	// fresh excludes the connections that have carried the id: a late copy of the reply to the
+	// earlier sending would pass for the reply to this one.
+	fresh bool
+}
+
+func (w wanted) accepts(c *connection) bool { return !w.fresh || w.prefers(c) }
+
+// prefers reports whether the connection has not carried the id.
+func (w wanted) prefers(c *connection) bool { return w.id == 0 || !c.sent.has(w.id) }
+
 // get returns an idle connection, or waits for one that is being opened. It does not return a
 // connection that the target has closed while it was idle.
-func (t *targetPool) get(ctx context.Context) (*connection, error) {
+func (t *targetPool) get(ctx context.Context, wanted wanted) (*connection, error) {
 	t.mu.Lock()
 	t.expiredUnused = false
-	for len(t.idle) > 0 {
-		last := len(t.idle) - 1
-		c := t.idle[last]
-		t.idle[last] = nil
-		t.idle = t.idle[:last]
-		if c.usable() {
-			t.dialMissing()
-			t.mu.Unlock()
-			return c, nil
-		}
-		t.drop(c)
+	c := t.takeIdle(wanted.prefers)
+	if c == nil {
+		c = t.takeIdle(wanted.accepts)
+	}
+	if c != nil {
+		t.dialMissing()
+		t.mu.Unlock()
+		return c, nil
 	}
 	if t.retired {
 		t.mu.Unlock()
 		return nil, errRetired
 	}
-	w := make(chan connectionResult, 1)
+	w := connectionWaiter{wanted, make(chan connectionResult, 1)}
 	t.connectionWaiters = append(t.connectionWaiters, w)
 	t.dialMissing()
 	t.mu.Unlock()
 	select {
-	case d := <-w:
+	case d := <-w.result:
 		return d.connection, d.err
 	case <-ctx.Done():
 	}
@@ -55,16 +72,33 @@
 	return nil, ctx.Err()
 }
 
+// takeIdle removes and returns the most recently used idle connection that is accepted, or nil. It
+// drops those that can't be used any more. The caller holds the lock.
+func (t *targetPool) takeIdle(accept func(*connection) bool) *connection {
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		c := t.idle[i]
+		if !accept(c) {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
+		if c.usable() {
+			return c
+		}
+		t.drop(c)
+	}
+	return nil
+}
+
 // cancelWait stops waiting for a connection. A connection that was delivered in the meantime
 // is made available to others.
-func (t *targetPool) cancelWait(w chan connectionResult) {
+func (t *targetPool) cancelWait(w connectionWaiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if i := slices.Index(t.connectionWaiters, w); i >= 0 {
 		t.connectionWaiters = slices.Delete(t.connectionWaiters, i, i+1)
 		return
 	}
-	if d := <-w; d.connection != nil {
+	if d := <-w.result; d.connection != nil {
 		t.put(d.connection)
 	}
 }
@@ -94,17 +128,20 @@
 		t.dialMissing()
 		return
 	}
-	if len(t.connectionWaiters) > 0 {
-		w := t.connectionWaiters[0]
-		t.connectionWaiters = slices.Delete(t.connectionWaiters, 0, 1)
-		w <- connectionResult{connection: c}
+	if i := slices.IndexFunc(t.connectionWaiters, func(w connectionWaiter) bool { return w.wanted.accepts(c) }); i >= 0 {
+		w := t.connectionWaiters[i]
+		t.connectionWaiters = slices.Delete(t.connectionWaiters, i, i+1)
+		w.result <- connectionResult{connection: c}
 		return
 	}
 	if t.share.CloseAfterUse {
 		t.drop(c)
-		return
+	} else {
+		t.idle = append(t.idle, c)
+	}
+	if len(t.connectionWaiters) > 0 {
+		t.dialMissing()
 	}
-	t.idle = append(t.idle, c)
 }
 
 // drop closes a connection that is not in use. The caller holds the lock.
@@ -119,6 +156,7 @@
 	if t.retired {
 		return
 	}
+	t.makeRoom()
 	missing := max(len(t.connectionWaiters)-t.opening, t.missingAhead())
 	for ; missing > 0 && t.open < t.share.Connections; missing-- {
 		t.open++
@@ -127,6 +165,15 @@
 	}
 }
 
+// makeRoom closes idle connections that no waiting sub-request accepts if the share leaves no room
+// for others. The caller holds the lock.
+func (t *targetPool) makeRoom() {
+	for t.open >= t.share.Connections && len(t.connectionWaiters) > t.opening && len(t.idle) > 0 {
+		t.drop(t.idle[0])
+		t.idle = slices.Delete(t.idle, 0, 1)
+	}
+}
+
 // missingAhead returns the number of connections to open ahead of use: up to Warm, and, unless
 // CapAtWarm is set, one more than there are sub-requests in flight, so that the next
 // sub-request does not wait for it.
@@ -164,7 +211,7 @@
 	if len(t.connectionWaiters) > 0 {
 		w := t.connectionWaiters[0]
 		t.connectionWaiters = slices.Delete(t.connectionWaiters, 0, 1)
-		w <- connectionResult{err: &ConnectError{Err: err}}
+		w.result <- connectionResult{err: &ConnectError{Err: err}}
 	}
 	t.dialMissing()
 }
--- a/limit/target_pool.go
+++ b/limit/target_pool.go
@@ -63,7 +63,7 @@
 	open, opening int
 	// connectionWaiters holds the sub-requests that wait for a connection, in order of
 	// arrival.
-	connectionWaiters []chan connectionResult
+	connectionWaiters []connectionWaiter
 	// backoffUntil is the time until which no connection is opened ahead of use, and backoff
 	// the length of that period.
 	backoffUntil time.Time
@@ -119,7 +119,7 @@
 	}
 	t.idle = nil
 	for _, w := range t.connectionWaiters {
-		w <- connectionResult{err: errRetired}
+		w.result <- connectionResult{err: errRetired}
 	}
 	t.connectionWaiters = nil
 }
--- /dev/null
+++ b/relay/latecopy_test.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/control"
+	"wasabirelay/limit"
+)
+
+// repeatingTarget refuses its first request unexecuted. On a connection that has carried that refusal
+// it sends a copy of it before the reply to the next request, which it runs.
+type repeatingTarget struct {
+	refused, ran, connections atomic.Int64
+}
+
+func (f *repeatingTarget) serve(conn net.Conn) {
+	defer conn.Close()
+	f.connections.Add(1)
+	reader := bufio.NewReader(conn)
+	refusal := ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(headers.Request)
+		if f.refused.Add(1) == 1 {
+			refusal = fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headers.Request, id, headers.NotRun)
+			_, _ = io.WriteString(conn, refusal)
+			continue
+		}
+		f.ran.Add(1)
+		_, _ = io.WriteString(conn, refusal)
+		refusal = ""
+		time.Sleep(30 * time.Millisecond)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sign\r\nContent-Length: 16\r\n\r\n%s", headers.Request, id, headers.Signature, record("x"))
+	}
+}
+
+// Guards against a late copy of a refusal that passes for the reply to the second sending of the same
+// request: the request then runs twice, or is refused as not run although it runs.
+func TestLateCopyOfRefusal(t *testing.T) {
+	for _, connections := range []int{1, 8} {
+		t.Run(fmt.Sprint(connections, " connections"), func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			f := &repeatingTarget{}
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go f.serve(conn)
+				}
+			}()
+			h := newHarness(t, singleRoute(false, 1))
+			address := netip.MustParseAddrPort(listener.Addr().String())
+			h.view.Targets["s1"] = []*control.Target{{Name: "a", Incarnation: "1", Service: "s1", Centre: "c", Address: address, State: control.Warm}}
+			h.service.Pool.SetShares(map[string]limit.Share{"a": {Incarnation: "1", Address: address, Connections: connections, Slots: 2}})
+			h.fillBudgets()
+			res, _ := h.get(t, func(r *http.Request) { r.Method = http.MethodPost })
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(f.ran.Load(), int64(1))
+			is.Equal(f.connections.Load(), int64(2)) // the second one carries the second sending
+		})
+	}
+}
