Reject orders without a version that a later order has overtaken

Cause: a control host that wakes from a freeze reads an order that its operator has given up from the socket and has it committed, after the later order. The handler's time-out starts with the handler, and net/http reports the end of the connection on another goroutine. A leader that freezes with the proposal in its queue, and the start of a version move, have the same fault. Change: an order is based on the state and log index that are read through the leader before the operator's connection is checked, and the leader rejects it if its log has a later order on the same data centre or service. Why it works: an operator that still waits after the read had sent no later order before it, so every later order has a larger index.

--- a/node/control.go
+++ b/node/control.go
@@ -227,7 +227,7 @@
 
 // Evacuate implements ControlService.
 func (c *Control) Evacuate(ctx context.Context, centre string, out bool) error {
-	return c.commit(ctx, control.Command{Evacuate: &control.Evacuate{Centre: centre, Out: out}})
+	return c.commitOrder(ctx, control.Command{Evacuate: &control.Evacuate{Centre: centre, Out: out}})
 }
 
 // trialFraction is the fraction of the maximum exposure that a new version starts with.
@@ -235,7 +235,7 @@
 
 // StartMove implements ControlService.
 func (c *Control) StartMove(ctx context.Context, service, version string, length time.Duration) error {
-	return c.commit(ctx, control.Command{Begin: &control.BeginMove{
+	return c.commitOrder(ctx, control.Command{Begin: &control.BeginMove{
 		Service: service, Version: version, MaxDuration: length, TrialShare: trialFraction * c.Settings.MaxExposure,
 	}})
 }
@@ -243,17 +243,38 @@
 // commit commits a command. Every command is idempotent, so it is proposed again until it is
 // committed or commitTimeout has passed.
 func (c *Control) commit(ctx context.Context, command control.Command) error {
+	return c.retryCommit(ctx, func(ctx context.Context) (control.Result, error) {
+		ctx, end := context.WithTimeout(ctx, proposeTimeout)
+		defer end()
+		return c.replica.Commit(ctx, command)
+	})
+}
+
+// commitOrder commits an order without a version. The operator may have given it up and sent a later
+// one to another control host, for example while this host was frozen. The order is therefore based on
+// a state that was read while the operator still waited, and has no effect after a later order.
+func (c *Control) commitOrder(ctx context.Context, command control.Command) error {
+	o := order{read: c.replica.Read, waiting: isCallerWaiting, commit: c.replica.Commit, commitAfter: c.replica.CommitAfter}
+	err := c.retryCommit(ctx, func(ctx context.Context) (control.Result, error) { return o.try(ctx, command) })
+	if errors.Is(err, errCallerLeft) {
+		c.Log.Warn().Any("evacuation", command.Evacuate).Any("move", command.Begin).Msg("order dropped: the operator has left")
+	}
+	return err
+}
+
+// retryCommit calls try until it succeeds, commitTimeout has passed or the caller has left.
+func (c *Control) retryCommit(ctx context.Context, try func(context.Context) (control.Result, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	for {
-		attempt, end := context.WithTimeout(ctx, proposeTimeout)
-		result, err := c.replica.Commit(attempt, command)
-		end()
+		result, err := try(ctx)
 		switch {
 		case err == nil && result.Refusal != nil:
 			return result.Refusal
 		case err == nil:
 			return nil
+		case errors.Is(err, errCallerLeft):
+			return err
 		}
 		select {
 		case <-ctx.Done():
@@ -265,11 +286,11 @@
 
 // Read implements ControlService.
 func (c *Control) Read(ctx context.Context) (control.RoutingState, error) {
-	state, err := c.replica.Read(ctx)
+	response, err := c.replica.Read(ctx)
 	if err != nil {
-		return state, &UnavailableError{"the newest state is not certain: " + err.Error()}
+		return control.RoutingState{}, &UnavailableError{"the newest state is not certain: " + err.Error()}
 	}
-	return state, nil
+	return response.RoutingState, nil
 }
 
 // drain shuts the control host down gracefully.
--- a/node/process.go
+++ b/node/process.go
@@ -21,7 +21,6 @@
 
 	"wasabirelay/eventlog"
 	"wasabirelay/peer"
-	"wasabirelay/relay"
 )
 
 const (
@@ -98,7 +97,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler, ConnContext: relay.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, ConnContext: connContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	g.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve")
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -63,6 +63,9 @@
 type Proposal struct {
 	Command   control.Command `json:"command"`
 	Forwarded bool            `json:"forwarded,omitempty"`
+	// Base, if set, is the log index up to which the state was known while the sender of an order
+	// still waited; see fence. Leaders of earlier versions ignore it.
+	Base *uint64 `json:"base,omitempty"`
 }
 
 // WatchRequest subscribes to the feed of committed commands after an index.
--- a/quorum/moves.go
+++ b/quorum/moves.go
@@ -89,7 +89,7 @@
 	r.Log.Info().Str("service", step.Service).Str("version", step.Version).Str("from", step.From).Str("step", step.Step).
 		Float64("share", step.Share).Str("reason", step.Reason).Msg("proposing the next step of a version move")
 	machine.pending = make(chan outcome, 1)
-	r.propose(control.Command{Move: step}, machine.pending)
+	r.propose(&Proposal{Command: control.Command{Move: step}}, machine.pending)
 }
 
 // add adds the evidence of a host to the running moves.
--- a/quorum/propose.go
+++ b/quorum/propose.go
@@ -46,8 +46,14 @@
 // *consensus.NotLeaderError or a *NotCommittedError the command has no effect; after an
 // *UnknownOutcomeError it may have an effect.
 func (r *Replica) Propose(ctx context.Context, c control.Command) (control.Result, error) {
+	return r.proposeAfter(ctx, Proposal{Command: c})
+}
+
+// proposeAfter is Propose for a command that may depend on a base. An *OvertakenError is returned if
+// it does and is outdated; the command has no effect then.
+func (r *Replica) proposeAfter(ctx context.Context, p Proposal) (control.Result, error) {
 	done := make(chan outcome, 1)
-	if !r.post(ctx, func() { r.propose(c, done) }) {
+	if !r.post(ctx, func() { r.propose(&p, done) }) {
 		return control.Result{}, &NotCommittedError{}
 	}
 	select {
@@ -58,11 +64,16 @@
 	}
 }
 
-func (r *Replica) propose(c control.Command, done chan outcome) {
+func (r *Replica) propose(proposal *Proposal, done chan outcome) {
 	if r.node == nil {
 		done <- outcome{err: &consensus.NotLeaderError{}}
 		return
 	}
+	if err := r.checkBase(proposal); err != nil {
+		done <- outcome{err: err}
+		return
+	}
+	c := proposal.Command
 	c.At = r.nextTimestamp()
 	data, err := json.Marshal(c)
 	if err != nil {
@@ -75,6 +86,7 @@
 		return
 	}
 	r.waiters[p.Index] = waiter{p.Term, done}
+	r.fence.record(p.Index, &c)
 	r.handle(out)
 }
 
@@ -121,6 +133,7 @@
 		r.lastTimestamp = c.At
 	}
 	result := r.state.Apply(e.Index, c)
+	r.fence.record(e.Index, &c)
 	if shared, ok := control.Feed(c); ok {
 		return result, &shared
 	}
@@ -149,7 +162,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	result, err := r.Propose(ctx, p.Command)
+	result, err := r.proposeAfter(ctx, p)
 	if err == nil {
 		return result, nil
 	}
@@ -184,10 +197,11 @@
 	var transferring *consensus.TransferringError
 	var notCommitted *NotCommittedError
 	var connect *peer.ConnectError
+	var overtaken *OvertakenError
 	switch {
 	case errors.As(err, &remote):
 		return remote
-	case errors.As(err, &notLeader), errors.As(err, &notCommitted), errors.As(err, &transferring), errors.As(err, &connect):
+	case errors.As(err, &notLeader), errors.As(err, &notCommitted), errors.As(err, &transferring), errors.As(err, &connect), errors.As(err, &overtaken):
 		return &peer.RemoteError{Code: peer.CodeNotLeader, Message: err.Error()}
 	default:
 		return &peer.RemoteError{Code: peer.CodeUnavailable, Message: err.Error()}
@@ -197,11 +211,22 @@
 // Commit commits a command through the leader, which may be another replica. The errors
 // are those of Propose and of a call to another host.
 func (r *Replica) Commit(ctx context.Context, c control.Command) (control.Result, error) {
-	result, err := r.Propose(ctx, c)
+	return r.commit(ctx, Proposal{Command: c})
+}
+
+// CommitAfter is Commit for an order without a version. It has no effect, and the call fails, if an
+// order on the same subject has entered the log after the base, which is a ReadResponse.Index.
+func (r *Replica) CommitAfter(ctx context.Context, c control.Command, base uint64) (control.Result, error) {
+	return r.commit(ctx, Proposal{Command: c, Base: &base})
+}
+
+func (r *Replica) commit(ctx context.Context, p Proposal) (control.Result, error) {
+	result, err := r.proposeAfter(ctx, p)
 	var notLeader *consensus.NotLeaderError
 	if errors.As(err, &notLeader) && notLeader.Leader != "" {
+		p.Forwarded = true
 		var out control.Result
-		_, err := forward(ctx, r, notLeader.Leader, MethodPropose, Proposal{Command: c, Forwarded: true}, &out)
+		_, err := forward(ctx, r, notLeader.Leader, MethodPropose, p, &out)
 		return out, err
 	}
 	return result, err
--- a/quorum/read.go
+++ b/quorum/read.go
@@ -26,8 +26,8 @@
 }
 
 type readOutcome struct {
-	routing control.RoutingState
-	err     error
+	response ReadResponse
+	err      error
 }
 
 // ReadRequest asks for the current routing state.
@@ -35,16 +35,24 @@
 	Forwarded bool `json:"forwarded,omitempty"`
 }
 
+// ReadResponse is the response to ReadRequest.
+type ReadResponse struct {
+	control.RoutingState
+	// Index is the log index that the state includes; 0 if the leader is of an earlier version,
+	// which does not say it.
+	Index uint64 `json:"index,omitempty"`
+}
+
 // Read returns the routing state with the effects of all commands that were accepted before
 // the call. The error is a *consensus.NotLeaderError, that of the context or that of a call to
 // the leader.
-func (r *Replica) Read(ctx context.Context) (control.RoutingState, error) {
+func (r *Replica) Read(ctx context.Context) (ReadResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return r.readRoutingState(ctx, ReadRequest{})
 }
 
-func (r *Replica) readRoutingState(ctx context.Context, q ReadRequest) (control.RoutingState, error) {
+func (r *Replica) readRoutingState(ctx context.Context, q ReadRequest) (ReadResponse, error) {
 	done := make(chan readOutcome, 1)
 	err := r.do(ctx, func() {
 		if r.node == nil {
@@ -58,19 +66,19 @@
 		r.reads.start(r, done)
 	})
 	if err != nil {
-		return control.RoutingState{}, err
+		return ReadResponse{}, err
 	}
 	select {
 	case o := <-done:
 		var notLeader *consensus.NotLeaderError
 		if errors.As(o.err, &notLeader) && notLeader.Leader != "" && !q.Forwarded {
-			var out control.RoutingState
+			var out ReadResponse
 			_, err := forward(ctx, r, notLeader.Leader, MethodRead, ReadRequest{Forwarded: true}, &out)
 			return out, err
 		}
-		return o.routing, o.err
+		return o.response, o.err
 	case <-ctx.Done():
-		return control.RoutingState{}, errors.Wrap(ctx.Err(), "read the control state")
+		return ReadResponse{}, errors.Wrap(ctx.Err(), "read the control state")
 	}
 }
 
@@ -93,7 +101,7 @@
 	for _, read := range reads {
 		if done, ok := s.pending[read.ID]; ok {
 			delete(s.pending, read.ID)
-			done <- readOutcome{routing: r.state.RoutingState()}
+			done <- readOutcome{response: ReadResponse{RoutingState: r.state.RoutingState(), Index: r.applied}}
 		}
 	}
 	for _, id := range aborted {
@@ -109,9 +117,9 @@
 	if err := peer.Decode(params, &q); err != nil {
 		return nil, err
 	}
-	routing, err := r.readRoutingState(ctx, q)
+	response, err := r.readRoutingState(ctx, q)
 	if err != nil {
 		return nil, toRemoteError(err)
 	}
-	return routing, nil
+	return response, nil
 }
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -102,6 +102,7 @@
 	role                    consensus.Role
 
 	waiters map[uint64]waiter
+	fence   fence
 	feed    feed
 	leases  leases
 	moves   moves
@@ -219,6 +220,7 @@
 // restore replaces the control state with that of a snapshot.
 func (r *Replica) restore(s *consensus.Snapshot) error {
 	r.applied, r.snapshotIndex, r.snapshotBytes = s.Index, s.Index, len(s.Data)
+	r.fence.restore(s.Index)
 	if len(s.Data) == 0 {
 		return nil
 	}
@@ -380,6 +382,7 @@
 	if wasLeader {
 		r.leases.leadershipLost()
 	}
+	r.fence.truncate(r.applied)
 	if s.Role == consensus.Leader {
 		r.Log.Info().Uint64("term", s.Term).Msg("became leader of the control replicas")
 		r.leases.becameLeader(r, r.Clock.Now())
