Refuse requests that crash the targets that run them, at all hosts

Cause: nothing remembered such a request after the attempts of one caller, neither within a host nor between hosts. Change: hosts share in their polls which requests were in flight at deaths of targets and have not been answered since. Poll messages gain the fields crashes and known, which earlier versions skip; control hosts send no records to hosts that don't ask for them. Why it works: three deaths without an answer in between are reported within about a second and a half, so that all hosts know before the bound.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -12,6 +12,7 @@
 
 	"wasabirelay/control"
 	"wasabirelay/peer"
+	"wasabirelay/poison"
 	"wasabirelay/registry"
 )
 
@@ -44,6 +45,11 @@
 	Load func() float64
 	// OnControlHost, if set, is called with each control host that responds.
 	OnControlHost func(Host)
+	// OwnCrashes, if set, returns the records of requests that may crash targets that this host has to
+	// publish after a revision, and their revision.
+	OwnCrashes func(after uint64) ([]poison.Record, uint64)
+	// MergeCrashes, if set, is called with the records that control hosts send.
+	MergeCrashes func([]poison.Record)
 	// Changed, if set, is called after a change of targets, hosts or the routing state.
 	Changed func()
 
@@ -71,7 +77,10 @@
 	// stateRevision is the newest revision of the routing state that it has sent.
 	stateRevision uint64
 	// seen holds the run of the control host and the revisions received from it.
-	seen         PollRequest
+	seen PollRequest
+	// published is the revision of the records of requests that may crash targets that this run of the
+	// control host has received.
+	published    uint64
 	lastResponse time.Time
 	lastListed   time.Time
 	unreachable  bool
@@ -202,6 +211,13 @@
 	if c.Load != nil {
 		request.Load = c.Load()
 	}
+	published := k.published
+	if c.OwnCrashes != nil {
+		request.Crashes, published = c.OwnCrashes(published)
+	}
+	if c.MergeCrashes != nil {
+		request.Known = max(k.seen.Known, 1)
+	}
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, request.Wait+responseTimeout)
 	defer cancel()
@@ -213,9 +229,24 @@
 		return err
 	}
 	c.merge(k, &response)
+	c.mergeCrashes(k, &response, request.Run, published)
 	return nil
 }
 
+// mergeCrashes merges the records of a response to a request that named a run of the control host and
+// published records up to a revision.
+func (c *Client) mergeCrashes(k *contact, response *PollResponse, run int64, published uint64) {
+	if c.MergeCrashes != nil && len(response.Crashes) > 0 {
+		c.MergeCrashes(response.Crashes)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if run == response.From.Start && k.seen.Run == response.From.Start {
+		k.published = max(k.published, published)
+		k.seen.Known = max(k.seen.Known, response.Known+1)
+	}
+}
+
 // merge merges a poll response.
 func (c *Client) merge(k *contact, response *PollResponse) {
 	c.mu.Lock()
@@ -227,7 +258,7 @@
 	k.host, k.lastResponse, k.unreachable, k.active, k.entries = response.From, now, false, response.Active, response.Entries
 	c.synced = c.synced || !response.Starting
 	if k.seen.Run != response.From.Start {
-		k.seen = PollRequest{Run: response.From.Start}
+		k.seen, k.published = PollRequest{Run: response.From.Start}, 0
 	}
 	if response.Targets >= k.seen.Targets {
 		c.targets.Update(now, response.From.Name, uint64(response.From.Start), response.Changes, previousRunTTL)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wasabirelay/control"
+	"wasabirelay/poison"
 	"wasabirelay/registry"
 )
 
@@ -78,6 +79,11 @@
 	Document bool `json:"document,omitempty"`
 	// Wait is how long the response may be delayed while nothing changes.
 	Wait time.Duration `json:"wait,omitempty"`
+	// Crashes are records of requests that may crash targets, which the host publishes.
+	Crashes []poison.Record `json:"crashes,omitempty"`
+	// Known is one more than the revision of the records that the polling host has from the control
+	// host. It is 0 if the host is of an earlier version, which takes none.
+	Known uint64 `json:"known,omitempty"`
 }
 
 // PollResponse is the response of a control host.
@@ -106,6 +112,10 @@
 	// RoutingState is set if the polling host has an older revision. Its routing document has a
 	// source only if the request has Document set.
 	RoutingState *control.RoutingState `json:"shared,omitempty"`
+	// Crashes are the records of requests that may crash targets that have changed since the revision of
+	// the request, Known is their revision.
+	Crashes []poison.Record `json:"crashes,omitempty"`
+	Known   uint64          `json:"known,omitempty"`
 	// Compressed, if set, is the complete response, compressed with gzip. Only From is set
 	// besides it.
 	Compressed []byte `json:"packed,omitempty"`
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"wasabirelay/control"
+	"wasabirelay/poison"
 	"wasabirelay/registry"
 )
 
@@ -37,6 +38,8 @@
 	entries       int
 	routingState  control.RoutingState
 	sizer         sizer
+	// crashes holds the requests that may crash targets, as entry hosts have published them.
+	crashes poison.Ledger
 	// allResponses and selectedResponses cache the encoded responses with these lists.
 	allResponses, selectedResponses responseCache
 	// changed is closed at the next change, listChanged also at a change that is sent only to
@@ -133,6 +136,16 @@
 	}
 }
 
+// MergeCrashes merges records of requests that may crash targets, and sends what is new to all hosts.
+func (h *Hub) MergeCrashes(records []poison.Record) {
+	if !h.crashes.Merge(h.Clock.Now(), records) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wake()
+}
+
 // RoutingState returns the current routing state.
 func (h *Hub) RoutingState() control.RoutingState {
 	h.mu.Lock()
--- a/exchange/serve.go
+++ b/exchange/serve.go
@@ -21,6 +21,7 @@
 	if request.From.IsControl() && h.OnControlHost != nil {
 		h.OnControlHost(request.From)
 	}
+	h.MergeCrashes(request.Crashes)
 	timer := h.Clock.NewTimer(min(request.Wait, PollWait))
 	defer timer.Stop()
 	first := true
@@ -68,16 +69,18 @@
 		list, cache, changed = &h.all, &h.allResponses, h.listChanged
 	}
 	if request.Run != h.Self.Start {
-		request.Targets, request.Hosts = 0, 0
+		request.Targets, request.Hosts, request.Known = 0, 0, min(request.Known, 1)
 	}
-	if request.Run == h.Self.Start && request.Wait > 0 && request.Targets >= h.targets.Revision() && request.Hosts == list.revision && request.RoutingState >= h.routingState.Revision {
+	crashes := h.crashes.Revision()
+	news := request.Known > 0 && request.Known <= crashes
+	if request.Run == h.Self.Start && request.Wait > 0 && request.Targets >= h.targets.Revision() && request.Hosts == list.revision && request.RoutingState >= h.routingState.Revision && !news {
 		return nil, changed, nil
 	}
 	state := responseState{
 		targets: h.targets.Revision(), hosts: list.revision, routingState: h.routingState.Revision, active: h.sizer.count,
-		entries: h.entries, draining: h.Self.Draining, starting: h.starting,
+		entries: h.entries, draining: h.Self.Draining, starting: h.starting, crashes: crashes,
 	}
-	key := responseKey{document: request.Document, targets: request.Targets, hosts: request.Hosts, routingState: request.RoutingState, routing: request.Routing}
+	key := responseKey{document: request.Document, targets: request.Targets, hosts: request.Hosts, routingState: request.RoutingState, routing: request.Routing, known: request.Known}
 	encoded, err := cache.get(now, state, key, func() *PollResponse { return h.build(now, request, list) })
 	return encoded, nil, err
 }
@@ -100,5 +103,8 @@
 		}
 		response.RoutingState = &state
 	}
+	if request.Known > 0 {
+		response.Crashes, response.Known = h.crashes.Since(now, request.Known-1)
+	}
 	return response
 }
--- a/limit/probe.go
+++ b/limit/probe.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"slices"
+
 	"wasabirelay/control"
 )
 
@@ -29,3 +31,14 @@
 	t.put(c)
 	return nil
 }
+
+// IsReachable reports whether an idle connection to the target is open, without sending anything.
+func (p *Pool) IsReachable(target *control.Target) bool {
+	t := p.targetPool(target)
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.idle, (*connection).usable)
+}
--- a/node/control.go
+++ b/node/control.go
@@ -105,7 +105,7 @@
 	c.restoreCachedState()
 	c.client = exchange.Client{
 		Self: func() exchange.Host { h := self; h.Draining = c.draining.Load(); return h }, Seeds: c.seedAddresses,
-		Clock: c.Clock, Log: c.Log, OnControlHost: c.addControlHost,
+		Clock: c.Clock, Log: c.Log, OnControlHost: c.addControlHost, MergeCrashes: c.hub.MergeCrashes,
 	}
 	c.replica = &quorum.Replica{
 		Host: c.Settings.Host, Dir: c.Settings.DataDir, Peers: &c.peers, BootstrapHosts: c.bootstrapHosts, NoLease: true, Clock: c.Clock,
--- a/node/entry.go
+++ b/node/entry.go
@@ -15,6 +15,7 @@
 	"wasabirelay/exchange"
 	"wasabirelay/limit"
 	"wasabirelay/move"
+	"wasabirelay/poison"
 	"wasabirelay/portion"
 	"wasabirelay/quorum"
 	"wasabirelay/reach"
@@ -152,6 +153,9 @@
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
 	}
+	e.relay.Crashes.OnVerdict = e.logCrashVerdict
+	e.client.OwnCrashes = func(after uint64) ([]poison.Record, uint64) { return e.relay.Crashes.Own(e.Clock.Now(), after) }
+	e.client.MergeCrashes = func(records []poison.Record) { e.relay.Crashes.Merge(e.Clock.Now(), records) }
 	e.evidence.SkippedLatencies = 1 // the latencies that relay passes include no connecting
 	e.pool.CheckReply = e.relay.CheckReply
 	e.helpers = portion.Helpers{Clock: e.Clock, Log: e.Log, DialTimeout: exchange.DialTimeout}
@@ -297,6 +301,21 @@
 		Float64("before", c.Before.Limit).Bool("leaving", c.After.Leaving).Dur("pause", c.After.Pause).Int("omitted", omitted).Msg("target declares something else")
 }
 
+// logCrashVerdict logs that a request is refused, or longer than before, or not any more.
+func (e *Entry) logCrashVerdict(v poison.Verdict) {
+	omitted, ok := e.events.Allow("crashes", maxChangeLines)
+	if !ok {
+		return
+	}
+	line := e.Log.Warn().Str("fingerprint", relay.FormatFingerprint(v.Fingerprint)).Str("service", v.Service).Int("deaths", len(v.Deaths)).
+		Dur("hold", v.Hold).Int("omitted", omitted)
+	if v.Hold == 0 {
+		line.Msg("request is accepted again: a target has answered it")
+		return
+	}
+	line.Msg("request is refused: targets die when they run it")
+}
+
 // logTargets logs which targets were added to the view and which were removed from it.
 func (e *Entry) logTargets(live map[string]bool) {
 	difference := func(a, b map[string]bool) []string {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -131,6 +131,7 @@
 	s.Metrics.attempt(t.Service, r.outcome, now.Sub(started))
 	sinceSent := a.sinceSent(now, started)
 	s.recordReach(now, r, sinceSent)
+	s.recordCrashEvidence(now, j, r)
 	if s.Observe != nil {
 		s.Observe(t, j.route.Name, sinceSent, r.outcome)
 	}
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -224,7 +224,7 @@
 // startResend sends the request again to a target that has refused it. The refused attempt does not
 // count any more, so that the request is sent to no more targets than its route allows.
 func (f *fetch) startResend(now time.Time, t *control.Target) {
-	if f.ctx.Err() != nil || !f.Declared.Take(now, t, f.j.view.division(f.service)) || !f.takeBudget() {
+	if f.ctx.Err() != nil || f.refusedFor(f.j, f.service) > 0 || !f.Declared.Take(now, t, f.j.view.division(f.service)) || !f.takeBudget() {
 		f.finish()
 		return
 	}
@@ -267,6 +267,9 @@
 
 // pick selects the target for the next attempt. It reports false if there is none.
 func (f *fetch) pick() (*control.Target, bool) {
+	if f.refusedFor(f.j, f.service) > 0 {
+		return nil, false
+	}
 	now, v := f.Clock.Now(), f.j.view
 	version, all := f.drawVersion()
 	division := v.division(f.service)
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -16,6 +16,10 @@
 // fetches of all shards have ended. From shortly before the objective it responds as soon as
 // enough shards have replied, because a late response is worth less than an incomplete one.
 func (s *Service) gather(ctx context.Context, w http.ResponseWriter, j *job) {
+	if hold := s.refusedFor(j, j.route.Shards...); hold > 0 {
+		s.refuse(w, j.Request, refuseCrashing(j, hold))
+		return
+	}
 	plan, wait := s.planOf(j), noWait
 	if len(plan.Portions) == 0 {
 		wait = s.declaredWait(j.view)
@@ -80,6 +84,10 @@
 // forward serves a request with the reply of one target.
 func (s *Service) forward(ctx context.Context, w http.ResponseWriter, j *job) {
 	service := s.splitter.pick(j.route)
+	if hold := s.refusedFor(j, service); hold > 0 {
+		s.refuse(w, j.Request, refuseCrashing(j, hold))
+		return
+	}
 	r := s.fetchOne(ctx, j, service)
 	switch {
 	case r.response != nil && r.ran && r.err == nil:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"wasabirelay/declaration"
 	"wasabirelay/eventlog"
 	"wasabirelay/limit"
+	"wasabirelay/poison"
 	"wasabirelay/portion"
 	"wasabirelay/reach"
 	"wasabirelay/route"
@@ -148,6 +149,8 @@
 	Delegate func(hosts []string, r *portion.Request, receive func(*portion.Frame, error)) (*portion.Collection, error)
 	// UsableHelper, if set, reports whether another host can be left requests now.
 	UsableHelper func(host string) bool
+	// Crashes holds the requests that may crash targets.
+	Crashes poison.Ledger
 	// Reach judges whether this host has lost its links to targets. Requests are passed on to
 	// other hosts then.
 	Reach reach.Judge
@@ -157,6 +160,7 @@
 	startWorkers sync.Once
 	workers      *workers[*attempt]
 	cold         coldLimiter
+	deaths       deathChecks
 	attempts     atomic.Int64
 	// gathering counts the requests whose shards this host is asking.
 	gathering atomic.Int64
@@ -178,6 +182,9 @@
 	partialAfter time.Time
 	// spare is the number of shards that this host may leave out of the response.
 	spare int
+
+	fingerprintOnce  sync.Once
+	fingerprintValue uint64
 }
 
 // connectionKey is the context key of the state of a caller's connection.
