Test replies of targets that come slowly and without end

Cause: TestEndlessReplies sends as fast as it can; a target may also send one byte now and then. Change: the same forms with one byte per millisecond.

--- a/limit/endless_test.go
+++ b/limit/endless_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -113,3 +114,48 @@
 		})
 	}
 }
+
+// Guards against a target whose bytes come slowly and without end: they must not keep a sub-request beyond its
+// deadline, or its connection and slot beyond DrainTimeout.
+func TestSlowEndlessReplies(t *testing.T) {
+	for _, tt := range endlessReplies {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var closed atomic.Int64
+			h := newHarness(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer closed.Add(1)
+				defer conn.Close()
+				_, err = io.WriteString(conn, tt.start)
+				for i := 0; err == nil; i++ {
+					time.Sleep(time.Millisecond)
+					_, err = io.WriteString(conn, tt.rest[i%len(tt.rest):i%len(tt.rest)+1])
+				}
+			})
+			h.pool.AllowUnframed, h.pool.Clock, h.pool.DrainTimeout = true, clockwork.NewRealClock(), 50*time.Millisecond
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			permit, err := h.pool.Acquire(ctx, h.target)
+			is.NoErr(err)
+			started := time.Now()
+			_, err = h.query(ctx, permit, "q")
+			is.True(time.Since(started) < time.Second)
+			is.Equal(err == nil, tt.fault == "")
+			permit.Release(Failed)
+			_, err = h.pool.Acquire(t.Context(), h.target) // the slot is free again
+			is.NoErr(err)
+			if tt.fault == "" {
+				h.pool.Sweep() // closes the idle connection that has bytes on it
+			}
+			for end := time.Now().Add(5 * time.Second); closed.Load() < 1; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the connection stays open")
+				}
+				h.pool.Sweep()
+			}
+		})
+	}
+}
