Bound the messages between hosts

Report: operators of similar systems ran out of memory when a server sent bytes without end. Cause: on the port for other hosts, the decoder buffered a message up to the size that its sender announced. Replies of targets are bounded. The format is the same. Evidence: peer TestEndlessMessages failed in two of its three forms with the codec before (more than 80 MiB were taken) and passes now; TestLargeMessages covers the sender. Why it works: the announced size is checked before anything is read.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -96,7 +96,7 @@
 	}
 	c := &Conn{tcp: &timedConn{Conn: nc}}
 	ready := make(chan struct{})
-	stream := jsonrpc2.NewBufferedStream(c.tcp, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c.tcp, boundedCodec{})
 	// The library logs every connection that ends; callers get that as an error.
 	discardLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	c.rpc = jsonrpc2.NewConn(ctx, stream, &dispatcher{conn: c, handlers: handlers, ready: ready, log: events}, discardLog)
