Answer callers that close only their sending direction with 502

Cause: net/http reports the end of the caller's stream as a caller that has left; the handler then returned without a response, and net/http sends 200 for that. Change: the handler writes 502, which says that the request may have run. Evidence: relay TestCallerThatClosesOneDirection got 200 in its three forms on the code before, and gets 502 now.

--- a/relay/gather.go
+++ b/relay/gather.go
@@ -42,7 +42,7 @@
 		return
 	}
 	if j.Context().Err() != nil {
-		s.recordCallerLeft(j)
+		s.endLeft(w, j)
 		return
 	}
 	s.refuseIncomplete(w, j, c)
@@ -97,7 +97,7 @@
 		s.writeReply(w, j, r.response)
 		s.recordResponse(j, r.response.Status, 0, extraAttempts(&r), nil)
 	case j.Context().Err() != nil:
-		s.recordCallerLeft(j)
+		s.endLeft(w, j)
 	case !r.ran:
 		retry := retryAfter
 		if r.target == nil {
@@ -147,13 +147,15 @@
 	}
 }
 
-// recordCallerLeft counts and logs a caller that has left before the response.
-func (s *Service) recordCallerLeft(j *job) {
+// endLeft ends a request whose caller has left, and counts and logs that. A caller that has only closed its
+// sending direction still reads: without a response, net/http would send it an empty success.
+func (s *Service) endLeft(w http.ResponseWriter, j *job) {
 	s.Metrics.request(j.route.Name, 0)
 	if omitted, ok := s.Events.Allow("gone", degradedLines); ok {
 		s.Log.Info().Str("request", j.id).Str("route", j.route.Name).Dur("after", s.Clock.Since(j.started)).
 			Int("omitted", omitted).Msg("caller left")
 	}
+	http.Error(w, "the caller has closed its connection; the request may have run", http.StatusBadGateway)
 }
 
 // recordResponse counts and logs a response. The log rate of complete responses within the
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -120,7 +120,7 @@
 	switch {
 	case j.Context().Err() != nil:
 		s.Metrics.pass("left")
-		s.recordCallerLeft(j)
+		s.endLeft(w, j)
 	case e.err == nil && e.frame.Reply != nil && isFinalStatus(e.frame.Reply.Status):
 		s.Metrics.pass("served")
 		reply := e.frame.Reply
