Send requests with bytes that are no UTF-8 to targets from the host that has them

Cause: messages between hosts are JSON, which replaces bytes that are no UTF-8. A new field would not help while hosts of earlier versions serve. Change: such a request is not left to other hosts.

--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -59,11 +60,27 @@
 	plan  *portion.Plan
 }
 
+// isPortable reports whether a message between hosts carries the request unchanged: JSON replaces bytes that
+// are no UTF-8.
+func isPortable(j *job) bool {
+	if !utf8.ValidString(j.RequestURI) || !utf8.ValidString(j.Host) {
+		return false
+	}
+	for _, values := range j.Header {
+		for _, value := range values {
+			if !utf8.ValidString(value) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // planOf returns how the shards of a request are divided among hosts. It is computed once per view
 // and change of the usable hosts.
 func (s *Service) planOf(j *job) *portion.Plan {
 	v, r := j.view, j.route
-	if s.Delegate == nil || v.Planner == nil {
+	if s.Delegate == nil || v.Planner == nil || !isPortable(j) {
 		return &portion.Plan{Own: r.Shards}
 	}
 	epoch := uint64(0)
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -50,7 +50,7 @@
 
 // usableHelpers returns the other hosts that the request can be passed on to.
 func (s *Service) usableHelpers(j *job) []string {
-	if s.Delegate == nil {
+	if s.Delegate == nil || !isPortable(j) {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(j.view.Helpers), func(name string) bool {
