Count only successes of targets as parts of a merged response

Cause: any signed reply below 500 counted as a success, which is right where it is passed on as it is. Change: on routes to shards such a reply fails its shard, and another replica is asked within the route's attempts. It still counts as a sound reply in the assessment of the target.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -135,6 +135,9 @@
 	if s.Observe != nil {
 		s.Observe(t, j.route.Name, sinceSent, r.outcome)
 	}
+	if len(j.route.Shards) > 0 && r.succeeded() && !isSuccess(r.response.Status) {
+		r.outcome = route.Failed // no part of a merged response, although nothing is wrong with the target
+	}
 	s.logAttempt(j, r, now.Sub(started))
 	return r
 }
@@ -164,7 +167,7 @@
 		r.outcome = route.DrainingReply // the address belongs to another target now
 	case res.Header.Get(s.Headers.NotRun) != "":
 		r.outcome = route.Shed
-	case res.Status >= 200 && res.Status < 300 && signed:
+	case isSuccess(res.Status) && signed:
 		r.outcome, r.ran = route.Success, true
 	case !signed:
 		r.outcome, r.ran, r.err = route.BadReply, true, errUnsigned
@@ -175,6 +178,8 @@
 	}
 }
 
+func isSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+
 // classifyError returns the outcome of a failed attempt, and whether the target may have
 // executed the request.
 func classifyError(ctx context.Context, err error) (o route.Outcome, ran bool) {
