Count why targets and requests are held back

Cause: the log says what a target declares, but no figure says how often that passed the target over, or how often a crashing request is refused. Change: counters wasabirelay_relay_held_back_total by reason (limit, pause, leaving) and wasabirelay_relay_crashing_total by route. Result: relay TestHeldBackIsCounted; without declarations no call is added to the choice of a target.

--- a/declaration/declaration.go
+++ b/declaration/declaration.go
@@ -154,6 +154,33 @@
 	return max(pause, time.Duration((1-e.allowance)/rate*float64(time.Second)))
 }
 
+// Reason is why a target takes no request.
+type Reason string
+
+// Values of Reason.
+const (
+	Leaving Reason = "leaving"
+	Paused  Reason = "pause"
+	Limited Reason = "limit"
+)
+
+// Reason returns why the target takes no request now, if Wait is not 0.
+func (t *Table) Reason(now time.Time, target *control.Target) Reason {
+	e := t.entry(target)
+	if e == nil {
+		return Limited
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.Leaving:
+		return Leaving
+	case now.Before(e.pausedUntil):
+		return Paused
+	}
+	return Limited
+}
+
 // Take records a request to the target if it may go now, and reports whether it may.
 func (t *Table) Take(now time.Time, target *control.Target, d *Division) bool {
 	e := t.entry(target)
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -60,8 +60,9 @@
 	return longest
 }
 
-// refuseCrashing returns the refusal of a request that is refused for a time.
-func refuseCrashing(j *job, wait time.Duration) *refusal {
+// refuseCrashing returns the refusal of a request that is refused for a time, and counts it.
+func (s *Service) refuseCrashing(j *job, wait time.Duration) *refusal {
+	s.Metrics.crash(j.route.Name)
 	return &refusal{
 		status: http.StatusServiceUnavailable, reason: "not run: targets die when they run this request", retry: wait, route: j.route.Name,
 	}
--- a/relay/declared_test.go
+++ b/relay/declared_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"wasabirelay/declaration"
 	"wasabirelay/limit"
@@ -86,6 +87,31 @@
 	is.Equal(a.requests.Load(), int64(1))
 }
 
+// Guards against figures that don't say why targets were passed over.
+func TestHeldBackIsCounted(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	h := newHarness(t, singleRoute(true, 1), newTarget("a", "s1").records("x"))
+	h.service.Metrics = NewMetrics(registry)
+	target, now := h.view.Targets["s1"][0], time.Now()
+	for _, d := range []declaration.Declaration{{Limited: true}, {Pause: time.Minute}, {Leaving: true}} {
+		h.service.Declared.Record(target, now, now, d)
+		res, _ := h.get(t, nil)
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	}
+	families, err := registry.Gather()
+	is.NoErr(err)
+	counted := map[string]bool{}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "wasabirelay_relay_held_back_total" && m.GetCounter().GetValue() > 0 {
+				counted[m.GetLabel()[0].GetValue()] = true
+			}
+		}
+	}
+	is.Equal(counted, map[string]bool{"limit": true, "pause": true, "leaving": true})
+}
+
 // Guards against a request that no target takes and that waits for its deadline, or whose caller
 // is told to come back too early.
 func TestRequestBeyondAllDeclaredLimits(t *testing.T) {
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -279,7 +279,14 @@
 	}
 	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
 		choice.Allow = func(t *control.Target) bool {
-			return allow(t) && !v.Out[t.Centre] && f.Pool.HasShare(t) && f.Declared.Wait(now, t, division) == 0
+			if !allow(t) || v.Out[t.Centre] || !f.Pool.HasShare(t) {
+				return false
+			}
+			held := f.Declared.Wait(now, t, division) > 0
+			if held {
+				f.Metrics.holdBack(f.Declared.Reason(now, t))
+			}
+			return !held
 		}
 		return f.Table.Pick(now, choice)
 	}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -17,7 +17,7 @@
 // enough shards have replied, because a late response is worth less than an incomplete one.
 func (s *Service) gather(ctx context.Context, w http.ResponseWriter, j *job) {
 	if hold := s.refusedFor(j, j.route.Shards...); hold > 0 {
-		s.refuse(w, j.Request, refuseCrashing(j, hold))
+		s.refuse(w, j.Request, s.refuseCrashing(j, hold))
 		return
 	}
 	plan, wait := s.planOf(j), noWait
@@ -85,7 +85,7 @@
 func (s *Service) forward(ctx context.Context, w http.ResponseWriter, j *job) {
 	service := s.splitter.pick(j.route)
 	if hold := s.refusedFor(j, service); hold > 0 {
-		s.refuse(w, j.Request, refuseCrashing(j, hold))
+		s.refuse(w, j.Request, s.refuseCrashing(j, hold))
 		return
 	}
 	r := s.fetchOne(ctx, j, service)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"wasabirelay/declaration"
 	"wasabirelay/route"
 )
 
@@ -18,6 +19,8 @@
 	replies  prometheus.Histogram
 	portions *prometheus.CounterVec
 	passes   *prometheus.CounterVec
+	held     *prometheus.CounterVec
+	crashing *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
@@ -54,7 +57,13 @@
 			Name: "wasabirelay_relay_passes_total", Help: "Requests passed on to other hosts, by what became of them.",
 		}, []string{outcomeLabel}),
 	}
-	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes)
+	m.held = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wasabirelay_relay_held_back_total", Help: "Choices of a target that passed one over because it takes no requests, by what it has declared.",
+	}, []string{"reason"})
+	m.crashing = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wasabirelay_relay_crashing_total", Help: "Requests refused because targets die when they run them.",
+	}, []string{routeLabel})
+	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes, m.held, m.crashing)
 	return m
 }
 
@@ -83,6 +92,18 @@
 	}
 }
 
+func (m *Metrics) holdBack(r declaration.Reason) {
+	if m != nil {
+		m.held.WithLabelValues(string(r)).Inc()
+	}
+}
+
+func (m *Metrics) crash(name string) {
+	if m != nil {
+		m.crashing.WithLabelValues(name).Inc()
+	}
+}
+
 func (m *Metrics) attempt(service string, o route.Outcome, took time.Duration) {
 	if m == nil {
 		return
