Check what a target has declared again before a waiting request is sent

Cause: declarations were asked when the target was chosen, not when the request was sent. Change: the check before the first byte asks them again; the attempt then counts as not sent, and another target is tried. That says nothing about the target's health.

--- a/declaration/declaration.go
+++ b/declaration/declaration.go
@@ -181,6 +181,20 @@
 	return Limited
 }
 
+// Refuses reports whether the target takes no request at all now: it leaves, or a pause has not ended.
+func (t *Table) Refuses(now time.Time, target *control.Target) bool {
+	e := t.entry(target)
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refuses(now)
+}
+
+// refuses is Refuses. The caller holds e.mu.
+func (e *entry) refuses(now time.Time) bool { return e.Leaving || now.Before(e.pausedUntil) }
+
 // Take records a request to the target if it may go now, and reports whether it may.
 func (t *Table) Take(now time.Time, target *control.Target, d *Division) bool {
 	e := t.entry(target)
@@ -190,7 +204,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case e.Leaving, now.Before(e.pausedUntil):
+	case e.refuses(now):
 		return false
 	case !e.Limited:
 		return true
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,6 +61,7 @@
 var (
 	errNoTarget  = errors.New("no target can take the request")
 	errWithdrawn = errors.New("given up before it was sent")
+	errHeldBack  = errors.New("the target has said that it takes no requests")
 	errUnsigned  = errors.New("the reply has no signature")
 )
 
@@ -178,7 +179,9 @@
 	}
 }
 
-func isSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
 
 // classifyError returns the outcome of a failed attempt, and whether the target may have
 // executed the request.
@@ -189,6 +192,7 @@
 	}
 	var connect *limit.ConnectError
 	var reply *limit.ReplyError
+	var refused *limit.RefusedError
 	switch {
 	case errors.As(err, &connect):
 		return route.ConnectFailed, false
@@ -198,6 +202,8 @@
 		return route.Cancelled, ran
 	case errors.As(err, &reply):
 		return route.BadReply, ran
+	case errors.As(err, &refused):
+		return route.Cancelled, false // by this host, which says nothing about the target
 	}
 	return route.Reset, ran
 }
--- a/relay/declared_test.go
+++ b/relay/declared_test.go
@@ -87,6 +87,40 @@
 	is.Equal(a.requests.Load(), int64(1))
 }
 
+// Guards against a request that waits for a slot of a target and is sent although the target has said meanwhile
+// that it leaves, or wants no requests for a while.
+func TestWaitingRequestIsNotSent(t *testing.T) {
+	for name, declared := range map[string]declaration.Declaration{"leaving": {Leaving: true}, "pause": {Pause: time.Minute}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := newTarget("a", "s1").records("x")
+			serve, started := a.reply, make(chan struct{}, 9)
+			a.reply = func(w http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				time.Sleep(100 * time.Millisecond)
+				serve(w, r)
+			}
+			h := newHarness(t, singleRoute(false, 1), a)
+			shares := map[string]limit.Share{"a": {Incarnation: "1", Address: h.view.Targets["s1"][0].Address, Connections: 1, Slots: 1}}
+			h.service.Pool.SetShares(nil)
+			h.service.Pool.SetShares(shares)
+			h.service.DecodeDeclaration = func(time.Time, int, *limit.Header) (declaration.Declaration, bool) { return declared, true }
+			first := make(chan int)
+			go func() {
+				res, _ := h.get(t, nil)
+				first <- res.StatusCode
+			}()
+			<-started
+			res, _ := h.get(t, nil) // waits for the slot
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(<-first, http.StatusOK)
+			is.Equal(a.requests.Load(), int64(1))
+			_, ejected := h.service.Table.Stats(time.Now()).Ejected["a"]
+			is.True(!ejected) // the target has done nothing wrong
+		})
+	}
+}
+
 // Guards against figures that don't say why targets were passed over.
 func TestHeldBackIsCounted(t *testing.T) {
 	is := is.New(t)
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -64,6 +64,9 @@
 // commit is called directly before the first byte is sent. If it returns an error, nothing may
 // be sent.
 func (a *attempt) commit() error {
+	if a.fetch.Declared.Refuses(a.fetch.Clock.Now(), a.target) {
+		return errHeldBack
+	}
 	if !a.state.CompareAndSwap(waiting, committed) {
 		return errWithdrawn
 	}
