Record no deaths of targets while this host has lost its links

Cause: a cut that resets connections and refuses new ones looks like the death of all targets; requests in flight would count as suspects. Change: a death isn't recorded while the host judges that its links are lost.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -121,7 +121,7 @@
 		s.Clock.Sleep(deathCheckDelay)
 		alive := s.isAlive(t)
 		list := s.deaths.take(id)
-		if alive {
+		if alive || s.Reach.Lost() { // without links, this host can't tell
 			return
 		}
 		now := s.Clock.Now()
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -125,6 +126,19 @@
 	is.True(h.service.Crashes.Empty())
 }
 
+// Guards against requests that are refused because this host has lost its links: the connections to its targets
+// are reset, and new ones are refused.
+func TestLostLinksAreNoDeaths(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 1), newTarget("a", "s1").crashesOn("crash"))
+	h.loseLinks()
+	j := &job{Request: httptest.NewRequest(http.MethodGet, "/q/crash", nil), route: &h.view.Routing.Document.Routes[0]}
+	h.cutOff()
+	h.service.checkDeath(j, h.view.Targets["s1"][0])
+	time.Sleep(20 * deathCheckDelay)
+	is.True(h.service.Crashes.Empty())
+}
+
 // Guards against hosts that each let a request crash targets: what one host has seen counts at others, and an
 // answer at one host counts at all.
 func TestHostsShareDeaths(t *testing.T) {
