Forget deaths that an answer clears before other hosts know of them

Cause: the record of a harmless request stayed for ten minutes, in which each request needed a fingerprint and a look at the records. Change: an answer within the half second before publication removes the record; a message merges at most as many records as are kept. Result: poison TestLedgerBounds: the ledger is empty again.

--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -139,8 +139,13 @@
 // RecordAnswer records that a target has answered the request, which clears it.
 func (l *Ledger) RecordAnswer(now time.Time, service string, fingerprint uint64) {
 	l.mu.Lock()
-	if r := l.records[ledgerKey{fingerprint, service}]; r != nil && len(r.Deaths) > 0 {
+	key := ledgerKey{fingerprint, service}
+	if r := l.records[key]; r != nil && len(r.Deaths) > 0 {
 		l.apply(now, r, r.merge(&Record{Clears: r.Clears + 1}), true)
+		if !r.publishAt.IsZero() { // no other host knows of the deaths
+			delete(l.records, key)
+			l.count.Store(int64(len(l.records)))
+		}
 	}
 	l.unlock()
 }
@@ -152,7 +157,7 @@
 	}
 	l.mu.Lock()
 	before := l.revision
-	for i := range records {
+	for i := range records[:min(len(records), maxRecords)] {
 		other := &records[i]
 		r := l.record(now, ledgerKey{other.Fingerprint, other.Service})
 		l.apply(now, r, r.merge(other), false)
@@ -247,8 +252,10 @@
 	l.expire(now)
 	l.published = slices.DeleteFunc(l.published, func(at time.Time) bool { return now.Sub(at) > publishPeriod })
 	for _, r := range l.records {
-		if r.own && !r.publishAt.IsZero() && !now.Before(r.publishAt) {
-			l.publish(now, r)
+		if r.own && !r.publishAt.IsZero() && !now.Before(r.publishAt) && len(l.published) < maxPublished {
+			l.published = append(l.published, now)
+			l.revision++
+			r.revision, r.publishAt = l.revision, time.Time{}
 		}
 		if r.own && r.publishAt.IsZero() && r.revision > after {
 			records = append(records, r.Record)
@@ -257,18 +264,6 @@
 	return records, l.revision
 }
 
-// publish publishes a record that is due. The caller holds the lock.
-func (l *Ledger) publish(now time.Time, r *ledgerRecord) {
-	switch {
-	case len(r.Deaths) == 0:
-		r.own, r.publishAt = false, time.Time{} // cleared before any other host knew of it
-	case len(l.published) < maxPublished:
-		l.published = append(l.published, now)
-		l.revision++
-		r.revision, r.publishAt = l.revision, time.Time{}
-	}
-}
-
 // Since returns the records that have changed after a revision, and the current revision.
 func (l *Ledger) Since(now time.Time, after uint64) ([]Record, uint64) {
 	l.mu.Lock()
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -147,4 +147,5 @@
 	cleared.RecordAnswer(now, "s", 1)
 	own, _ = cleared.Own(now.Add(time.Minute), 0)
 	is.Equal(len(own), 0) // no other host knew of it
+	is.True(cleared.Empty())
 }
