Bound the responses that the client reads

Report: as for the messages between hosts, bytes without end. Cause: the decoder of the command line's client buffered a response of any size. Change: at most 32 MiB of a response are read; the largest ones list all targets. Evidence: client TestEndlessResponse failed in its three forms on the code before (more than 64 MiB were taken).

--- a/client/client.go
+++ b/client/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -22,6 +23,9 @@
 	"wasabirelay/target"
 )
 
+// maxResponse bounds the body of a response in bytes. The largest ones list all targets.
+const maxResponse = 32 << 20
+
 // Client calls one of several hosts. Exported fields are set before use.
 type Client struct {
 	// Addresses are tried in turn, starting with the one that answered the last request.
@@ -211,14 +215,15 @@
 		return errors.Wrapf(err, "call %s", address)
 	}
 	defer res.Body.Close()
+	body := io.LimitReader(res.Body, maxResponse)
 	if res.StatusCode >= http.StatusBadRequest {
 		d := &operator.Refusal{Details: problem.Details{Title: http.StatusText(res.StatusCode), Executed: problem.Unknown}}
-		_ = json.NewDecoder(res.Body).Decode(d) // Without a problem document, only the status is known.
+		_ = json.NewDecoder(body).Decode(d) // Without a problem document, only the status is known.
 		d.Status = res.StatusCode
 		return d
 	}
 	if call.Out == nil || res.StatusCode == http.StatusNoContent {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(res.Body).Decode(call.Out), "decode response")
+	return errors.Wrap(json.NewDecoder(body).Decode(call.Out), "decode response")
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -193,3 +194,34 @@
 	is.NoErr(err)
 	is.True(ms > 30_000 && ms <= 60_000) // The remaining time in milliseconds.
 }
+
+// Guards against a host, or what stands in its place, whose response never ends and fills the memory, and against a
+// call that waits for its end.
+func TestEndlessResponse(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		status int
+		text   string
+	}{
+		{"a text", http.StatusOK, "aaaaaaaa"},
+		{"a refusal", http.StatusServiceUnavailable, "aaaaaaaa"},
+		{"blanks", http.StatusOK, "        "},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var written atomic.Int64
+			h := newHost(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tt.status)
+				block := []byte(strings.Repeat(tt.text, 8<<10))
+				n, err := w.Write([]byte(`{"title":"`))
+				for written.Add(int64(n)); err == nil && written.Load() <= 2*maxResponse; written.Add(int64(n)) {
+					n, err = w.Write(block)
+				}
+			})
+			c := &Client{Addresses: []netip.AddrPort{h.address}}
+			var out map[string]string
+			is.True(c.Do(t.Context(), func(s *sling.Sling) *sling.Sling { return s.Get("/") }, &out) != nil)
+			is.True(written.Load() < 2*maxResponse)
+		})
+	}
+}
