Name a control host's failing disk in its status

Cause: the status of a control host whose disk refuses writes said that no leader is known, as for one that is cut off. Change: the host itself reports the disk; the finding ends with its cause.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -118,11 +118,17 @@
 	}
 }
 
-// findings returns the findings of this host itself: the targets that it ejected or treats
-// as cold.
+// findings returns the findings of this host itself: a disk that refuses writes, and the targets that
+// it ejected or treats as cold.
 func (d *Daemon) findings() []operator.Finding {
 	s := d.routes.Stats(d.Clock.Now())
 	var out []operator.Finding
+	if d.replica != nil && d.replica.DiskFailing() {
+		out = append(out, operator.Finding{
+			Level: operator.Reduced, Subject: "control host " + d.Settings.Host, Description: "its disk refuses writes",
+			SystemAction: "it takes no part in the group until the disk accepts them", OperatorAction: "free space on the disk, or replace it",
+		})
+	}
 	for name, reason := range s.Ejected {
 		out = append(out, operator.Finding{
 			Level: operator.Reduced, Subject: "target " + name,
--- a/quorum/local.go
+++ b/quorum/local.go
@@ -22,9 +22,12 @@
 	DiskFailing bool
 }
 
+// DiskFailing reports whether the disk refuses writes, so that the replica takes no part in its group.
+func (r *Replica) DiskFailing() bool { return r.diskFailing.Load() }
+
 // LocalStatus returns the status of this replica. It is zero while the replica is in no group.
 func (r *Replica) LocalStatus(ctx context.Context) (LocalStatus, error) {
-	status := LocalStatus{DiskFailing: r.diskFailing.Load()}
+	status := LocalStatus{DiskFailing: r.DiskFailing()}
 	err := r.do(ctx, func() {
 		if r.node == nil {
 			return
