Skip late copies of replies to other requests

Cause: a reply that names another request closed the connection, although the reply to the present request follows it. Change: a reply that names an earlier request of the same connection is skipped, up to three times, also for cancelled requests. Unknown identities still close the connection. Evidence: relay TestLateCopyOfAnotherReply fails without it; limit TestLateCopyAndCancellation.

--- a/limit/do.go
+++ b/limit/do.go
@@ -85,12 +85,21 @@
 		permit.target.discard(c)
 		return nil, &LostError{Sent: c.raw.written > before, Err: err}
 	}
-	err = c.readHeader(req)
-	interrupted := w.stop()
-	if err != nil {
-		return nil, p.handleHeaderError(ctx, permit, c, req, err, interrupted)
+	for range maxLateCopies {
+		err = c.readHeader(req)
+		interrupted := w.stop()
+		if err != nil {
+			return nil, p.handleHeaderError(ctx, permit, c, req, err, interrupted)
+		}
+		res, err := p.finishReply(ctx, permit, c, req)
+		if !errors.Is(err, errLateCopy) {
+			return res, err
+		}
+		w = c.watch(ctx)
 	}
-	return p.finishReply(ctx, permit, c, req)
+	w.stop()
+	permit.target.discard(c)
+	return nil, &LostError{Sent: true, Err: &ReplyError{Reason: Mismatched, Err: errLateCopy}}
 }
 
 // handleHeaderError ends a sub-request whose reply header did not arrive in time or is
@@ -104,12 +113,33 @@
 	return &LostError{Sent: true, Err: err}
 }
 
+// maxLateCopies bounds the replies that are read for one sub-request: late copies of earlier replies on its
+// connection, and its own.
+const maxLateCopies = 4
+
+// errLateCopy reports a late copy of the reply to an earlier sub-request on the connection. The reply to this
+// one may follow.
+var errLateCopy = errors.New("late copy of an earlier reply")
+
 // readReply reads the complete reply of a cancelled sub-request.
-func (p *Pool) readReply(c *connection, req *http.Request) readResult {
-	if err := c.readHeader(req); err != nil {
-		return readResult{err: err}
+func (p *Pool) readReply(c *connection, req *http.Request) (r readResult) {
+	for range maxLateCopies {
+		if err := c.readHeader(req); err != nil {
+			return readResult{err: err}
+		}
+		if r = p.read(c, req); !errors.Is(r.err, errLateCopy) {
+			return r
+		}
+	}
+	return r
+}
+
+// readRest returns the reply of a cancelled sub-request of which one reply has been read.
+func (p *Pool) readRest(c *connection, req *http.Request, first readResult) readResult {
+	if errors.Is(first.err, errLateCopy) {
+		return p.readReply(c, req)
 	}
-	return p.read(c, req)
+	return first
 }
 
 // read reads the body of the reply and checks the reply.
@@ -121,12 +151,25 @@
 	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
 	if p.CheckReply != nil {
 		if err := p.check(req, res); err != nil {
+			if p.isLateCopy(c, res) {
+				err = errLateCopy
+			}
 			return readResult{err: &ReplyError{Reason: Mismatched, Err: err}}
 		}
 	}
 	return readResult{response: res}
 }
 
+// isLateCopy reports whether a reply that belongs to another sub-request is one that the connection has carried.
+// Nothing else follows from a reply with an unknown identity than that the connection can't be trusted.
+func (p *Pool) isLateCopy(c *connection, res *Response) bool {
+	if p.ReplyID == nil || c.closing {
+		return false
+	}
+	id := p.ReplyID(res)
+	return id != "" && c.sent.has(xxhash.Sum64String(id))
+}
+
 // check calls CheckReply. A panic in it counts as a mismatch, so that the connection is closed and
 // its place becomes free.
 func (p *Pool) check(req *http.Request, res *Response) (err error) {
@@ -138,19 +181,26 @@
 	return p.CheckReply(req, res)
 }
 
-// finishReply reads the body, in the background if that may block.
+// finishReply reads the body, in the background if that may block. If the reply is a late copy, the error wraps
+// errLateCopy and the connection is still in use.
 func (p *Pool) finishReply(ctx context.Context, permit *Permit, c *connection, req *http.Request) (*Response, error) {
+	finish := func(r readResult) (*Response, error) {
+		if errors.Is(r.err, errLateCopy) {
+			return nil, r.err
+		}
+		return permit.target.recycle(c, r)
+	}
 	if c.bodyBuffered() {
-		return permit.target.recycle(c, p.read(c, req))
+		return finish(p.read(c, req))
 	}
 	done := make(chan readResult, 1)
 	go func() { done <- p.read(c, req) }()
 	select {
 	case r := <-done:
-		return permit.target.recycle(c, r)
+		return finish(r)
 	case <-ctx.Done():
 	}
-	p.drain(permit, c, func() readResult { return <-done })
+	p.drain(permit, c, func() readResult { return p.readRest(c, req, <-done) })
 	return nil, &LostError{Sent: true, Err: ctx.Err()}
 }
 
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -75,6 +75,9 @@
 	// CheckReply, if set, returns an error if a complete reply does not belong to the request.
 	// The connection is closed then, because later replies on it can't be trusted either.
 	CheckReply func(req *http.Request, res *Response) error
+	// ReplyID, if set, returns the EncodedRequest.ID of the sub-request that a reply names. A late copy of an
+	// earlier reply on the connection is then skipped instead of closing the connection.
+	ReplyID func(res *Response) string
 	// AllowUnframed accepts replies whose body ends with the connection. A reply counts as
 	// truncated in any case if its connection is reset.
 	AllowUnframed bool
--- a/limit/reply_test.go
+++ b/limit/reply_test.go
@@ -1,11 +1,14 @@
 package limit
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 )
 
@@ -104,3 +107,68 @@
 	_, err = h.send(t)
 	is.NoErr(err)
 }
+
+// Guards against a connection that is closed, or a reply that passes for another, because a late copy of a reply comes
+// before the reply to a cancelled sub-request.
+func TestLateCopyAndCancellation(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		until time.Duration // when the sub-request is cancelled; the copy comes after 20 ms, the reply after 60 ms
+	}{{"before the copy", 5 * time.Millisecond}, {"after the copy", 40 * time.Millisecond}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			reply := func(id string) string {
+				return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 1\r\n\r\n" + id
+			}
+			h := newHarness(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+				conn, buffer, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				for last, id := "", "1"; ; {
+					if last != "" {
+						time.Sleep(20 * time.Millisecond)
+						_, _ = io.WriteString(conn, last)
+						time.Sleep(40 * time.Millisecond)
+					}
+					last = reply(id)
+					_, _ = io.WriteString(conn, last)
+					r, err := http.ReadRequest(buffer.Reader)
+					if err != nil {
+						return
+					}
+					id = r.Header.Get("Id")
+				}
+			})
+			h.pool.Clock = clockwork.NewRealClock()
+			h.pool.ReplyID = func(res *Response) string { return res.Header.Get("Id") }
+			h.pool.CheckReply = func(req *http.Request, res *Response) error {
+				if res.Header.Get("Id") != req.Header.Get("Id") {
+					return errors.New("another identity")
+				}
+				return nil
+			}
+			query := func(ctx context.Context, id string) (*Response, error) {
+				permit, err := h.pool.Acquire(t.Context(), h.target)
+				is.NoErr(err)
+				defer permit.Release(Succeeded)
+				req, err := http.NewRequest(http.MethodGet, "http://t0/", nil)
+				is.NoErr(err)
+				req.Header.Set("Id", id)
+				bytes := []byte("GET / HTTP/1.1\r\nHost: t0\r\nId: " + id + "\r\n\r\n")
+				return h.pool.Send(ctx, permit, &EncodedRequest{Request: req, Bytes: bytes, ID: id, Once: true}, nil)
+			}
+			_, err := query(t.Context(), "1")
+			is.NoErr(err)
+			ctx, cancel := context.WithTimeout(t.Context(), tt.until)
+			defer cancel()
+			_, err = query(ctx, "2")
+			is.True(errors.Is(err, context.DeadlineExceeded))
+			res, err := query(t.Context(), "3") // waits for the slot
+			is.NoErr(err)
+			is.Equal(string(res.Body), "3")
+			is.Equal(h.dials.Load(), int64(1))
+		})
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -68,13 +68,16 @@
 // CheckReply returns an error if the reply does not belong to the request. It is the value of
 // limit.Pool.CheckReply.
 func (s *Service) CheckReply(req *http.Request, res *limit.Response) error {
-	want, got := req.Header.Get(s.Headers.Request), res.Header.Get(s.Headers.Request)
+	want, got := req.Header.Get(s.Headers.Request), s.ReplyID(res)
 	if got != want {
 		return errors.Errorf("the reply is for request %q", got)
 	}
 	return nil
 }
 
+// ReplyID returns the identity of the request that a reply names. It is the value of limit.Pool.ReplyID.
+func (s *Service) ReplyID(res *limit.Response) string { return res.Header.Get(s.Headers.Request) }
+
 // attemptWorkers returns the goroutines that make attempts.
 func (s *Service) attemptWorkers() *workers[*attempt] {
 	s.startWorkers.Do(func() { s.workers = newWorkers(runAttempt) })
--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,3 +80,84 @@
 		})
 	}
 }
+
+// echoingTarget runs each request. Before the reply to each but the first one on a connection, it sends as many
+// copies of the reply before, or of a reply to a request that was never sent.
+type echoingTarget struct {
+	copies           int
+	foreign          bool
+	ran, connections atomic.Int64
+}
+
+func (f *echoingTarget) serve(conn net.Conn) {
+	defer conn.Close()
+	f.connections.Add(1)
+	reader := bufio.NewReader(conn)
+	last := ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		f.ran.Add(1)
+		id := r.Header.Get(headers.Request)
+		if f.foreign && last != "" {
+			last = strings.ReplaceAll(last, headers.Request+": ", headers.Request+": other-")
+		}
+		reply := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sign\r\nContent-Length: 16\r\n\r\n%s", headers.Request, id, headers.Signature, record(id))
+		_, _ = io.WriteString(conn, strings.Repeat(last, f.copies))
+		time.Sleep(5 * time.Millisecond)
+		_, _ = io.WriteString(conn, reply)
+		last = reply
+	}
+}
+
+// Guards against a request that may run once and that fails, and a connection that is closed, because a late copy
+// of the reply to an earlier request comes first; and against an answer that belongs to another request.
+func TestLateCopyOfAnotherReply(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		target *echoingTarget
+		status int // of every other request
+	}{
+		{"one copy", &echoingTarget{copies: 1}, http.StatusOK},
+		{"some copies", &echoingTarget{copies: 3}, http.StatusOK},
+		{"without end", &echoingTarget{copies: 40}, http.StatusBadGateway},
+		{"an unknown identity", &echoingTarget{copies: 1, foreign: true}, http.StatusBadGateway},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go tt.target.serve(conn)
+				}
+			}()
+			h := newHarness(t, singleRoute(false, 1))
+			address := netip.MustParseAddrPort(listener.Addr().String())
+			h.view.Targets["s1"] = []*control.Target{{Name: "a", Incarnation: "1", Service: "s1", Centre: "c", Address: address, State: control.Warm}}
+			h.service.Pool.SetShares(map[string]limit.Share{"a": {Incarnation: "1", Address: address, Connections: 1, Slots: 2}})
+			const requests = 6
+			for i := range requests {
+				id := fmt.Sprint("r", i)
+				res, body := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, id) })
+				if i%2 == 0 && tt.status != http.StatusOK { // the first one on a new connection
+					is.Equal(res.StatusCode, http.StatusOK)
+				} else {
+					is.Equal(res.StatusCode, tt.status)
+				}
+				if res.StatusCode == http.StatusOK {
+					is.Equal(body, string(record(id)))
+				}
+			}
+			is.Equal(tt.target.ran.Load(), int64(requests))
+			is.Equal(tt.target.connections.Load() == 1, tt.status == http.StatusOK)
+		})
+	}
+}
