--- a/limit/connection.go
+++ b/limit/connection.go
@@ -59,8 +59,9 @@
 	// the head does not have the common form.
 	head     head
 	response *http.Response
-	// sent holds the IDs of the sub-requests that the connection has carried.
-	sent sentIDs
+	// sent holds the IDs of the sub-requests that the connection has carried, current is the latest one.
+	sent    sentIDs
+	current uint64
 	// closing is true if the connection closes after the reply.
 	closing bool
 	// expires is when the target closes the connection if it stays idle; zero if the target
--- a/limit/do.go
+++ b/limit/do.go
@@ -77,6 +77,7 @@
 	}
 	req, before := encoded.Request, c.raw.written
 	c.sent.add(wanted.id)
+	c.current = wanted.id
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
 		if w.stop() {
@@ -166,8 +167,8 @@
 	if p.ReplyID == nil || c.closing {
 		return false
 	}
-	id := p.ReplyID(res)
-	return id != "" && c.sent.has(xxhash.Sum64String(id))
+	id := xxhash.Sum64String(p.ReplyID(res))
+	return id != c.current && c.sent.has(id)
 }
 
 // check calls CheckReply. A panic in it counts as a mismatch, so that the connection is closed and
