--- a/quorum/fence_test.go
+++ b/quorum/fence_test.go
@@ -53,33 +53,38 @@
 	g := newDiskGroup(t, nil)
 	is.True(g.commit(20 * time.Second)) // the group has a leader
 	// commit commits an order through the replica, on the base that it reads, or on an older one.
-	commit := func(r *Replica, out bool, base uint64) (uint64, error) {
+	commit := func(r *Replica, order control.Command, base uint64) error {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		if base == 0 {
 			state, err := r.Read(ctx)
 			if err != nil {
-				return 0, err
+				return err
 			}
 			base = state.Index
 		}
-		_, err := r.CommitAfter(ctx, evacuation("x", out), base)
-		return base, err
+		_, err := r.CommitAfter(ctx, order, base)
+		return err
 	}
-	for _, frozen := range g.replicas { // the leader and the others, which forward it
-		_, err := commit(frozen, true, 0)
-		is.NoErr(err)
-		state, err := frozen.Read(t.Context())
-		is.NoErr(err)
-		old := state.Index
-		_, err = commit(g.replicas[0], false, 0) // the order that was sent again
-		is.NoErr(err)
-		_, err = commit(g.replicas[1], true, 0) // a later one
-		is.NoErr(err)
-		_, err = commit(frozen, false, old)
-		is.True(err != nil)
-		state, err = g.replicas[2].Read(t.Context())
-		is.NoErr(err)
-		is.Equal(state.Out, []string{"x"})
+	move := func(version string) control.Command {
+		return control.Command{Begin: &control.BeginMove{Service: "s", Version: version, MaxDuration: time.Minute}}
+	}
+	for _, orders := range [][2]control.Command{ // the late one, and the later one that contradicts it
+		{evacuation("x", false), evacuation("x", true)},
+		{move("v1"), move("v2")},
+	} {
+		late, later := orders[0], orders[1]
+		for _, frozen := range g.replicas { // the leader and the others, which forward it
+			is.NoErr(commit(frozen, later, 0))
+			state, err := frozen.Read(t.Context())
+			is.NoErr(err)
+			is.NoErr(commit(g.replicas[0], late, 0)) // the order that was sent again
+			is.NoErr(commit(g.replicas[1], later, 0))
+			is.True(commit(frozen, late, state.Index) != nil)
+			state, err = g.replicas[2].Read(t.Context())
+			is.NoErr(err)
+			is.Equal(state.Out, []string{"x"})
+			is.True(orders[0].Begin == nil || state.Moves["s"].Version == "v2")
+		}
 	}
 }
