--- a/limit/do.go
+++ b/limit/do.go
@@ -86,7 +86,7 @@
 		permit.target.discard(c)
 		return nil, &LostError{Sent: c.raw.written > before, Err: err}
 	}
-	for range maxLateCopies {
+	for range maxReplies {
 		err = c.readHeader(req)
 		interrupted := w.stop()
 		if err != nil {
@@ -114,9 +114,9 @@
 	return &LostError{Sent: true, Err: err}
 }
 
-// maxLateCopies bounds the replies that are read for one sub-request: late copies of earlier replies on its
+// maxReplies bounds the replies that are read for one sub-request: late copies of earlier replies on its
 // connection, and its own.
-const maxLateCopies = 4
+const maxReplies = 4
 
 // errLateCopy reports a late copy of the reply to an earlier sub-request on the connection. The reply to this
 // one may follow.
@@ -124,7 +124,7 @@
 
 // readReply reads the complete reply of a cancelled sub-request.
 func (p *Pool) readReply(c *connection, req *http.Request) (r readResult) {
-	for range maxLateCopies {
+	for range maxReplies {
 		if err := c.readHeader(req); err != nil {
 			return readResult{err: err}
 		}
@@ -161,8 +161,8 @@
 	return readResult{response: res}
 }
 
-// isLateCopy reports whether a reply that belongs to another sub-request is one that the connection has carried.
-// Nothing else follows from a reply with an unknown identity than that the connection can't be trusted.
+// isLateCopy reports whether a reply that belongs to another sub-request names one that the connection has
+// carried. After a reply with an unknown identity, the connection can't be trusted.
 func (p *Pool) isLateCopy(c *connection, res *Response) bool {
 	if p.ReplyID == nil || c.closing {
 		return false
