--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -18,6 +18,31 @@
 	"wasabirelay/limit"
 )
 
+// newRawHarness returns a relay with a route for requests that may run once, to one target of which serve serves each
+// connection, and which this host may open so many connections to.
+func newRawHarness(t *testing.T, connections int, serve func(net.Conn)) *harness {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	h := newHarness(t, singleRoute(false, 1))
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	h.view.Targets["s1"] = []*control.Target{{Name: "a", Incarnation: "1", Service: "s1", Centre: "c", Address: address, State: control.Warm}}
+	h.service.Pool.SetShares(map[string]limit.Share{"a": {Incarnation: "1", Address: address, Connections: connections, Slots: 2}})
+	return h
+}
+
 // repeatingTarget refuses its first request unexecuted. On a connection that has carried that refusal
 // it sends a copy of it before the reply to the next request, which it runs.
 type repeatingTarget struct {
@@ -55,23 +80,8 @@
 	for _, connections := range []int{1, 8} {
 		t.Run(fmt.Sprint(connections, " connections"), func(t *testing.T) {
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer listener.Close()
 			f := &repeatingTarget{}
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go f.serve(conn)
-				}
-			}()
-			h := newHarness(t, singleRoute(false, 1))
-			address := netip.MustParseAddrPort(listener.Addr().String())
-			h.view.Targets["s1"] = []*control.Target{{Name: "a", Incarnation: "1", Service: "s1", Centre: "c", Address: address, State: control.Warm}}
-			h.service.Pool.SetShares(map[string]limit.Share{"a": {Incarnation: "1", Address: address, Connections: connections, Slots: 2}})
+			h := newRawHarness(t, connections, f.serve)
 			h.fillBudgets()
 			res, _ := h.get(t, func(r *http.Request) { r.Method = http.MethodPost })
 			is.Equal(res.StatusCode, http.StatusOK)
@@ -127,22 +137,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer listener.Close()
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go tt.target.serve(conn)
-				}
-			}()
-			h := newHarness(t, singleRoute(false, 1))
-			address := netip.MustParseAddrPort(listener.Addr().String())
-			h.view.Targets["s1"] = []*control.Target{{Name: "a", Incarnation: "1", Service: "s1", Centre: "c", Address: address, State: control.Warm}}
-			h.service.Pool.SetShares(map[string]limit.Share{"a": {Incarnation: "1", Address: address, Connections: 1, Slots: 2}})
+			h := newRawHarness(t, 1, tt.target.serve)
 			const requests = 6
 			for i := range requests {
 				id := fmt.Sprint("r", i)
