Count skipped copies, unusable replies and repeats by cause

Cause: the counters of attempts put every reply that can't be used, whatever was wrong with it, into one outcome, skipped copies left no trace, and only refused repeats were counted. So neither the hypotheses on wrong answers nor those on repeats beyond the budget could be told apart afterwards.

Result: the relay's tests read each of them. No decision has changed. No file or message format has changed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"syscall"
@@ -46,6 +47,8 @@
 type connection struct {
 	raw  *countingConn
 	conn net.Conn // raw, or TLS over raw
+	// address is that of the target.
+	address netip.AddrPort
 	// socket is the socket of raw; nil if it can't be read directly, because of socketErr or
 	// because raw has none.
 	socket    syscall.RawConn
@@ -69,9 +72,9 @@
 	expires time.Time
 }
 
-func newConnection(raw *countingConn, conn net.Conn) *connection {
+func newConnection(raw *countingConn, conn net.Conn, address netip.AddrPort) *connection {
 	c := &connection{
-		raw: raw, conn: conn,
+		raw: raw, conn: conn, address: address,
 		reader:      bufio.NewReaderSize(conn, readBufferSize),
 		interrupted: make(chan struct{}, 1),
 	}
--- a/limit/do.go
+++ b/limit/do.go
@@ -154,6 +154,9 @@
 		if err := p.check(req, res); err != nil {
 			if p.isLateCopy(c, res) {
 				err = errLateCopy
+				if p.OnSkipped != nil {
+					p.OnSkipped(c.address, res)
+				}
 			}
 			return readResult{err: &ReplyError{Reason: Mismatched, Err: err}}
 		}
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -78,6 +78,8 @@
 	// ReplyID, if set, returns the EncodedRequest.ID of the sub-request that a reply names. A late copy of an
 	// earlier reply on the connection is then skipped instead of closing the connection.
 	ReplyID func(res *Response) string
+	// OnSkipped, if set, is called with each late copy that is skipped and the address of its target.
+	OnSkipped func(address netip.AddrPort, res *Response)
 	// AllowUnframed accepts replies whose body ends with the connection. A reply counts as
 	// truncated in any case if its connection is reset.
 	AllowUnframed bool
@@ -226,7 +228,7 @@
 	}
 	raw := &countingConn{Conn: conn}
 	if p.TLS == nil {
-		return newConnection(raw, raw), nil
+		return newConnection(raw, raw, address), nil
 	}
 	config := p.TLS
 	if config.ServerName == "" {
@@ -238,5 +240,5 @@
 		conn.Close()
 		return nil, err
 	}
-	return newConnection(raw, secure), nil
+	return newConnection(raw, secure, address), nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -78,6 +79,23 @@
 // ReplyID returns the identity of the request that a reply names. It is the value of limit.Pool.ReplyID.
 func (s *Service) ReplyID(res *limit.Response) string { return res.Header.Get(s.Headers.Request) }
 
+// RecordLateCopy counts and logs a late copy that the pool has skipped. It is the value of limit.Pool.OnSkipped.
+func (s *Service) RecordLateCopy(address netip.AddrPort, res *limit.Response) {
+	s.Metrics.lateCopy()
+	if omitted, ok := s.Events.Allow("copy", degradedLines); ok {
+		s.Log.Info().Str("request", s.ReplyID(res)).Stringer("address", address).Int("status", res.Status).Int("bytes", len(res.Body)).
+			Int("omitted", omitted).Msg("late copy of a reply skipped")
+	}
+}
+
+// recordUnusable counts a reply that could not be used.
+func (s *Service) recordUnusable(err error) {
+	var reply *limit.ReplyError
+	if errors.As(err, &reply) {
+		s.Metrics.unusableReply(reply.Reason)
+	}
+}
+
 // attemptWorkers returns the goroutines that make attempts.
 func (s *Service) attemptWorkers() *workers[*attempt] {
 	s.startWorkers.Do(func() { s.workers = newWorkers(runAttempt) })
@@ -127,6 +145,7 @@
 	r.response, err = s.Pool.Send(ctx, permit, m.forTarget(t, &s.Headers, left), a.commit)
 	now := s.Clock.Now()
 	s.classify(ctx, r, err)
+	s.recordUnusable(r.err)
 	s.recordDeclaration(now, a, r)
 	r.withdrawn = a.state.Load() == withdrawn
 	permit.Release(permitResult(r.outcome))
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -118,7 +118,7 @@
 		f.omit()
 	case newest.state.Load() == waiting:
 		f.hedgeAt = now.Add(f.hedge) // another target may have room by then
-	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts && f.takeBudget():
+	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts && f.takeBudget(causeHedge):
 		f.startNext()
 	}
 }
@@ -140,7 +140,7 @@
 			f.sent--
 			f.unsent++
 		}
-		if f.mayRetry(r) && (!reached(r) || f.takeBudget()) && f.startNext() {
+		if f.mayRetry(r) && (!reached(r) || f.takeBudget(causeRetry)) && f.startNext() {
 			return
 		}
 		if refusedUnrun(r) && f.inFlight == 0 && f.declaredWait(f.j.view)(r.target) < f.hedge && f.resend.schedule(r.target) {
@@ -185,7 +185,11 @@
 func (f *fetch) newest() *attempt { return f.attempts[len(f.attempts)-1] }
 
 // takeBudget takes one extra request from the budget. It reports whether the budget allows it.
-func (f *fetch) takeBudget() bool { return f.budget.Spend(f.Clock.Now(), f.RetryShare) }
+func (f *fetch) takeBudget(c repeatCause) bool {
+	allowed := f.budget.Spend(f.Clock.Now(), f.RetryShare)
+	f.Metrics.repeat(c, allowed)
+	return allowed
+}
 
 // startNext starts an attempt at another target. It reports whether there is one.
 func (f *fetch) startNext() bool {
@@ -227,7 +231,7 @@
 // startResend sends the request again to a target that has refused it. The refused attempt does not
 // count any more, so that the request is sent to no more targets than its route allows.
 func (f *fetch) startResend(now time.Time, t *control.Target) {
-	if f.ctx.Err() != nil || f.refusedFor(f.j, f.service) > 0 || !f.Declared.Take(now, t, f.j.view.division(f.service)) || !f.takeBudget() {
+	if f.ctx.Err() != nil || f.refusedFor(f.j, f.service) > 0 || !f.Declared.Take(now, t, f.j.view.division(f.service)) || !f.takeBudget(causeResend) {
 		f.finish()
 		return
 	}
--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 
 	"wasabirelay/control"
 	"wasabirelay/limit"
@@ -156,3 +158,43 @@
 		})
 	}
 }
+
+// Guards against late copies and unusable replies of which no counter tells.
+func TestCopiesAndUnusableRepliesAreCounted(t *testing.T) {
+	is := is.New(t)
+	h := newRawHarness(t, 1, (&echoingTarget{copies: 2}).serve)
+	h.service.Metrics = NewMetrics(prometheus.NewRegistry())
+	h.service.Pool.OnSkipped = h.service.RecordLateCopy
+	for i := range 3 {
+		h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
+	}
+	is.Equal(counterValue(t, h.service.Metrics.copies), 4.0)
+
+	foreign := newRawHarness(t, 1, (&echoingTarget{copies: 1, foreign: true}).serve)
+	foreign.service.Metrics = NewMetrics(prometheus.NewRegistry())
+	for i := range 2 {
+		foreign.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
+	}
+	is.Equal(counterValue(t, foreign.service.Metrics.unusable.WithLabelValues(string(limit.Mismatched))), 1.0)
+}
+
+// Guards against repeats whose cause no counter tells.
+func TestRepeatsAreCountedByCause(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 2), newTarget("a", "s1").reset(), newTarget("b", "s1").reset())
+	h.service.Metrics = NewMetrics(prometheus.NewRegistry())
+	h.get(t, nil)
+	is.Equal(counterValue(t, h.service.Metrics.repeats.WithLabelValues(string(causeRetry), "sent")), 1.0)
+	h.service.RetryShare = 0
+	h.get(t, nil)
+	is.Equal(counterValue(t, h.service.Metrics.repeats.WithLabelValues(string(causeRetry), "refused")), 1.0)
+}
+
+func counterValue(t *testing.T, c prometheus.Counter) float64 {
+	t.Helper()
+	var m dto.Metric
+	if err := c.Write(&m); err != nil {
+		t.Fatal(err)
+	}
+	return m.GetCounter().GetValue()
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"wasabirelay/declaration"
+	"wasabirelay/limit"
 	"wasabirelay/route"
 )
 
@@ -21,6 +22,9 @@
 	passes   *prometheus.CounterVec
 	held     *prometheus.CounterVec
 	crashing *prometheus.CounterVec
+	unusable *prometheus.CounterVec
+	copies   prometheus.Counter
+	repeats  *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
@@ -63,7 +67,16 @@
 	m.crashing = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabirelay_relay_crashing_total", Help: "Requests refused because targets die when they run them.",
 	}, []string{routeLabel})
-	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes, m.held, m.crashing)
+	m.unusable = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wasabirelay_relay_unusable_replies_total", Help: "Replies of targets that could not be used, by what was wrong with them.",
+	}, []string{"reason"})
+	m.copies = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wasabirelay_relay_late_copies_total", Help: "Late copies of replies to earlier requests that were skipped.",
+	})
+	m.repeats = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wasabirelay_relay_repeats_total", Help: "Repeats of requests that the budget has allowed (sent) or not (refused), by cause: hedge, retry or resend.",
+	}, []string{"cause", outcomeLabel})
+	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes, m.held, m.crashing, m.unusable, m.copies, m.repeats)
 	return m
 }
 
@@ -104,6 +117,39 @@
 	}
 }
 
+func (m *Metrics) unusableReply(f limit.Fault) {
+	if m != nil {
+		m.unusable.WithLabelValues(string(f)).Inc()
+	}
+}
+
+func (m *Metrics) lateCopy() {
+	if m != nil {
+		m.copies.Inc()
+	}
+}
+
+// repeatCause is why a request is sent once more.
+type repeatCause string
+
+// Values of repeatCause.
+const (
+	causeHedge  repeatCause = "hedge"  // a target is slow
+	causeRetry  repeatCause = "retry"  // an attempt has failed
+	causeResend repeatCause = "resend" // the target has refused it unexecuted and is asked again
+)
+
+func (m *Metrics) repeat(c repeatCause, allowed bool) {
+	if m == nil {
+		return
+	}
+	outcome := "sent"
+	if !allowed {
+		outcome = "refused"
+	}
+	m.repeats.WithLabelValues(string(c), outcome).Inc()
+}
+
 func (m *Metrics) attempt(service string, o route.Outcome, took time.Duration) {
 	if m == nil {
 		return
