Queue reports about suspected requests in the order of the decisions

Traced: the health check of a dead target decides which requests are suspects, and only then takes the lock of the queue. An answer of another target in between withdrew a suspicion, and its withdrawal was queued, and committed, before the report. The request then stayed suspected on all hosts, so that hosts without an answer of their own hold it back from the last replicas of its shards.

Change: the queue's lock is held while package poison decides, for reports, withdrawals and due reports alike.

No format has changed.

--- a/answer/poison_test.go
+++ b/answer/poison_test.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"wasabirelay/control"
 	"wasabirelay/poison"
@@ -265,6 +268,44 @@
 	}
 }
 
+// heldLine is an output for logs that holds up the first line with a text until released.
+type heldLine struct {
+	text     string
+	reached  chan struct{}
+	released chan struct{}
+	once     sync.Once
+}
+
+func (h *heldLine) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), h.text) {
+		h.once.Do(func() {
+			close(h.reached)
+			<-h.released
+		})
+	}
+	return len(line), nil
+}
+
+// Guards against a withdrawal that overtakes the report that it withdraws: the request would stay suspected on all
+// hosts although a target has answered it.
+func TestWithdrawalFollowsItsReport(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(newTarget("a", 0, 1, 9), newTarget("b", 0, 1, 9), newTarget("c", 0, 1, 9))
+	line := &heldLine{text: "target died", reached: make(chan struct{}), released: make(chan struct{})}
+	c.Log = zerolog.New(line)
+	c.behaviours["a"] = failWith(Reset, true)
+	c.behaviours["b"] = afterSignal(line.reached, replyCorrectly)
+	is.NoErr((<-c.answerAsync(t.Context(), c.query())).err)
+	close(line.released)
+	c.waitDrained(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reported := c.reported()
+	is.Equal(len(reported), 2)
+	is.True(reported[0].Early)
+	is.True(reported[1].Cleared)
+}
+
 // Guards against a resend that is refused as not executed because its fingerprint is poisoned or
 // suspected, although the first request with the key may have been sent.
 func TestResendOfSuspectIsNotRefusedAsNotExecuted(t *testing.T) {
--- a/answer/service.go
+++ b/answer/service.go
@@ -119,13 +119,16 @@
 		s.Log.Error().Str("service", service).Uints64("snapshots", numbers).
 			Msg("targets announce different shard counts of a snapshot; the snapshot is not used")
 	}
-	s.reportSuspects(s.Poison.ObserveIncarnations(s.Clock.Now(), func(name string) (string, bool) {
+	incarnation := func(name string) (string, bool) {
 		t, ok := ix.targets[name]
 		if !ok {
 			return "", false
 		}
 		return t.Incarnation, true
-	}, rules(ix.view).Poison.HoldDuration.Duration))
+	}
+	s.reportSuspects(func() []control.SuspectRequest {
+		return s.Poison.ObserveIncarnations(s.Clock.Now(), incarnation, rules(ix.view).Poison.HoldDuration.Duration)
+	})
 	s.scheduleDueReports()
 }
 
--- a/answer/suspect.go
+++ b/answer/suspect.go
@@ -27,34 +27,41 @@
 // time, so that a withdrawal can't be committed before the report that it withdraws. Suspects
 // that arrive in the meantime share the next command.
 type reportQueue struct {
+	// mu is also held while package poison decides on suspects, so that they are queued in the
+	// order of the decisions.
 	mu      sync.Mutex
 	queue   []control.SuspectRequest
 	sending bool
 }
 
-// reportSuspects queues suspects, which are proposed in the background.
-func (s *Service) reportSuspects(suspects []control.SuspectRequest) {
-	if len(suspects) == 0 {
-		return
-	}
-	for _, suspect := range suspects {
+// reportSuspects queues the suspects that decide returns. They are proposed in the background.
+func (s *Service) reportSuspects(decide func() []control.SuspectRequest) {
+	for _, suspect := range s.queueSuspects(decide) {
 		if !suspect.Cleared {
 			s.Log.Warn().Str("fingerprint", suspect.Fingerprint).Str("target", suspect.Target).
 				Int("shard", suspect.Shard).Bool("early", suspect.Early).Msg("target died with this request in flight")
 		}
 	}
+}
+
+func (s *Service) queueSuspects(decide func() []control.SuspectRequest) []control.SuspectRequest {
 	r := &s.reportQueue
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	suspects := decide()
+	if len(suspects) == 0 {
+		return nil
+	}
 	if len(r.queue)+len(suspects) > maxQueuedSuspects {
 		s.Log.Warn().Int("suspects", len(suspects)).Msg("failed to report suspects: the queue is full")
-		return
+		return suspects
 	}
 	r.queue = append(r.queue, suspects...)
 	if !r.sending {
 		r.sending = true
 		s.work.Go(s.sendReports)
 	}
+	return suspects
 }
 
 // sendReports proposes the queued suspects in order.
@@ -90,7 +97,9 @@
 // period. Drain does not wait for it.
 func (s *Service) scheduleDueReports() {
 	if s.Poison.HasPending() {
-		s.Clock.AfterFunc(poison.GracePeriod, func() { s.reportSuspects(s.Poison.DueReports(s.Clock.Now())) })
+		s.Clock.AfterFunc(poison.GracePeriod, func() {
+			s.reportSuspects(func() []control.SuspectRequest { return s.Poison.DueReports(s.Clock.Now()) })
+		})
 	}
 }
 
@@ -100,7 +109,9 @@
 		ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, healthTimeout)
 		defer cancel()
 		alive := s.Health(ctx, t) == nil
-		s.reportSuspects(s.Poison.HealthChecked(s.Clock.Now(), t.Name, t.Incarnation, alive, hold))
+		s.reportSuspects(func() []control.SuspectRequest {
+			return s.Poison.HealthChecked(s.Clock.Now(), t.Name, t.Incarnation, alive, hold)
+		})
 		s.scheduleDueReports()
 	})
 }
@@ -114,7 +125,9 @@
 			_, seen = shards[f.sub.Shard]
 		}
 	}
-	f.s.reportSuspects(f.s.Poison.Succeeded(f.s.Clock.Now(), f.poisonFlight(), seen))
+	f.s.reportSuspects(func() []control.SuspectRequest {
+		return f.s.Poison.Succeeded(f.s.Clock.Now(), f.poisonFlight(), seen)
+	})
 }
 
 // suspectedEarly reports whether a target died with the request in flight and the suspicion is
