Let answers clear deaths that are not found out yet

When several targets of a service died at once, a harmless request that was in flight at three of them was refused with 503 for two minutes, although other targets had answered each of its sendings: the answers to the retries came within the 5 ms after which a death is looked for, and cleared nothing, because the deaths were recorded after them. Hosts that had seen none of it cleared the record once it was published to them, after half a second or more.

Change: an answer removes its request from the checks that are running, and a check records its deaths under the same lock.

TestCrashingRequestIsRefused and TestHarmlessRequestBesideCrashes hold. No format has changed.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,64 +74,95 @@
 	switch {
 	case r.outcome == route.Reset && r.ran:
 		s.checkDeath(j, r.target)
-	case s.Crashes.Empty():
+	case s.Crashes.Empty() && s.deaths.running.Load() == 0:
 	case r.outcome == route.Success, r.outcome == route.Failed && r.response != nil:
-		s.Crashes.RecordAnswer(now, r.service, s.fingerprint(j))
+		fingerprint := s.fingerprint(j)
+		s.deaths.clear(r.service, func(suspect *job) bool { return s.fingerprint(suspect) == fingerprint })
+		s.Crashes.RecordAnswer(now, r.service, fingerprint)
 	}
 }
 
 // deathChecks finds out whether targets that have reset a connection have died.
 type deathChecks struct {
 	mu sync.Mutex
-	// suspects holds the requests that were in flight at each target that is being checked.
-	suspects map[control.Death][]*job
+	// checks holds the checks that are running.
+	checks map[control.Death]*deathCheck
+	// running is the number of checks. It is read without the lock.
+	running atomic.Int64
+}
+
+// deathCheck is the check of one target.
+type deathCheck struct {
+	service string
+	// suspects holds the requests that were in flight and that no target has answered since.
+	suspects []*job
 }
 
 // add adds a request that was in flight. It reports whether the caller must check the target.
-func (c *deathChecks) add(id control.Death, j *job) (first bool) {
+func (c *deathChecks) add(id control.Death, service string, j *job) (first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list, running := c.suspects[id]
-	if c.suspects == nil {
-		c.suspects = map[control.Death][]*job{}
+	check, running := c.checks[id]
+	if !running {
+		if c.checks == nil {
+			c.checks = map[control.Death]*deathCheck{}
+		}
+		check = &deathCheck{service: service}
+		c.checks[id] = check
+		c.running.Add(1)
 	}
-	if !slices.Contains(list, j) {
-		list = append(list, j)
+	if !slices.Contains(check.suspects, j) {
+		check.suspects = append(check.suspects, j)
 	}
-	c.suspects[id] = list
 	return !running
 }
 
-// take ends the check of a target and returns the requests that were in flight.
-func (c *deathChecks) take(id control.Death) []*job {
+// clear removes the requests of a service that a target has answered. Their deaths are not recorded: an answer that
+// comes before would not clear them.
+func (c *deathChecks) clear(service string, answered func(*job) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, check := range c.checks {
+		if check.service == service {
+			check.suspects = slices.DeleteFunc(check.suspects, answered)
+		}
+	}
+}
+
+// end ends the check of a target and passes the requests that were in flight to record, so that no answer comes
+// between the two.
+func (c *deathChecks) end(id control.Death, record func([]*job)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.suspects[id]
-	delete(c.suspects, id)
-	return list
+	record(c.checks[id].suspects)
+	delete(c.checks, id)
+	c.running.Add(-1)
 }
 
 // checkDeath checks in the background whether a target that has reset the connection of an attempt has
 // died, and records its death.
 func (s *Service) checkDeath(j *job, t *control.Target) {
 	id := control.Death{Target: t.Name, Incarnation: t.Incarnation}
-	if !s.deaths.add(id, j) {
+	if !s.deaths.add(id, t.Service, j) {
 		return
 	}
 	go func() {
 		s.Clock.Sleep(deathCheckDelay)
 		alive := s.isAlive(t)
-		list := s.deaths.take(id)
-		if alive || s.Reach.Lost() { // without links, this host can't tell
-			return
-		}
-		now := s.Clock.Now()
-		for _, j := range list {
-			fingerprint := s.fingerprint(j)
-			s.Crashes.RecordDeath(now, t.Service, fingerprint, id)
+		var died []*job
+		s.deaths.end(id, func(suspects []*job) {
+			if alive || s.Reach.Lost() { // without links, this host can't tell
+				return
+			}
+			died = suspects
+			for _, j := range died {
+				s.Crashes.RecordDeath(s.Clock.Now(), t.Service, s.fingerprint(j), id)
+			}
+		})
+		for _, j := range died {
 			if omitted, ok := s.Events.Allow("died", degradedLines); ok {
 				s.Log.Warn().Str("request", j.id).Str("route", j.route.Name).Str("path", pathOf(j.RequestURI)).
-					Str("fingerprint", FormatFingerprint(fingerprint)).Str("target", t.Name).Str("born", t.Incarnation).
+					Str("fingerprint", FormatFingerprint(s.fingerprint(j))).Str("target", t.Name).Str("born", t.Incarnation).
 					Int("omitted", omitted).Msg("target died with this request in flight")
 			}
 		}
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"wasabirelay/control"
+	"wasabirelay/limit"
 )
 
 // crashesOn makes the target end, as its process does, when it begins to run a request whose path contains
@@ -250,3 +251,43 @@
 	t.Logf("%d of %d harmless requests were served", served.Load(), sent.Load())
 	is.True(sent.Load()-served.Load() <= sent.Load()/100) // at most those in flight at a death whose retry met another one
 }
+
+// Guards against a harmless request that is refused because several targets die at once with it in flight: others
+// answer it before the deaths are found out.
+func TestAnswersBeforeDeathsAreKnown(t *testing.T) {
+	is := is.New(t)
+	const dying = 3
+	var inFlight sync.WaitGroup
+	inFlight.Add(dying)
+	targets := []*fakeTarget{newTarget("good", "s1").records("a")}
+	for i := range dying {
+		f := newTarget(fmt.Sprint("t", i), "s1").crashesOn("crash")
+		crash := f.reply
+		f.reply = func(w http.ResponseWriter, r *http.Request) {
+			inFlight.Done()
+			inFlight.Wait()
+			crash(w, r)
+		}
+		targets = append(targets, f)
+	}
+	h := newHarness(t, singleRoute(true, 1+dying), targets...)
+	shares := map[string]limit.Share{}
+	for _, f := range h.view.Targets["s1"] {
+		shares[f.Name] = limit.Share{Incarnation: f.Incarnation, Address: f.Address, Connections: 1}
+	}
+	shares["good"] = limit.Share{Incarnation: "1", Address: h.view.Targets["s1"][0].Address, Connections: dying}
+	h.service.Pool.SetShares(shares) // each of those that die gets one request
+	h.view.Avoid = map[string]bool{"good": true}
+	var callers sync.WaitGroup
+	for range dying {
+		callers.Go(func() {
+			res, _ := h.get(t, crashPath)
+			is.Equal(res.StatusCode, http.StatusOK)
+		})
+	}
+	callers.Wait()
+	time.Sleep(10 * deathCheckDelay)
+	res, _ := h.get(t, crashPath)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(targets[0].ran.Load(), int64(dying+1))
+}
