Look up whose reply it is before its body is read

What callers saw: after a reply to an unknown request, a request waited for the body of that reply, up to its deadline if the body came slowly or ended only with the connection, before the reply was rejected.

Cause: the identity was compared once the reply was complete.

Change: the pool looks the identity up once the head is there. A reply to a request that the connection has not carried is rejected at once, and so is a late copy that ends with its connection. The body of a late copy is still read and skipped. Heads are parsed without the request, so that what follows a head can depend on the request that the reply belongs to. CheckReply still checks the complete reply.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -58,10 +58,10 @@
 	interrupted chan struct{}
 	// interruption is the method interrupt.
 	interruption func()
-	// head is that of the reply that is being read; readBody reads its body. response is set if
-	// the head does not have the common form.
-	head     head
-	response *http.Response
+	// head is that of the reply that is being read; readBody reads its body.
+	head head
+	// late is true if that reply is a late copy of an earlier one.
+	late bool
 	// sent holds the IDs of the sub-requests that the connection has carried, current is the latest one.
 	sent    sentIDs
 	current uint64
@@ -161,9 +161,9 @@
 
 // readHeader reads the status line and the header of the reply. It blocks only while nothing
 // has been consumed, so that it can be called again after an interruption.
-func (c *connection) readHeader(req *http.Request) error {
+func (c *connection) readHeader() error {
 	for range 1 + maxInterim {
-		if err := c.parseBuffered(req); err != nil {
+		if err := c.parseBuffered(); err != nil {
 			return err
 		}
 		switch {
@@ -178,27 +178,31 @@
 	return &ReplyError{Reason: Malformed, Err: errors.New("too many interim replies")}
 }
 
-// parseBuffered waits for the next complete head and consumes it.
-func (c *connection) parseBuffered(req *http.Request) error {
+// parseBuffered waits for the next complete head and consumes it, unless its body is chunked: net/http
+// reads such a body from the head on.
+func (c *connection) parseBuffered() error {
 	text, err := c.bufferHeader()
 	if err != nil {
 		return err
 	}
-	c.response = nil
-	if h, ok := parseHead(text); ok && req.Method != http.MethodHead {
-		c.head = h
-		_, _ = c.reader.Discard(len(text)) // can't fail: the head is in the buffer
-		return nil
+	h, ok := parseHead(text)
+	if !ok {
+		if h, err = parseUncommonHead(text); err != nil {
+			return &ReplyError{Reason: Malformed, Err: err}
+		}
 	}
-	res, err := http.ReadResponse(c.reader, req) //nolint:bodyclose // see readBody
-	if err != nil {
-		return &ReplyError{Reason: Malformed, Err: err}
+	c.head = h
+	if !h.chunked {
+		c.discardHead()
 	}
-	c.response = res
-	c.head = head{status: res.StatusCode, length: res.ContentLength, close: res.Close, header: NewHeader(res.Header)}
 	return nil
 }
 
+// discardHead consumes the head.
+func (c *connection) discardHead() {
+	_, _ = c.reader.Discard(c.head.size) // can't fail: the head is in the buffer
+}
+
 // idleMargin is how long before its announced expiry an idle connection is no longer used,
 // because a request takes some time to arrive.
 const idleMargin = 500 * time.Millisecond
@@ -237,26 +241,27 @@
 // readBody reads the complete body of the reply. It does not close the body: that would
 // continue to read after an error, and the connection is closed in that case anyway.
 func (c *connection) readBody(limit int64, unframed bool) ([]byte, error) {
-	if c.head.length > limit {
+	from := io.Reader(c.reader)
+	switch {
+	case c.head.length > limit:
 		return nil, &ReplyError{Reason: TooLarge}
-	}
-	res := c.response
-	if c.head.length >= 0 {
-		from := io.Reader(c.reader)
-		if res != nil {
-			from = res.Body
-		}
+	case c.head.length >= 0:
 		body := make([]byte, c.head.length)
 		if _, err := io.ReadFull(from, body); err != nil {
 			return nil, &ReplyError{Reason: Truncated, Err: err}
 		}
 		return body, nil
-	}
-	if len(res.TransferEncoding) == 0 && !unframed {
+	case c.head.chunked:
+		res, err := http.ReadResponse(c.reader, nil) //nolint:bodyclose // see above
+		if err != nil {
+			return nil, &ReplyError{Reason: Malformed, Err: err}
+		}
+		from = res.Body
+	case !unframed:
 		// The body ends with the connection, so a truncated body would not be detected.
 		return nil, &ReplyError{Reason: NoLength}
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(from, limit+1))
 	if err != nil {
 		return nil, &ReplyError{Reason: Truncated, Err: err}
 	}
--- a/limit/do.go
+++ b/limit/do.go
@@ -87,7 +87,7 @@
 		return nil, &LostError{Sent: c.raw.written > before, Err: err}
 	}
 	for range maxReplies {
-		err = c.readHeader(req)
+		err = p.readHead(c)
 		interrupted := w.stop()
 		if err != nil {
 			return nil, p.handleHeaderError(ctx, permit, c, req, err, interrupted)
@@ -125,7 +125,7 @@
 // readReply reads the complete reply of a cancelled sub-request.
 func (p *Pool) readReply(c *connection, req *http.Request) (r readResult) {
 	for range maxReplies {
-		if err := c.readHeader(req); err != nil {
+		if err := p.readHead(c); err != nil {
 			return readResult{err: err}
 		}
 		if r = p.read(c, req); !errors.Is(r.err, errLateCopy) {
@@ -143,6 +143,25 @@
 	return first
 }
 
+// readHead reads the head of the reply and looks up which sub-request it belongs to. After a reply to one that
+// the connection has not carried, the connection can't be trusted.
+func (p *Pool) readHead(c *connection) error {
+	if err := c.readHeader(); err != nil {
+		return err
+	}
+	c.late = false
+	if p.ReplyID == nil {
+		return nil
+	}
+	name := p.ReplyID(&Response{Status: c.head.status, Header: c.head.header})
+	id := xxhash.Sum64String(name)
+	c.late = id != c.current && c.sent.has(id)
+	if id != c.current && c.current != 0 && !c.late || c.late && c.closing {
+		return &ReplyError{Reason: Mismatched, Err: errors.Errorf("the reply is for request %q", name)}
+	}
+	return nil
+}
+
 // read reads the body of the reply and checks the reply.
 func (p *Pool) read(c *connection, req *http.Request) readResult {
 	body, err := c.readBody(p.maxBody(), p.AllowUnframed)
@@ -150,30 +169,20 @@
 		return readResult{err: err}
 	}
 	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
+	if c.late {
+		if p.OnSkipped != nil {
+			p.OnSkipped(c.address, res)
+		}
+		return readResult{err: &ReplyError{Reason: Mismatched, Err: errLateCopy}}
+	}
 	if p.CheckReply != nil {
 		if err := p.check(req, res); err != nil {
-			if p.isLateCopy(c, res) {
-				err = errLateCopy
-				if p.OnSkipped != nil {
-					p.OnSkipped(c.address, res)
-				}
-			}
 			return readResult{err: &ReplyError{Reason: Mismatched, Err: err}}
 		}
 	}
 	return readResult{response: res}
 }
 
-// isLateCopy reports whether a reply that belongs to another sub-request names one that the connection has
-// carried. After a reply with an unknown identity, the connection can't be trusted.
-func (p *Pool) isLateCopy(c *connection, res *Response) bool {
-	if p.ReplyID == nil || c.closing {
-		return false
-	}
-	id := xxhash.Sum64String(p.ReplyID(res))
-	return id != c.current && c.sent.has(id)
-}
-
 // check calls CheckReply. A panic in it counts as a mismatch, so that the connection is closed and
 // its place becomes free.
 func (p *Pool) check(req *http.Request, res *Response) (err error) {
--- a/limit/head.go
+++ b/limit/head.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"bufio"
 	"bytes"
 	"net/http"
 	"strconv"
@@ -53,8 +54,12 @@
 // head is the status line and the header of a reply.
 type head struct {
 	status int
+	// size is the number of bytes of the head.
+	size int
 	// length is the length of the body, negative if the header does not state it.
 	length int64
+	// chunked is true if the body is sent in chunks.
+	chunked bool
 	// close is true if the connection closes after the reply.
 	close  bool
 	header Header
@@ -84,11 +89,11 @@
 		}
 		h.status = 10*h.status + int(c-'0')
 	}
-	if h.status < http.StatusOK || h.status == http.StatusNoContent || h.status == http.StatusNotModified {
+	if isBodiless(h.status) {
 		return h, false
 	}
 	h.header.text = rest[:len(rest)-len("\r\n")]
-	h.length = -1
+	h.size, h.length = len(text), -1
 	for rest = h.header.text; rest != ""; {
 		line, rest, _ = strings.Cut(rest, "\r\n")
 		if !h.addField(line) {
@@ -98,6 +103,26 @@
 	return h, h.length >= 0
 }
 
+// parseUncommonHead parses any head with net/http. text ends with an empty line.
+func parseUncommonHead(text []byte) (head, error) {
+	source := bytes.NewReader(text)
+	reader := bufio.NewReaderSize(source, len(text))
+	res, err := http.ReadResponse(reader, nil) //nolint:bodyclose // the body is not in text
+	if err != nil {
+		return head{}, err
+	}
+	return head{
+		status: res.StatusCode, size: len(text) - reader.Buffered() - source.Len(), // net/http also accepts an empty line without a carriage return
+		length: res.ContentLength, chunked: len(res.TransferEncoding) > 0 && !isBodiless(res.StatusCode),
+		close: res.Close, header: NewHeader(res.Header),
+	}, nil
+}
+
+// isBodiless reports whether replies with the status have no body, whatever their header says.
+func isBodiless(status int) bool {
+	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // addField takes account of a header field. It reports false if the field is malformed or needs
 // net/http.
 func (h *head) addField(line string) bool {
--- a/limit/reply_test.go
+++ b/limit/reply_test.go
@@ -108,6 +108,52 @@
 	is.NoErr(err)
 }
 
+// identify makes the pool check the identity of replies.
+func (h *harness) identify() {
+	h.pool.ReplyID = func(res *Response) string { return res.Header.Get("Id") }
+	h.pool.CheckReply = func(req *http.Request, res *Response) error {
+		if res.Header.Get("Id") != req.Header.Get("Id") {
+			return errors.New("another identity")
+		}
+		return nil
+	}
+}
+
+// Guards against a sub-request that waits for the body of a reply which can't be its own.
+func TestUnknownIdentityIsRejectedBeforeTheBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length":  "Content-Length: 5\r\n",
+		"in chunks":      "Transfer-Encoding: chunked\r\n",
+		"without length": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: other\r\n"+head+"\r\n")
+				_, _ = conn.Read(make([]byte, 1)) // until the client closes the connection
+			})
+			h.pool.AllowUnframed = true
+			h.identify()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			req, err := http.NewRequest(http.MethodGet, "http://t0/", nil)
+			is.NoErr(err)
+			req.Header.Set("Id", "1")
+			bytes := []byte("GET / HTTP/1.1\r\nHost: t0\r\nId: 1\r\n\r\n")
+			_, err = h.pool.Send(ctx, h.acquire(t), &EncodedRequest{Request: req, Bytes: bytes, ID: "1"}, nil)
+			var reply *ReplyError
+			is.True(errors.As(err, &reply))
+			is.Equal(reply.Reason, Mismatched)
+			is.NoErr(ctx.Err())
+		})
+	}
+}
+
 // Guards against a connection that is closed, or a reply that passes for another, because a late copy of a reply comes
 // before the reply to a cancelled sub-request.
 func TestLateCopyAndCancellation(t *testing.T) {
@@ -142,13 +188,7 @@
 				}
 			})
 			h.pool.Clock = clockwork.NewRealClock()
-			h.pool.ReplyID = func(res *Response) string { return res.Header.Get("Id") }
-			h.pool.CheckReply = func(req *http.Request, res *Response) error {
-				if res.Header.Get("Id") != req.Header.Get("Id") {
-					return errors.New("another identity")
-				}
-				return nil
-			}
+			h.identify()
 			query := func(ctx context.Context, id string) (*Response, error) {
 				permit, err := h.pool.Acquire(t.Context(), h.target)
 				is.NoErr(err)
