Answer HEAD on routes to one service

What callers saw: a HEAD whose answer states a Content-Length above 0 ended as 502 after all attempts of its route. Each attempt closed its connection and counted as a repeat. Where the target stated no length, or chunks, the answer stated a length of 0.

Cause: the pool read as many bytes as the head states, but an answer to HEAD has no body. The response stated the length of the body that it had.

Change: the pool reads no body after a reply to HEAD. Such a reply has no end other than its head, so the connection stays usable without a length too. The response to HEAD states the length that the target has stated, or none. As before, replies with 1xx, 204 and 304 have no body, whatever their head states; a malformed Content-Length on one of these now counts as malformed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -60,8 +60,8 @@
 	interruption func()
 	// head is that of the reply that is being read; readBody reads its body.
 	head head
-	// late is true if that reply is a late copy of an earlier one.
-	late bool
+	// late is true if that reply is a late copy of an earlier one, bodiless if it has no body.
+	late, bodiless bool
 	// sent holds the IDs of the sub-requests that the connection has carried, current is the latest one.
 	sent    sentIDs
 	current uint64
@@ -238,11 +238,25 @@
 	}
 }
 
+// expectBody notes whether the reply has a body: that follows from its status and from the method of the request
+// that it belongs to.
+func (c *connection) expectBody(method string) {
+	c.bodiless = method == http.MethodHead || isBodiless(c.head.status)
+	if !c.bodiless && !c.head.chunked && c.head.length < 0 {
+		c.closing = true // the body ends with the connection
+	}
+}
+
 // readBody reads the complete body of the reply. It does not close the body: that would
 // continue to read after an error, and the connection is closed in that case anyway.
 func (c *connection) readBody(limit int64, unframed bool) ([]byte, error) {
 	from := io.Reader(c.reader)
 	switch {
+	case c.bodiless:
+		if c.head.chunked {
+			c.discardHead()
+		}
+		return nil, nil
 	case c.head.length > limit:
 		return nil, &ReplyError{Reason: TooLarge}
 	case c.head.length >= 0:
@@ -274,5 +288,5 @@
 // bodyBuffered reports whether reading the body would not block.
 func (c *connection) bodyBuffered() bool {
 	n := c.head.length
-	return n >= 0 && n <= int64(c.reader.Buffered())
+	return c.bodiless || n >= 0 && n <= int64(c.reader.Buffered())
 }
--- a/limit/do.go
+++ b/limit/do.go
@@ -87,7 +87,7 @@
 		return nil, &LostError{Sent: c.raw.written > before, Err: err}
 	}
 	for range maxReplies {
-		err = p.readHead(c)
+		err = p.readHead(c, req)
 		interrupted := w.stop()
 		if err != nil {
 			return nil, p.handleHeaderError(ctx, permit, c, req, err, interrupted)
@@ -125,7 +125,7 @@
 // readReply reads the complete reply of a cancelled sub-request.
 func (p *Pool) readReply(c *connection, req *http.Request) (r readResult) {
 	for range maxReplies {
-		if err := p.readHead(c); err != nil {
+		if err := p.readHead(c, req); err != nil {
 			return readResult{err: err}
 		}
 		if r = p.read(c, req); !errors.Is(r.err, errLateCopy) {
@@ -145,17 +145,20 @@
 
 // readHead reads the head of the reply and looks up which sub-request it belongs to. After a reply to one that
 // the connection has not carried, the connection can't be trusted.
-func (p *Pool) readHead(c *connection) error {
+func (p *Pool) readHead(c *connection, req *http.Request) error {
 	if err := c.readHeader(); err != nil {
 		return err
 	}
-	c.late = false
-	if p.ReplyID == nil {
-		return nil
+	name, id, method := "", c.current, req.Method
+	if p.ReplyID != nil {
+		name = p.ReplyID(&Response{Status: c.head.status, Header: c.head.header})
+		id = xxhash.Sum64String(name)
 	}
-	name := p.ReplyID(&Response{Status: c.head.status, Header: c.head.header})
-	id := xxhash.Sum64String(name)
 	c.late = id != c.current && c.sent.has(id)
+	if c.late {
+		method = ""
+	}
+	c.expectBody(method)
 	if id != c.current && c.current != 0 && !c.late || c.late && c.closing {
 		return &ReplyError{Reason: Mismatched, Err: errors.Errorf("the reply is for request %q", name)}
 	}
--- a/limit/head.go
+++ b/limit/head.go
@@ -56,7 +56,8 @@
 	status int
 	// size is the number of bytes of the head.
 	size int
-	// length is the length of the body, negative if the header does not state it.
+	// length is the length of the body, negative if the header does not state it. A reply without a body
+	// may state the one that another reply would have.
 	length int64
 	// chunked is true if the body is sent in chunks.
 	chunked bool
@@ -103,11 +104,14 @@
 	return h, h.length >= 0
 }
 
+// headRequest makes net/http parse a head without regard to the body that follows it.
+var headRequest = &http.Request{Method: http.MethodHead}
+
 // parseUncommonHead parses any head with net/http. text ends with an empty line.
 func parseUncommonHead(text []byte) (head, error) {
 	source := bytes.NewReader(text)
 	reader := bufio.NewReaderSize(source, len(text))
-	res, err := http.ReadResponse(reader, nil) //nolint:bodyclose // the body is not in text
+	res, err := http.ReadResponse(reader, headRequest) //nolint:bodyclose // there is none
 	if err != nil {
 		return head{}, err
 	}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -129,19 +129,26 @@
 
 // writeReply sends the reply of a target to the caller.
 func (s *Service) writeReply(w http.ResponseWriter, j *job, res *limit.Response) {
+	fields := res.Header.Fields()
 	h := w.Header()
-	for name, values := range endToEndHeaders(res.Header.Fields()) {
+	for name, values := range endToEndHeaders(fields) {
 		h[name] = values
 	}
 	h.Set(s.Headers.Request, j.id)
-	setLength(h, len(res.Body))
+	setLength(h, j.Method, fields.Get("Content-Length"), len(res.Body))
 	w.WriteHeader(res.Status)
 	_, _ = w.Write(res.Body) // an error means that the caller has left
 }
 
-// setLength sets the length of the body of a response.
-func setLength(h http.Header, length int) {
-	h.Set("Content-Length", strconv.Itoa(length))
+// setLength sets the length of a response with a body of the length. The response to HEAD has the length that is
+// stated, if any. net/http omits the length where the status excludes a body.
+func setLength(h http.Header, method, stated string, length int) {
+	switch {
+	case method != http.MethodHead:
+		h.Set("Content-Length", strconv.Itoa(length))
+	case stated != "":
+		h.Set("Content-Length", stated)
+	}
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // prevents net/http from detecting a type
 	}
