Read a late copy by the method of its own request

With HEAD, a copy of its answer before the reply to a GET would take that reply for its body, and the body of the copy of an answer to GET before the reply to a HEAD would be taken for a head: the request fails and the connection is closed.

Cause: whether a reply has a body was decided by the request that waits.

A connection that has carried an identity with HEAD is not used for the same identity with another method, or the other way round, because the identity would not tell the two replies apart. A copy that ends only with the connection still closes it.

TestLateCopyAcrossMethods: without the lookup 6 of its 8 cases fail, without the choice of the connection the other 2.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -62,7 +62,7 @@
 	head head
 	// late is true if that reply is a late copy of an earlier one, bodiless if it has no body.
 	late, bodiless bool
-	// sent holds the IDs of the sub-requests that the connection has carried, current is the latest one.
+	// sent holds the IDs and methods of the sub-requests that the connection has carried, current is the latest ID.
 	sent    sentIDs
 	current uint64
 	// closing is true if the connection closes after the reply.
@@ -238,10 +238,10 @@
 	}
 }
 
-// expectBody notes whether the reply has a body: that follows from its status and from the method of the request
-// that it belongs to.
-func (c *connection) expectBody(method string) {
-	c.bodiless = method == http.MethodHead || isBodiless(c.head.status)
+// expectBody notes whether the reply has a body: that follows from its status, and from whether the method of the
+// sub-request that it belongs to is HEAD.
+func (c *connection) expectBody(head bool) {
+	c.bodiless = head || isBodiless(c.head.status)
 	if !c.bodiless && !c.head.chunked && c.head.length < 0 {
 		c.closing = true // the body ends with the connection
 	}
--- a/limit/do.go
+++ b/limit/do.go
@@ -41,7 +41,7 @@
 	if e.ID == "" {
 		return wanted{}
 	}
-	return wanted{id: xxhash.Sum64String(e.ID), fresh: e.Once}
+	return wanted{id: xxhash.Sum64String(e.ID), fresh: e.Once, head: e.Request.Method == http.MethodHead}
 }
 
 // Do encodes the request and sends it; see Send. The error is a *LostError.
@@ -76,7 +76,7 @@
 		}
 	}
 	req, before := encoded.Request, c.raw.written
-	c.sent.add(wanted.id)
+	c.sent.add(wanted.id, wanted.head)
 	c.current = wanted.id
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
@@ -143,23 +143,24 @@
 	return first
 }
 
-// readHead reads the head of the reply and looks up which sub-request it belongs to. After a reply to one that
-// the connection has not carried, the connection can't be trusted.
+// readHead reads the head of the reply and looks up which sub-request it belongs to: whether it has a body depends on
+// the method of that. After a reply to one that the connection has not carried, the connection can't be trusted.
 func (p *Pool) readHead(c *connection, req *http.Request) error {
 	if err := c.readHeader(); err != nil {
 		return err
 	}
-	name, id, method := "", c.current, req.Method
+	name, id, head := "", c.current, req.Method == http.MethodHead
 	if p.ReplyID != nil {
 		name = p.ReplyID(&Response{Status: c.head.status, Header: c.head.header})
 		id = xxhash.Sum64String(name)
 	}
 	c.late = id != c.current && c.sent.has(id)
 	if c.late {
-		method = ""
+		head, _ = c.sent.find(id)
 	}
-	c.expectBody(method)
-	if id != c.current && c.current != 0 && !c.late || c.late && c.closing {
+	c.expectBody(head)
+	known := c.late || id == c.current || c.current == 0 // without an ID, only CheckReply can tell
+	if !known || c.late && c.closing {
 		return &ReplyError{Reason: Mismatched, Err: errors.Errorf("the reply is for request %q", name)}
 	}
 	return nil
--- a/limit/open.go
+++ b/limit/open.go
@@ -34,9 +34,15 @@
 	// fresh excludes the connections that have carried the id: a late copy of the reply to the
 	// earlier sending would pass for the reply to this one.
 	fresh bool
+	// head is true if the method is HEAD. It excludes the connections that have carried the id with another
+	// method: nothing would tell whether a late copy of that reply has a body.
+	head bool
 }
 
-func (w wanted) accepts(c *connection) bool { return !w.fresh || w.prefers(c) }
+func (w wanted) accepts(c *connection) bool {
+	head, carried := c.sent.find(w.id)
+	return !carried || !w.fresh && head == w.head
+}
 
 // prefers reports whether the connection has not carried the id.
 func (w wanted) prefers(c *connection) bool { return w.id == 0 || !c.sent.has(w.id) }
--- a/limit/sent_test.go
+++ b/limit/sent_test.go
@@ -1,9 +1,15 @@
 package limit
 
 import (
+	"bufio"
+	"errors"
+	"io"
 	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 )
 
@@ -45,14 +51,112 @@
 func TestSentIDs(t *testing.T) {
 	is := is.New(t)
 	var s sentIDs
-	s.add(0)
+	s.add(0, false)
 	is.Equal(len(s.ids), 0)
 	const n = 3 * maxSentIDs
 	for id := range uint64(n) {
-		s.add(id + 1)
+		s.add(id+1, id%3 == 0)
 	}
 	is.Equal(len(s.ids), maxSentIDs)
 	is.True(s.has(n))
 	is.True(s.has(n - maxSentIDs + 1))
 	is.True(!s.has(n - maxSentIDs))
+	for id := uint64(n - maxSentIDs); id < n; id++ {
+		head, ok := s.find(id + 1)
+		is.True(ok)
+		is.Equal(head, id%3 == 0)
+	}
+	_, ok := s.find(n - maxSentIDs)
+	is.True(!ok)
+}
+
+// copyingTarget answers each request on a connection with the reply of its method. Before each reply but the first, it
+// sends a copy of the one before.
+type copyingTarget struct{ head, get string }
+
+func (f copyingTarget) serve(w http.ResponseWriter, r *http.Request) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	for last := ""; err == nil; r, err = http.ReadRequest(buffer.Reader) {
+		reply := f.get
+		if r.Method == http.MethodHead {
+			reply = f.head
+		}
+		start, rest, _ := strings.Cut(reply, "\r\n")
+		_, _ = io.WriteString(conn, last)
+		last = start + "\r\nId: " + r.Header.Get("Id") + "\r\n" + rest
+		_, _ = io.WriteString(conn, last)
+	}
+}
+
+// Guards against a late copy that is read by the method of another request: the copy of an answer to HEAD would take
+// the next reply for its body, and the body of the copy of an answer to GET would be taken for a head.
+func TestLateCopyAcrossMethods(t *testing.T) {
+	const (
+		length     = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+		chunked    = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		none       = "HTTP/1.1 200 OK\r\n\r\n"
+		unmodified = "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n"
+	)
+	type step struct{ method, id, body string }
+	head := func(id string) step { return step{http.MethodHead, id, ""} }
+	get := func(id, body string) step { return step{http.MethodGet, id, body} }
+	for _, tt := range []struct {
+		name   string
+		target copyingTarget
+		steps  []step
+		dials  int64
+	}{
+		{"HEAD before GET", copyingTarget{length, length + "body"}, []step{head("1"), get("2", "body"), get("3", "body")}, 1},
+		{"GET before HEAD", copyingTarget{length, length + "body"}, []step{get("1", "body"), head("2"), head("3")}, 1},
+		{"by turns", copyingTarget{length, length + "body"}, []step{head("1"), get("2", "body"), head("3"), get("4", "body")}, 1},
+		{"chunks", copyingTarget{chunked, chunked + "4\r\nbody\r\n0\r\n\r\n"}, []step{head("1"), get("2", "body"), head("3"), head("4")}, 1},
+		{"HEAD without a length", copyingTarget{none, length + "body"}, []step{head("1"), get("2", "body"), head("3")}, 1},
+		{"not modified", copyingTarget{length, unmodified}, []step{get("1", ""), head("2"), get("3", "")}, 1},
+		{"the same identity, HEAD before GET", copyingTarget{length, length + "body"}, []step{head("1"), get("1", "body")}, 2},
+		{"the same identity, GET before HEAD", copyingTarget{length, length + "body"}, []step{get("1", "body"), head("1")}, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, 1, tt.target.serve)
+			h.identify()
+			skipped := 0
+			h.pool.OnSkipped = func(netip.AddrPort, *Response) { skipped++ }
+			for _, step := range tt.steps {
+				permit := h.acquire(t)
+				req, err := http.NewRequest(step.method, "http://t0/", nil)
+				is.NoErr(err)
+				req.Header.Set("Id", step.id)
+				bytes := []byte(step.method + " / HTTP/1.1\r\nHost: t0\r\nId: " + step.id + "\r\n\r\n")
+				res, err := h.pool.Send(t.Context(), permit, &EncodedRequest{Request: req, Bytes: bytes, ID: step.id}, nil)
+				is.NoErr(err)
+				is.Equal(string(res.Body), step.body)
+				is.Equal(res.Header.Get("Id"), step.id)
+				permit.Release(Succeeded)
+			}
+			is.Equal(h.dials.Load(), tt.dials)
+			is.Equal(skipped, len(tt.steps)-int(tt.dials))
+		})
+	}
+}
+
+// Guards against a late copy whose end only the connection shows and that is skipped: the reply behind it would be a
+// part of it.
+func TestLateCopyWithoutLengthClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	c := &connection{reader: bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbodyHTTP/1.1 200 OK\r\nId: 2\r\n\r\n"))}
+	p := &Pool{AllowUnframed: true, ReplyID: func(res *Response) string { return res.Header.Get("Id") }}
+	for _, id := range []string{"1", "2"} {
+		c.current = xxhash.Sum64String(id)
+		c.sent.add(c.current, false)
+	}
+	req, err := http.NewRequest(http.MethodHead, "http://t0/", nil)
+	is.NoErr(err)
+	var reply *ReplyError
+	is.True(errors.As(p.readHead(c, req), &reply))
+	is.Equal(reply.Reason, Mismatched)
+	is.True(!errors.Is(reply, errLateCopy))
 }
