Reject replies whose body holds the start of another reply

Callers saw 200 with the right identity and signature and a body that was not the target's: the bytes of a second reply were in it. On routes to shards its pieces were merged as records.

Cause: the end of a body was trusted whatever was in it. A body without a length takes everything up to the end of the connection, also a copy of the reply. A framed body that breaks off on an open connection is filled up with the head of the copy. A chunk that breaks off where a line of the copy's head ends is completed by it too.

Such a reply is now rejected with the new fault "spliced", so that it is retried within the budget if the request is idempotent and fails with 502 otherwise. The search is a pure function of the body, of what is buffered behind it and of the identities that the connection has carried. Bodies that mention HTTP/1.1, status lines or replies to other requests are accepted.

Not detected: a copy without an identity of a reply that differs; one that the end of the body cuts within its first 10 bytes while the rest has not been received; one with another status that is cut before its identity.

relay TestReplyInsideBody breaks off at each byte of the body; all its cases, and those of TestReplyInsideBodyIsRetried, fail on. TestBodyMentionsReplies passes before and after.

--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -82,7 +83,7 @@
 func BenchmarkSubrequest(b *testing.B) {
 	b.Run("pool", func(b *testing.B) {
 		address := benchServer(b)
-		p := &Pool{}
+		p := &Pool{ReplyID: func(res *Response) string { return res.Header.Get("Wasabi-Request") }}
 		defer p.Close()
 		p.SetShares(map[string]Share{"t0": {Incarnation: "1", Address: netip.MustParseAddrPort(address), Connections: 32}})
 		target := &control.Target{Name: "t0", Incarnation: "1"}
@@ -111,3 +112,24 @@
 		})
 	})
 }
+
+// BenchmarkSplicing measures the search for another reply in a body without one: in text without the first letter of
+// a status line, and in text that repeats it.
+func BenchmarkSplicing(b *testing.B) {
+	p := &Pool{ReplyID: func(res *Response) string { return res.Header.Get("Id") }}
+	for _, text := range []string{"xx", "Hx"} {
+		for _, size := range []int{16, 512, 16 << 10} {
+			b.Run(text+"/"+strconv.Itoa(size), func(b *testing.B) {
+				c := newConnection(&countingConn{}, nil, netip.AddrPort{})
+				c.head = head{line: "HTTP/1.1 200 OK", length: int64(size)}
+				body := []byte(strings.Repeat(text, size/2))
+				b.ReportAllocs()
+				for b.Loop() {
+					if p.isSpliced(c, body) {
+						b.Fatal("spliced")
+					}
+				}
+			})
+		}
+	}
+}
--- a/limit/do.go
+++ b/limit/do.go
@@ -172,6 +172,9 @@
 	if err != nil {
 		return readResult{err: err}
 	}
+	if p.isSpliced(c, body) {
+		return readResult{err: &ReplyError{Reason: Spliced}}
+	}
 	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
 	if c.late {
 		if p.OnSkipped != nil {
--- a/limit/head.go
+++ b/limit/head.go
@@ -53,6 +53,8 @@
 
 // head is the status line and the header of a reply.
 type head struct {
+	// line is the status line without its line break.
+	line   string
 	status int
 	// size is the number of bytes of the head.
 	size int
@@ -93,7 +95,7 @@
 	if isBodiless(h.status) {
 		return h, false
 	}
-	h.header.text = rest[:len(rest)-len("\r\n")]
+	h.line, h.header.text = line, rest[:len(rest)-len("\r\n")]
 	h.size, h.length = len(text), -1
 	for rest = h.header.text; rest != ""; {
 		line, rest, _ = strings.Cut(rest, "\r\n")
@@ -116,7 +118,7 @@
 		return head{}, err
 	}
 	return head{
-		status: res.StatusCode, size: len(text) - reader.Buffered() - source.Len(), // net/http also accepts an empty line without a carriage return
+		line: res.Proto + " " + res.Status, status: res.StatusCode, size: len(text) - reader.Buffered() - source.Len(), // net/http also accepts an empty line without a carriage return
 		length: res.ContentLength, chunked: len(res.TransferEncoding) > 0 && !isBodiless(res.StatusCode),
 		close: res.Close, header: NewHeader(res.Header),
 	}, nil
--- /dev/null
+++ b/limit/splice.go
@@ -0,0 +1,165 @@
+package limit
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// statusForm is the start of a status line, in which 0 stands for any digit.
+const statusForm = "HTTP/1.0 000"
+
+var (
+	// versionPrefix begins all status lines.
+	versionPrefix = []byte("HTTP/1.")
+	lineEnd       = []byte("\r\n")
+)
+
+// minCutStatus is the least number of bytes of a status line at the end of a body that count as the start of
+// another reply although nothing follows: a text may well end with "HTTP/1.1".
+const minCutStatus = len("HTTP/1.0 0")
+
+// splicing finds the start of another reply inside a body. It gets there if a reply without a length is followed
+// by a copy, or if a reply breaks off and a copy follows on the same connection. A body that only mentions
+// status lines or contains replies to other requests is no such case.
+type splicing struct {
+	// own is the status line of the reply that the body belongs to.
+	own string
+	// replyID is Pool.ReplyID.
+	replyID func(*Response) string
+	// known reports whether the connection has carried the sub-request with the ID.
+	known func(id string) bool
+}
+
+// in reports whether another reply starts in the body. behind is what has been received after the body.
+func (s *splicing) in(body, behind []byte) bool {
+	for from := 0; ; {
+		i := bytes.Index(body[from:], versionPrefix)
+		if i < 0 {
+			break
+		}
+		spliced, examined := s.at(body, from+i, behind)
+		if spliced {
+			return true
+		}
+		from = min(from+i+examined, len(body))
+	}
+	if len(behind) == 0 {
+		return false
+	}
+	for i := max(0, len(body)-len(versionPrefix)+1); i < len(body); i++ {
+		if bytes.HasPrefix(versionPrefix, body[i:]) {
+			if spliced, _ := s.at(body, i, behind); spliced {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// at reports whether another reply starts at the index of the body, and how many bytes of the body that holds
+// for in any case.
+func (s *splicing) at(body []byte, start int, behind []byte) (spliced bool, examined int) {
+	text := body[start:]
+	if len(text) < readBufferSize && len(behind) > 0 {
+		text = append(bytes.Clone(text), behind...)
+	}
+	whole := len(text) <= readBufferSize
+	text = text[:min(len(text), readBufferSize)]
+	if !isStatus(text) {
+		return whole && len(text) >= minCutStatus && strings.HasPrefix(s.own, string(text)), 1
+	}
+	line, rest, ended := bytes.Cut(text, lineEnd)
+	if !ended {
+		return whole && strings.HasPrefix(s.own+"\r", string(line)), len(versionPrefix)
+	}
+	fields, rest, state := cutFields(rest)
+	header := Header{text: string(fields)}
+	id := s.replyID(&Response{Header: header})
+	switch {
+	case id != "" && s.known(id):
+		return true, 0
+	case state == fieldsCut && whole && string(line) == s.own:
+		return true, 0
+	case state == fieldsEnded && id == "" && repeats(body[:start], rest):
+		return true, 0
+	}
+	return false, len(line)
+}
+
+// repeats reports whether the text after a head begins like the one before it.
+func repeats(before, after []byte) bool {
+	n := min(len(before), len(after))
+	return n > 0 && bytes.Equal(before[:n], after[:n])
+}
+
+// fieldsState says what follows the last field.
+type fieldsState int
+
+const (
+	// fieldsEnded means the empty line that ends a head.
+	fieldsEnded fieldsState = iota
+	// fieldsCut means the end of the text, perhaps within a field.
+	fieldsCut
+	// fieldsBroken means a line that is no field.
+	fieldsBroken
+)
+
+// cutFields returns the complete fields that the text begins with, each with its line break, and what follows
+// them.
+func cutFields(text []byte) (fields, rest []byte, state fieldsState) {
+	for rest = text; ; {
+		line, next, ended := bytes.Cut(rest, lineEnd)
+		fields = text[:len(text)-len(rest)]
+		switch {
+		case !ended:
+			if isFieldStart(string(line)) {
+				return fields, rest, fieldsCut
+			}
+			return fields, rest, fieldsBroken
+		case len(line) == 0:
+			return fields, next, fieldsEnded
+		case !isField(string(line)):
+			return fields, rest, fieldsBroken
+		}
+		rest = next
+	}
+}
+
+func isField(line string) bool {
+	name, value, ok := strings.Cut(line, ":")
+	return ok && isToken(name) && isFieldValue(value)
+}
+
+// isFieldStart reports whether the line can be the start of a field or of an empty line.
+func isFieldStart(line string) bool {
+	line = strings.TrimSuffix(line, "\r")
+	return line == "" || isToken(line) || isField(line)
+}
+
+// isStatus reports whether the text begins with a status line, complete up to its status.
+func isStatus(text []byte) bool {
+	if len(text) < len(statusForm) {
+		return false
+	}
+	for i := range len(statusForm) {
+		if c := text[i]; c != statusForm[i] && (statusForm[i] != '0' || c < '0' || c > '9') {
+			return false
+		}
+	}
+	return len(text) == len(statusForm) || text[len(statusForm)] == ' ' || text[len(statusForm)] == '\r'
+}
+
+// isSpliced reports whether another reply starts in the body that was read from the connection.
+func (p *Pool) isSpliced(c *connection, body []byte) bool {
+	if p.ReplyID == nil || len(body) == 0 {
+		return false
+	}
+	s := splicing{own: c.head.line, replyID: p.ReplyID, known: func(id string) bool { return c.sent.has(xxhash.Sum64String(id)) }}
+	var behind []byte
+	if c.head.length >= 0 {
+		behind, _ = c.reader.Peek(c.reader.Buffered())
+	}
+	return s.in(body, behind)
+}
--- /dev/null
+++ b/limit/splice_test.go
@@ -0,0 +1,94 @@
+package limit
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	spliceLine = "HTTP/1.1 200 OK"
+	spliceHead = spliceLine + "\r\nId: mine\r\nContent-Length: 8\r\n\r\n"
+)
+
+// testSplicing belongs to a connection that has carried the sub-requests "mine" and "earlier".
+func testSplicing() *splicing {
+	return &splicing{
+		own:     spliceLine,
+		replyID: func(res *Response) string { return res.Header.Get("Id") },
+		known:   func(id string) bool { return id == "mine" || id == "earlier" },
+	}
+}
+
+// Guards against a body that holds the start of another reply, and against rejecting one that only mentions
+// status lines.
+func TestSplicing(t *testing.T) {
+	for _, tt := range []struct {
+		name, body, behind string
+		want               bool
+	}{
+		{"empty", "", "", false},
+		{"plain", "12345678", "", false},
+		{"a copy behind the body", "12345678", spliceHead + "12345678", false},
+		{"own copy", "12345678" + spliceHead + "12345678", "", true},
+		{"own copy from the start", spliceHead + "12345678", "", true},
+		{"copy of an earlier reply", "1234HTTP/1.0 503 Busy\r\nid:\tearlier \r\n\r\n", "", true},
+		{"an unknown identity", "1234HTTP/1.1 200 OK\r\nId: theirs\r\n\r\n5678", "", false},
+		{"no identity", "1234HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n5678", "", false},
+		{"no identity, the body again", "1234HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n1234", "", true},
+		{"identity after the fields", "1234HTTP/1.1 200 OK\r\n\r\nId: mine\r\n\r\n", "", false},
+		{"identity after a line that is no field", "1234HTTP/1.1 200 OK\r\nsome text\r\nId: mine\r\n\r\n", "", false},
+		{"a part of the identity", "1234HTTP/1.1 200 OK\r\nX: y\r\nId: mine2\r\n\r\n", "", false},
+		{"mention", "they speak HTTP/1.1 200 times a day", "", false},
+		{"mention at the end", "they speak HTTP/1.1", "", false},
+		{"mention of a line", "it said HTTP/1.1 200 OK\r\nand no more", "", false},
+		{"status without a space", "HTTP/1.1 2000\r\nId: mine\r\n\r\n", "", false},
+		{"cut in the version", "1234567H", "", false},
+		{"cut in the version, the rest behind", "1234567H", spliceHead[1:], true},
+		{"cut after the version, the rest behind", "1" + spliceHead[:7], spliceHead[7:], true},
+		{"cut in the identity, the rest behind", "1" + spliceHead[:20], spliceHead[20:], true},
+		{"cut in the status, other bytes behind", "1HTTP/1.1 200", " and no more\r\n\r\n", false},
+		{"cut in the version, other bytes behind", "1234567H", "ello", false},
+		{"cut in the status", "123HTTP/1.1 2", "", true},
+		{"cut in another status", "123HTTP/1.1 5", "", false},
+		{"cut in the reason", "123HTTP/1.1 200 O", "", true},
+		{"cut in the line break", "123HTTP/1.1 200 OK\r", "", true},
+		{"cut in another reason", "123HTTP/1.1 200 No", "", false},
+		{"cut in a name", "123HTTP/1.1 200 OK\r\nConte", "", true},
+		{"cut in a value", "123HTTP/1.1 200 OK\r\nX: y\r\nId: mi", "", true},
+		{"cut before the empty line", "123HTTP/1.1 200 OK\r\nX: y\r\n\r", "", true},
+		{"cut after binary text", "123HTTP/1.1 200 OK\r\nX: \x00", "", false},
+		{"copy in the head of a copy", "123HTTP/1.1 200 OK\r\nId: theirs\r\nX: " + spliceHead, "", true},
+		{"too long for a head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", readBufferSize), "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(testSplicing().in([]byte(tt.body), []byte(tt.behind)), tt.want)
+		})
+	}
+}
+
+// Guards against a splice that is missed at some byte, and against rejecting a body without a status line.
+func FuzzSplicing(f *testing.F) {
+	f.Add([]byte("12345678"), uint16(4), uint16(70), uint16(10))
+	f.Add([]byte("12345678"), uint16(0), uint16(40), uint16(1))
+	f.Add([]byte("HTTP/1.1 HTTP/1.1 200 "), uint16(22), uint16(36), uint16(36))
+	f.Add([]byte("\r\n\x00"), uint16(2), uint16(500), uint16(500))
+	f.Fuzz(func(t *testing.T, body []byte, cut, received, in uint16) {
+		is := is.New(t)
+		s := testSplicing()
+		if !bytes.Contains(body, versionPrefix) {
+			is.True(!s.in(body, nil))
+		}
+		// The reply breaks off, and a part of a copy follows, of which the body takes some bytes.
+		copied := append([]byte(spliceHead), body...)
+		start := int(cut) % (len(body) + 1)
+		n := 1 + int(received)%len(copied)
+		taken := 1 + int(in)%n
+		got := s.in(append(bytes.Clone(body[:start]), copied[:taken]...), copied[taken:n])
+		if n >= minCutStatus && !bytes.Contains(body[:start], []byte("HTTP/1.")) && !bytes.HasSuffix(body[:start], []byte("H")) {
+			is.True(got)
+		}
+	})
+}
--- /dev/null
+++ b/relay/splice_test.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// framedReply and unframedReply return a signed reply with the body, with a length and without.
+func framedReply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: sign\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headers.Signature, headers.Request, id, len(body), body)
+}
+
+func unframedReply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: sign\r\n%s: %s\r\n\r\n%s", headers.Signature, headers.Request, id, body)
+}
+
+func chunkedReply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: sign\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", headers.Signature, headers.Request, id, len(body), body)
+}
+
+// testBody returns a body that shows which request it belongs to.
+func testBody(id string) string { return strings.Repeat("<"+id+">", 20) }
+
+// serveReplies serves a connection with the bytes that reply returns for each request and for the one before it,
+// and closes it after those without a length.
+func serveReplies(reply func(id, last string) (text string, closing bool)) func(net.Conn) {
+	return func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for last := ""; ; {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id := r.Header.Get(headers.Request)
+			text, closing := reply(id, last)
+			if _, err := io.WriteString(conn, text); err != nil || closing {
+				return
+			}
+			last = id
+		}
+	}
+}
+
+// Guards against a success whose body holds another reply: the target sends a second one behind a reply without
+// a length, or behind one that breaks off in its body.
+func TestReplyInsideBody(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// cut is where the body breaks off; copied is the identity of the second reply.
+		reply func(id, copied string, cut int) (text string, closing bool)
+	}{
+		{"without length", func(id, copied string, _ int) (string, bool) {
+			return unframedReply(id, testBody(id)) + framedReply(copied, testBody(copied)), true
+		}},
+		{"broken off without length", func(id, copied string, cut int) (string, bool) {
+			body := testBody(id)
+			return unframedReply(id, body[:cut]) + framedReply(copied, testBody(copied)), true
+		}},
+		{"broken off with a length", func(id, copied string, cut int) (string, bool) {
+			text := framedReply(id, testBody(id))
+			return text[:len(text)-len(testBody(id))+cut] + framedReply(copied, testBody(copied)), false
+		}},
+		{"broken off in a chunk", func(id, copied string, cut int) (string, bool) {
+			text := chunkedReply(id, testBody(id))
+			start := strings.Index(text, testBody(id))
+			return text[:start+cut] + chunkedReply(copied, testBody(copied)), false
+		}},
+	} {
+		for _, earlier := range []bool{false, true} {
+			t.Run(fmt.Sprint(tt.name, ", earlier ", earlier), func(t *testing.T) {
+				is := is.New(t)
+				var cut atomic.Int64
+				spliced := 0
+				h := newRawHarness(t, 1, serveReplies(func(id, last string) (string, bool) {
+					switch {
+					case earlier && last == "":
+						return framedReply(id, testBody(id)), false
+					case earlier:
+						return tt.reply(id, last, int(cut.Load()))
+					}
+					return tt.reply(id, id, int(cut.Load()))
+				}))
+				length := len(testBody("r100"))
+				for at := range length {
+					cut.Store(int64(at))
+					for i := range 2 {
+						id := fmt.Sprint("r", 100+2*at+i)
+						res, body := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, id) })
+						if res.StatusCode == http.StatusOK {
+							is.Equal(body, testBody(id))
+						} else {
+							is.Equal(res.StatusCode, http.StatusBadGateway)
+							spliced++
+						}
+					}
+				}
+				is.True(spliced >= length)
+			})
+		}
+	}
+}
+
+// spliced makes the target send a second reply behind one without a length.
+func (f *fakeTarget) spliced() *fakeTarget {
+	f.reply = func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		id := r.Header.Get(headers.Request)
+		_, _ = io.WriteString(conn, unframedReply(id, string(record("x")))+framedReply(id, string(record("x"))))
+	}
+	return f
+}
+
+// Guards against an idempotent request that fails because of one reply that holds another, and against records
+// of a merged response that are parts of a head.
+func TestReplyInsideBodyIsRetried(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		h    *harness
+	}{
+		{"one service", newHarness(t, singleRoute(true, 2), newTarget("a", "s1").spliced(), newTarget("b", "s1").records("y"))},
+		{"shards", newHarness(t, shardsRoute(1, "s1"), newTarget("a", "s1").spliced(), newTarget("b", "s1").records("y"))},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range 8 {
+				res, body := tt.h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.Equal(body, string(record("y")))
+			}
+		})
+	}
+}
+
+// Guards against a body that is rejected because it mentions replies: of no request, of another one, or in part.
+func TestBodyMentionsReplies(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1", "GET / HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n", framedReply("another", "x"), "HTTP/1.1 200 OK: it went well",
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			h := newRawHarness(t, 1, serveReplies(func(id, _ string) (string, bool) { return framedReply(id, "it said "+text), false }))
+			res, body := h.get(t, nil)
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(body, "it said "+text)
+		})
+	}
+}
