Reject replies whose head holds the start of another reply

Callers got 200 with a signature such as "3e1bHTTP/1.1 200 OK", or a failure's body and fields with the status 200 and the signature of a reply that had broken off in its head.

Cause: if a target breaks off within a field or the reason and sends another reply on the same connection, the other status line becomes the end of that value, and the two heads parse as one. Breaks elsewhere are malformed.

A head that holds a status line with a status is now rejected as "spliced". A field that only names a version ("Via: HTTP/1.1 proxy") is not. An identity or a signature that occurs twice is no sign of its own: the status line of the second reply always precedes it.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -185,6 +185,9 @@
 	if err != nil {
 		return err
 	}
+	if isHeadSpliced(text) {
+		return &ReplyError{Reason: Spliced}
+	}
 	h, ok := parseHead(text)
 	if !ok {
 		if h, err = parseUncommonHead(text); err != nil {
--- a/limit/errors.go
+++ b/limit/errors.go
@@ -94,7 +94,7 @@
 	NoLength Fault = "without length"
 	// Mismatched means that the reply belongs to another request.
 	Mismatched Fault = "crossed"
-	// Spliced means that another reply starts inside the body.
+	// Spliced means that another reply starts inside the head or the body.
 	Spliced Fault = "spliced"
 	// Malformed means that the header is not HTTP/1.1 or exceeds 8 KiB.
 	Malformed Fault = "malformed"
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -151,6 +151,21 @@
 	return len(text) == len(statusForm) || text[len(statusForm)] == ' ' || text[len(statusForm)] == '\r'
 }
 
+// isHeadSpliced reports whether a head holds the status line of another reply: it has broken off there.
+func isHeadSpliced(head []byte) bool {
+	for from := 1; from < len(head); {
+		i := bytes.Index(head[from:], versionPrefix)
+		if i < 0 {
+			return false
+		}
+		if isStatus(head[from+i:]) {
+			return true
+		}
+		from += i + 1
+	}
+	return false
+}
+
 // isSpliced reports whether another reply starts in the body that was read from the connection.
 func (p *Pool) isSpliced(c *connection, body []byte) bool {
 	if p.ReplyID == nil || len(body) == 0 {
--- a/limit/splice_test.go
+++ b/limit/splice_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// Guards against a head that breaks off and goes on with the one of another reply, and against rejecting fields
+// that only name a version.
+func TestIsHeadSpliced(t *testing.T) {
+	for _, tt := range []struct {
+		head string
+		want bool
+	}{
+		{spliceHead, false},
+		{"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n", false},
+		{"HTTP/1.1 200 OK\r\nUpgrade: HTTP/1.1\r\n\r\n", false},
+		{"HTTP/1.1 200 OK\r\nSign: 3e1bHTTP/1.1 200 OK\r\nSign: 3e1b\r\n\r\n", true},
+		{"HTTP/1.1 200 OK\r\nSign:HTTP/1.0 503\r\n\r\n", true},
+		{"HTTP/1.1 200 OKHTTP/1.1 503 Busy\r\n\r\n", true},
+		{"HHTTP/1.1 200 OK\r\n\r\n", true},
+		{"HTTP/1.1 200 OK\r\nSign: HTTP/1.HTTP/1.1 200 OK\r\n\r\n", true},
+	} {
+		t.Run(tt.head, func(t *testing.T) { is.New(t).Equal(isHeadSpliced([]byte(tt.head)), tt.want) })
+	}
+}
+
 // Guards against a splice that is missed at some byte, and against rejecting a body without a status line.
 func FuzzSplicing(f *testing.F) {
 	f.Add([]byte("12345678"), uint16(4), uint16(70), uint16(10))
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -158,3 +158,60 @@
 		})
 	}
 }
+
+// Guards against an answer that has the status or the signature of one reply and the rest of another: the target breaks
+// off in a head and sends a second reply.
+func TestReplyInsideHead(t *testing.T) {
+	const head = "HTTP/1.1 %s\r\n%s: %s\r\nX: y\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s"
+	signed := func(id, sign string) string {
+		return fmt.Sprintf(head, "200 OK", headers.Signature, sign, headers.Request, id, len(testBody(id)), testBody(id))
+	}
+	for _, tt := range []struct {
+		name string
+		// second is the second reply; its answer has the status, the signature and the body.
+		second func(id, last string) string
+		status int
+		sign   string
+	}{
+		{"of the same request", func(id, _ string) string { return signed(id, "two") }, http.StatusOK, "two"},
+		{"of an earlier request", func(_, last string) string { return signed(last, "two") }, http.StatusBadGateway, ""},
+		{"a failure", func(id, _ string) string {
+			return fmt.Sprintf(head, "500 Failed", headers.Signature, "two", headers.Request, id, 0, "")
+		}, http.StatusInternalServerError, "two"},
+		{"a refusal", func(id, _ string) string {
+			return fmt.Sprintf(head, "503 Busy", headers.NotRun, "1", headers.Request, id, 0, "")
+		}, http.StatusServiceUnavailable, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var cut atomic.Int64
+			h := newRawHarness(t, 1, serveReplies(func(id, last string) (string, bool) {
+				if last == "" {
+					return signed(id, "one"), false
+				}
+				return signed(id, "one")[:cut.Load()] + tt.second(id, last), false
+			}))
+			length := len(signed("r100", "one")) - len(testBody("r100"))
+			for at := range length {
+				cut.Store(int64(at))
+				for i := range 2 {
+					id := fmt.Sprint("r", 100+2*at+i)
+					res, body := h.get(t, func(r *http.Request) {
+						r.Header.Set(headers.Request, id)
+						r.Header.Set(headers.Timeout, "200")
+					})
+					sign := res.Header.Get(headers.Signature)
+					switch {
+					case res.StatusCode == http.StatusOK && sign == "one":
+						is.Equal(body, testBody(id))
+					case res.StatusCode == tt.status && sign == tt.sign:
+						is.True(tt.status != http.StatusOK || body == testBody(id))
+					default:
+						is.Equal(sign, "")
+						is.True(res.StatusCode == http.StatusBadGateway || res.StatusCode == http.StatusGatewayTimeout)
+					}
+				}
+			}
+		})
+	}
+}
