Keep other requests with the same identity off a connection

Callers that gave two requests to an idempotent route the same identity got the answer to the first one for the second: a target's late copy names the identity, and with few connections per target both requests use the same one.

Cause: a connection remembered identities only, and idempotent requests may use one that has carried theirs, whatever the request was.

Change: a connection also remembers a hash of the method, the target of the request, the headers and the body of what it may carry again. A request with an identity that it has carried and another hash, or after one that may run once, uses another connection. The same request is sent again as before, so that refused requests cost no new connections.

No file or message format has changed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -65,6 +65,8 @@
 	// sent holds the IDs and methods of the sub-requests that the connection has carried, current is the latest ID.
 	sent    sentIDs
 	current uint64
+	// repeatable holds the contents of those that it may carry again.
+	repeatable sentIDs
 	// closing is true if the connection closes after the reply.
 	closing bool
 	// expires is when the target closes the connection if it stays idle; zero if the target
--- a/limit/do.go
+++ b/limit/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 
@@ -31,6 +32,10 @@
 	// ID, if set, identifies the sub-request in its reply. If the same one is sent again, a
 	// connection that has carried it is used only if there is no other.
 	ID string
+	// Content is a hash that differs between sub-requests with the same ID and other content: such a
+	// sub-request never uses a connection that has carried the other. If it is 0, all sub-requests with the
+	// same ID count as the same.
+	Content uint64
 	// Once is true if the target may run the sub-request at most once. A connection that has
 	// carried the ID is then not used for it: a late copy of the reply to the earlier sending would
 	// pass for the reply to this one.
@@ -41,7 +46,8 @@
 	if e.ID == "" {
 		return wanted{}
 	}
-	return wanted{id: xxhash.Sum64String(e.ID), fresh: e.Once, head: e.Request.Method == http.MethodHead}
+	id := xxhash.Sum64String(e.ID)
+	return wanted{id: id, content: cmp.Or(e.Content, id), fresh: e.Once, head: e.Request.Method == http.MethodHead}
 }
 
 // Do encodes the request and sends it; see Send. The error is a *LostError.
@@ -77,6 +83,9 @@
 	}
 	req, before := encoded.Request, c.raw.written
 	c.sent.add(wanted.id, wanted.head)
+	if !wanted.fresh {
+		c.repeatable.add(wanted.content, wanted.head)
+	}
 	c.current = wanted.id
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
--- a/limit/open.go
+++ b/limit/open.go
@@ -31,6 +31,8 @@
 type wanted struct {
 	// id identifies the sub-request in its reply; 0 if nothing does.
 	id uint64
+	// content is a hash that also identifies the content of the sub-request.
+	content uint64
 	// fresh excludes the connections that have carried the id: a late copy of the reply to the
 	// earlier sending would pass for the reply to this one.
 	fresh bool
@@ -39,9 +41,11 @@
 	head bool
 }
 
+// accepts reports whether the connection may be used. One that has carried the id is accepted only if that
+// was the same sub-request: a late copy of the reply to another one would pass for the reply to this one.
 func (w wanted) accepts(c *connection) bool {
 	head, carried := c.sent.find(w.id)
-	return !carried || !w.fresh && head == w.head
+	return !carried || !w.fresh && head == w.head && c.repeatable.has(w.content)
 }
 
 // prefers reports whether the connection has not carried the id.
--- a/limit/sent_test.go
+++ b/limit/sent_test.go
@@ -13,8 +13,9 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a sub-request that may run once on a connection that has carried it, against one that
-// waits for ever because the share is used up, and against needless new connections for others.
+// Guards against a sub-request that may run once on a connection that has carried it, against one on a connection
+// that has carried another with the same identity, against one that waits for ever because the share is used up, and
+// against needless new connections for others.
 func TestSameIDUsesAnotherConnection(t *testing.T) {
 	for _, tt := range []struct {
 		name        string
@@ -22,22 +23,30 @@
 		once        bool
 		ids         []string
 		dials       int64
+		contents    []uint64 // 0 for all if nil
 	}{
-		{"different ones", 1, true, []string{"a", "b", "c"}, 1},
-		{"may run once, share of one", 1, true, []string{"a", "a", "b", "a"}, 3},
-		{"may run once", 4, true, []string{"a", "a", "b", "a"}, 3},
-		{"idempotent, share of one", 1, false, []string{"a", "a", "b"}, 1},
-		{"without an identity", 1, true, []string{"", "", ""}, 1},
+		{"different ones", 1, true, []string{"a", "b", "c"}, 1, nil},
+		{"may run once, share of one", 1, true, []string{"a", "a", "b", "a"}, 3, nil},
+		{"may run once", 4, true, []string{"a", "a", "b", "a"}, 3, nil},
+		{"idempotent, share of one", 1, false, []string{"a", "a", "b"}, 1, nil},
+		{"idempotent, the same content", 1, false, []string{"a", "a", "b", "a"}, 1, []uint64{1, 1, 2, 1}},
+		{"idempotent, other content", 1, false, []string{"a", "b", "a", "a", "a"}, 3, []uint64{1, 2, 3, 3, 1}},
+		{"idempotent, one of other content left", 2, false, []string{"a", "a", "a", "a"}, 2, []uint64{1, 2, 1, 2}},
+		{"without an identity", 1, true, []string{"", "", ""}, 1, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(t, tt.connections, echo)
-			for _, id := range tt.ids {
+			for i, id := range tt.ids {
+				var content uint64
+				if tt.contents != nil {
+					content = tt.contents[i]
+				}
 				permit := h.acquire(t)
 				req, err := http.NewRequest(http.MethodGet, "http://t0/", nil)
 				is.NoErr(err)
 				bytes := []byte("GET / HTTP/1.1\r\nHost: t0\r\n\r\n")
-				_, err = h.pool.Send(t.Context(), permit, &EncodedRequest{Request: req, Bytes: bytes, ID: id, Once: tt.once}, nil)
+				_, err = h.pool.Send(t.Context(), permit, &EncodedRequest{Request: req, Bytes: bytes, ID: id, Content: content, Once: tt.once}, nil)
 				is.NoErr(err)
 				permit.Release(Succeeded)
 			}
--- a/relay/message.go
+++ b/relay/message.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wasabirelay/control"
 	"wasabirelay/limit"
 )
@@ -16,9 +18,11 @@
 	// head is the request line and the headers without those that differ between targets.
 	head []byte
 	body []byte
-	// id identifies the request in replies; once is true if it may run at most once.
-	id   string
-	once bool
+	// id identifies the request in replies, content is a hash of all that targets receive of it; once is
+	// true if it may run at most once.
+	id      string
+	content uint64
+	once    bool
 }
 
 // encodeMessage encodes the request of a job.
@@ -32,7 +36,10 @@
 	var b bytes.Buffer
 	b.WriteString(j.Method + " " + j.RequestURI + " HTTP/1.1\r\nHost: " + j.Host + "\r\n")
 	_ = header.Write(&b) // writes to a buffer never fail
-	return &message{request: j.Request, head: b.Bytes(), body: j.body, id: j.id, once: !j.route.Idempotent}
+	content := xxhash.New()
+	_, _ = content.Write(b.Bytes()) // writes to a hash never fail
+	_, _ = content.Write(j.body)
+	return &message{request: j.Request, head: b.Bytes(), body: j.body, id: j.id, content: content.Sum64(), once: !j.route.Idempotent}
 }
 
 // forTarget returns the request to one target. The timeout is the time in milliseconds that
@@ -45,7 +52,7 @@
 	b = append(strconv.AppendInt(b, timeout, 10), "\r\n"...)
 	b = append(append(b, names.Target...), ": "...)
 	b = append(append(b, sanitizeHeaderValue(t.Name)...), "\r\n\r\n"...)
-	return &limit.EncodedRequest{Request: m.request, Bytes: append(b, m.body...), ID: m.id, Once: m.once}
+	return &limit.EncodedRequest{Request: m.request, Bytes: append(b, m.body...), ID: m.id, Content: m.content, Once: m.once}
 }
 
 // lineBreaks replaces the characters that would end a header line.
