Reject replies that name two requests

Callers got a reply that names their request first and another one after it: the head of a reply that broke off, filled up by a late copy, looks like that, and the body is the copy's.

Cause: only the first identity in the head of a reply was compared. If that was an earlier one, the reply was skipped as a late copy, and the request waited for another one until its deadline.

Change: a reply whose identity fields differ belongs to no request; its connection is closed. The same identity twice is one identity.

No file or message format has changed.

--- a/limit/head.go
+++ b/limit/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -24,14 +25,40 @@
 	if h.fields != nil {
 		return h.fields.Get(name)
 	}
-	for text := h.text; text != ""; {
+	value, _, _ := nextValue(h.text, name)
+	return value
+}
+
+// Only returns the value of the field, or "" if there is none. It reports false if the field occurs with
+// different values.
+func (h *Header) Only(name string) (value string, ok bool) {
+	if h.fields != nil {
+		value = h.fields.Get(name)
+		if slices.ContainsFunc(h.fields.Values(name), func(other string) bool { return other != value }) {
+			return "", false
+		}
+		return value, true
+	}
+	value, rest, found := nextValue(h.text, name)
+	for found {
+		var other string
+		if other, rest, found = nextValue(rest, name); found && other != value {
+			return "", false
+		}
+	}
+	return value, true
+}
+
+// nextValue returns the first value of the field in the lines, and the lines after it.
+func nextValue(lines, name string) (value, rest string, found bool) {
+	for lines != "" {
 		var line string
-		line, text, _ = strings.Cut(text, "\r\n")
+		line, lines, _ = strings.Cut(lines, "\r\n")
 		if len(line) > len(name) && line[len(name)] == ':' && strings.EqualFold(line[:len(name)], name) {
-			return trimValue(line[len(name)+1:])
+			return trimValue(line[len(name)+1:]), lines, true
 		}
 	}
-	return ""
+	return "", "", false
 }
 
 // Fields returns all fields.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -76,8 +76,12 @@
 	return nil
 }
 
-// ReplyID returns the identity of the request that a reply names. It is the value of limit.Pool.ReplyID.
-func (s *Service) ReplyID(res *limit.Response) string { return res.Header.Get(s.Headers.Request) }
+// ReplyID returns the identity of the request that a reply names, or "" if the reply names several. It is the
+// value of limit.Pool.ReplyID.
+func (s *Service) ReplyID(res *limit.Response) string {
+	id, _ := res.Header.Only(s.Headers.Request)
+	return id
+}
 
 // RecordLateCopy counts and logs a late copy that the pool has skipped. It is the value of limit.Pool.OnSkipped.
 func (s *Service) RecordLateCopy(address netip.AddrPort, res *limit.Response) {
