Accept only replies with a single signature

Callers got a success with two signatures of which at most one belongs to its body, and a merged response that listed a target's signature as two parts.

Cause: a reply counted as signed if the first signature field in its head had a value. A merged response lists signatures separated by commas, and a signature with a comma was taken as one of them.

Change: a reply whose signature fields differ is unsigned, as one without a signature. A signature with a comma names no part, whether a target sends it or another host in a portion; where a reply is passed on as it is, it stays.

The other cases (no signature, blanks, only in the trailer) show no fault. No file or message format has changed.

--- a/relay/ambiguous_test.go
+++ b/relay/ambiguous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -91,3 +92,47 @@
 	is.Equal(res.StatusCode, http.StatusBadGateway)
 	is.Equal(f.connections.Load(), int64(1))
 }
+
+// Guards against a success without the one signature of its target, and against refusing signed replies in an
+// unusual form.
+func TestSignatureOfReply(t *testing.T) {
+	type want struct {
+		single, merged int
+		signature      string
+	}
+	unsigned := want{http.StatusBadGateway, http.StatusBadGateway, ""}
+	for _, tt := range []struct {
+		name, text string
+		want
+	}{
+		{"one", replyWith("Req: ID", "Sign: s"), want{http.StatusOK, http.StatusOK, "s"}},
+		{"twice the same", replyWith("Req: ID", "Sign: s", "sign: s"), want{http.StatusOK, http.StatusOK, "s"}},
+		{"two", replyWith("Req: ID", "Sign: s", "Sign: t"), unsigned},
+		{"two, in chunks", chunkedWith("", "Req: ID", "Sign: s", "Sign: t"), unsigned},
+		{"one and an empty one", replyWith("Req: ID", "Sign: s", "Sign:"), unsigned},
+		{"a list", replyWith("Req: ID", "Sign: s, t"), want{http.StatusOK, http.StatusBadGateway, "s, t"}},
+		{"none", replyWith("Req: ID"), unsigned},
+		{"blanks", replyWith("Req: ID", "Sign: \t "), unsigned},
+		{"only in the trailer", chunkedWith("Sign: s", "Req: ID", "Trailer: Sign"), unsigned},
+	} {
+		for _, merged := range []bool{false, true} {
+			t.Run(fmt.Sprint(tt.name, ", merged ", merged), func(t *testing.T) {
+				is := is.New(t)
+				f := &textTarget{text: tt.text}
+				h := newRawHarness(t, 1, f.serve)
+				status, name := tt.single, headers.Signature
+				if merged {
+					rt := h.view.Routing.Match("h", "/q/x")
+					rt.Idempotent, rt.Backends, rt.Shards, rt.ResultLimit, rt.MinShardFraction = true, nil, []string{"s1"}, 3, 1
+					status, name = tt.merged, headers.Parts
+				}
+				res, _ := h.get(t, nil)
+				is.Equal(res.StatusCode, status)
+				if status == http.StatusOK {
+					is.Equal(res.Header.Get(name), tt.signature)
+				}
+				is.Equal(f.ran.Load(), int64(1))
+			})
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,7 +64,7 @@
 	errNoTarget  = errors.New("no target can take the request")
 	errWithdrawn = errors.New("given up before it was sent")
 	errHeldBack  = errors.New("the target has said that it takes no requests")
-	errUnsigned  = errors.New("the reply has no signature")
+	errUnsigned  = errors.New("the reply has no signature, or several")
 )
 
 // CheckReply returns an error if the reply does not belong to the request. It is the value of
@@ -162,7 +163,7 @@
 	if s.Observe != nil {
 		s.Observe(t, j.route.Name, sinceSent, r.outcome)
 	}
-	if len(j.route.Shards) > 0 && r.succeeded() && !isSuccess(r.response.Status) {
+	if len(j.route.Shards) > 0 && r.succeeded() && !s.isPart(r.response) {
 		r.outcome = route.Failed // no part of a merged response, although nothing is wrong with the target
 	}
 	s.logAttempt(j, r, now.Sub(started))
@@ -188,7 +189,7 @@
 		return
 	}
 	res := r.response
-	signed := res.Header.Get(s.Headers.Signature) != ""
+	signed := s.signature(res) != ""
 	switch {
 	case res.Status == http.StatusMisdirectedRequest:
 		r.outcome = route.DrainingReply // the address belongs to another target now
@@ -205,6 +206,23 @@
 	}
 }
 
+// signature returns the signature of a reply, or "" if it has none or several.
+func (s *Service) signature(res *limit.Response) string {
+	signature, _ := res.Header.Only(s.Headers.Signature)
+	return signature
+}
+
+// isPart reports whether a sound reply is a part of a merged response.
+func (s *Service) isPart(res *limit.Response) bool {
+	return isSuccess(res.Status) && isPartSignature(s.signature(res))
+}
+
+// isPartSignature reports whether the signature can name a part of a merged response, which lists the signatures
+// separated by commas.
+func isPartSignature(signature string) bool {
+	return signature != "" && !strings.Contains(signature, ",")
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -207,7 +207,7 @@
 func (d *delegation) takes(f *portion.Frame) bool {
 	seen := make(map[string]bool, len(f.Parts)+len(f.Failed))
 	for _, p := range f.Parts {
-		if !d.pending[p.Service] || seen[p.Service] || p.Signature == "" {
+		if !d.pending[p.Service] || seen[p.Service] || !isPartSignature(p.Signature) {
 			return false
 		}
 		seen[p.Service] = true
