Keep identity and signature whatever Connection names

Callers got a success without its signature if the Connection header of the reply named that field, and 502 for a request that ran without its identity if their own Connection header named the identity; on a host without links, such a request was matched with any reply that names no identity.

Cause: fields that a Connection header names were removed, as HTTP asks for, including those that are the protocol between callers, hosts and targets.

Change: identity, signature, the list of parts and the number of missing shards are passed on in any case.

No file or message format has changed.

--- a/relay/ambiguous_test.go
+++ b/relay/ambiguous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"wasabirelay/portion"
 )
 
 // textTarget sends the same text in reply to each request. ID in it stands for the identity of the request.
@@ -136,3 +139,27 @@
 		}
 	}
 }
+
+// Guards against a request without its identity at the target, and against a success without its signature, because
+// the Connection header of a caller, or of a target, names that field.
+func TestConnectionOptionNamesOwnField(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprint("host without links ", lost), func(t *testing.T) {
+			is := is.New(t)
+			f := &textTarget{text: replyWith("Req: ID", "Sign: s", "X: 1", "Connection: X, req, Sign")}
+			h := newRawHarness(t, 1, f.serve)
+			if lost {
+				other := newRawHarness(t, 1, f.serve)
+				h.loseLinks()
+				h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectHere})
+			}
+			res, body := h.get(t, func(r *http.Request) { r.Header.Set("Connection", "Req, Left") })
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(body, string(record("x")))
+			is.Equal(res.Header.Get(headers.Request), "r1")
+			is.Equal(res.Header.Get(headers.Signature), "s")
+			is.Equal(res.Header.Get("X"), "")
+			is.Equal(f.ran.Load(), int64(1))
+		})
+	}
+}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -29,7 +29,7 @@
 // sendings. Two requests with the same fingerprint are the same to a target.
 func (s *Service) fingerprint(j *job) uint64 {
 	j.fingerprintOnce.Do(func() {
-		header := endToEndHeaders(j.Header)
+		header := s.Headers.endToEnd(j.Header)
 		for _, name := range append([]string{s.Headers.Request, s.Headers.Timeout, s.Headers.Target}, perAttemptHeaders...) {
 			header.Del(name)
 		}
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -140,7 +140,7 @@
 	}
 	const framesPerPortion = 3 // those that may have no replies: two that are due at a time, and the last one
 	g.frames = make(chan delegationEvent, total+framesPerPortion*len(portions))
-	header := endToEndHeaders(g.j.Header)
+	header := g.Headers.endToEnd(g.j.Header)
 	hash := routeHash(g.j.route)
 	before := 0 // shards of earlier portions
 	for i := range portions {
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -131,7 +131,7 @@
 func (s *Service) writeReply(w http.ResponseWriter, j *job, res *limit.Response) {
 	fields := res.Header.Fields()
 	h := w.Header()
-	for name, values := range endToEndHeaders(fields) {
+	for name, values := range s.Headers.endToEnd(fields) {
 		h[name] = values
 	}
 	h.Set(s.Headers.Request, j.id)
--- a/relay/message.go
+++ b/relay/message.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -27,7 +28,7 @@
 
 // encodeMessage encodes the request of a job.
 func (s *Service) encodeMessage(j *job) *message {
-	header := endToEndHeaders(j.Header)
+	header := s.Headers.endToEnd(j.Header)
 	header.Del(s.Headers.Timeout)
 	header.Del(s.Headers.Target)
 	if len(j.body) > 0 || j.Method == http.MethodPost || j.Method == http.MethodPut || j.Method == http.MethodPatch {
@@ -67,12 +68,17 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// endToEndHeaders returns a copy of the headers without the hop-by-hop headers.
-func endToEndHeaders(h http.Header) http.Header {
+// endToEnd returns a copy of the headers without the hop-by-hop headers. A Connection header can't remove the
+// identity of a request or the signatures of a response: they never concern one connection only.
+func (n *Headers) endToEnd(h http.Header) http.Header {
 	out := h.Clone()
+	kept := []string{n.Request, n.Signature, n.Parts, n.Missing}
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			out.Del(strings.TrimSpace(name))
+			name = strings.TrimSpace(name)
+			if !slices.ContainsFunc(kept, func(own string) bool { return strings.EqualFold(own, name) }) {
+				out.Del(name)
+			}
 		}
 	}
 	for _, name := range hopByHopHeaders {
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -67,7 +67,7 @@
 		return "", false
 	}
 	request := &portion.Request{
-		Method: j.Method, URI: j.RequestURI, Host: j.Host, Header: endToEndHeaders(j.Header), Body: j.body, Whole: true,
+		Method: j.Method, URI: j.RequestURI, Host: j.Host, Header: s.Headers.endToEnd(j.Header), Body: j.body, Whole: true,
 		Route: routeHash(j.route), Cutoff: j.partialAfter.Sub(now) - returnMargin, Timeout: left,
 	}
 	working, ended := make(chan struct{}, 1), make(chan passEnd, 1)
@@ -126,7 +126,7 @@
 		reply := e.frame.Reply
 		s.recordPassedDeclaration(j, reply)
 		h := w.Header()
-		for name, values := range endToEndHeaders(reply.Header) {
+		for name, values := range s.Headers.endToEnd(reply.Header) {
 			h[name] = values
 		}
 		setLength(h, j.Method, "0", len(reply.Body))
