Check the responses of hosts that requests are passed on to

A caller of a host without links could get a success without a signature, with two, without parts, with a part twice or with fewer parts than the route requires, or the response to another request, if the host that its request was passed on to had accepted it: one of an earlier version checks less, and its route may have another min-shard-fraction, which hosts don't compare.

Cause: the status was the only thing that was checked.

Change: a success needs the identity of the request and a single signature, or, on routes to shards, parts that make up the shards together with the number of missing ones, as many as the route requires, and whole records, as many as it allows. A signed failure needs the identity. Otherwise the caller gets 502: a target may have run the request. Refusals pass as before.

No file or message format has changed.

--- a/relay/pass.go
+++ b/relay/pass.go
@@ -2,13 +2,17 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"wasabirelay/limit"
 	"wasabirelay/portion"
 	"wasabirelay/reach"
 )
@@ -117,11 +121,14 @@
 // endPass sends the response of another host, or a refusal if there is none: a target may have
 // executed the request.
 func (s *Service) endPass(w http.ResponseWriter, j *job, e *passEnd) {
+	if e.err == nil {
+		e.err = s.checkPassed(j, e.frame.Reply)
+	}
 	switch {
 	case j.Context().Err() != nil:
 		s.Metrics.pass("left")
 		s.endLeft(w, j)
-	case e.err == nil && e.frame.Reply != nil && isFinalStatus(e.frame.Reply.Status):
+	case e.err == nil:
 		s.Metrics.pass("served")
 		reply := e.frame.Reply
 		s.recordPassedDeclaration(j, reply)
@@ -135,9 +142,8 @@
 		s.recordResponse(j, reply.Status, 0, 0, nil)
 	default:
 		s.Metrics.pass("lost")
-		f := &refusal{status: http.StatusBadGateway, reason: "no reply of the host that the request was passed on to", route: j.route.Name}
-		if e.err != nil {
-			f.reason += ": " + e.err.Error()
+		f := &refusal{
+			status: http.StatusBadGateway, reason: "no reply of the host that the request was passed on to: " + e.err.Error(), route: j.route.Name,
 		}
 		if !s.Clock.Now().Before(j.deadline) {
 			f.status = http.StatusGatewayTimeout
@@ -146,6 +152,51 @@
 	}
 }
 
+// checkPassed returns an error unless the response of another host can be sent: the host may run an earlier version,
+// which checks less, and its route may require fewer shards. Only its own refusals name no request.
+func (s *Service) checkPassed(j *job, reply *portion.Reply) error {
+	if reply == nil || !isFinalStatus(reply.Status) {
+		return errors.New("there is no response")
+	}
+	header := limit.NewHeader(reply.Header)
+	signature, one := header.Only(s.Headers.Signature)
+	success := isSuccess(reply.Status)
+	if !success && signature == "" && one {
+		return nil
+	}
+	if id, _ := header.Only(s.Headers.Request); id != j.id {
+		return errors.Errorf("the response is for request %q", id)
+	}
+	switch {
+	case success && len(j.route.Shards) > 0:
+		return s.checkMerged(j, reply)
+	case signature == "":
+		return errUnsigned
+	}
+	return nil
+}
+
+// checkMerged returns an error if the parts of a merged response don't make up the shards of the route, or its body
+// can't be theirs.
+func (s *Service) checkMerged(j *job, reply *portion.Reply) error {
+	parts := strings.Split(strings.Join(reply.Header.Values(s.Headers.Parts), ","), ",")
+	seen := make(map[string]bool, len(parts))
+	for _, signature := range parts {
+		if signature = strings.TrimSpace(signature); signature == "" || seen[signature] {
+			return errors.New("a part of the response has no signature of its own")
+		}
+		seen[signature] = true
+	}
+	missing := len(j.route.Shards) - len(parts)
+	switch {
+	case missing < 0 || len(parts) < j.route.RequiredShards() || cmp.Or(reply.Header.Get(s.Headers.Missing), "0") != strconv.Itoa(missing):
+		return errors.Errorf("the response has %d parts of %d shards", len(parts), len(j.route.Shards))
+	case len(reply.Body)%recordSize != 0 || len(reply.Body) > j.route.ResultLimit*recordSize:
+		return errors.Errorf("the response has a body of %d bytes", len(reply.Body))
+	}
+	return nil
+}
+
 // isFinalStatus reports whether a response may have the status.
 func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
 
--- a/relay/pass_test.go
+++ b/relay/pass_test.go
@@ -197,3 +197,52 @@
 	}
 	is.True(!h.service.Reach.Lost())
 }
+
+// Guards against a success that is not whole, or that belongs to another request, because the host that the request
+// was passed on to, maybe of an earlier version, has sent it.
+func TestPassedReplyIsChecked(t *testing.T) {
+	single, merged := singleRoute(true, 2), shardsRoute(0.5, "s1", "s2")
+	two := string(record("b")) + string(record("a"))
+	for _, tt := range []struct {
+		name   string
+		route  routing.Route
+		status int
+		header http.Header
+		body   string
+		want   int
+	}{
+		{"signed", single, http.StatusOK, http.Header{"Req": {"r1"}, "Sign": {"s"}}, "any", http.StatusOK},
+		{"refused", single, http.StatusServiceUnavailable, http.Header{}, "full", http.StatusServiceUnavailable},
+		{"without a signature", single, http.StatusOK, http.Header{"Req": {"r1"}}, "any", http.StatusBadGateway},
+		{"two signatures", single, http.StatusOK, http.Header{"Req": {"r1"}, "Sign": {"s", "t"}}, "any", http.StatusBadGateway},
+		{"of another request", single, http.StatusOK, http.Header{"Req": {"r0"}, "Sign": {"s"}}, "any", http.StatusBadGateway},
+		{"a failure of another request", single, http.StatusInternalServerError, http.Header{"Req": {"r0"}, "Sign": {"s"}}, "any", http.StatusBadGateway},
+		{"without identity", single, http.StatusOK, http.Header{"Sign": {"s"}}, "any", http.StatusBadGateway},
+		{"both parts", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Parts": {"s, t"}, "Missing": {"0"}}, two, http.StatusOK},
+		{"one part", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Parts": {"s"}, "Missing": {"1"}}, "", http.StatusOK},
+		{"no part", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Missing": {"2"}}, "", http.StatusBadGateway},
+		{"a part twice", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Parts": {"s, s"}, "Missing": {"0"}}, two, http.StatusBadGateway},
+		{"more parts than shards", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Parts": {"s, t, u"}, "Missing": {"0"}}, two, http.StatusBadGateway},
+		{"other number of missing shards", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Parts": {"s"}, "Missing": {"0"}}, two, http.StatusBadGateway},
+		{"signed instead of merged", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Sign": {"s"}}, two, http.StatusBadGateway},
+		{"a record cut off", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Parts": {"s, t"}, "Missing": {"0"}}, two[1:], http.StatusBadGateway},
+		{"too many records", merged, http.StatusOK, http.Header{"Req": {"r1"}, "Parts": {"s, t"}, "Missing": {"0"}}, two + two, http.StatusBadGateway},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, tt.route, newTarget("t1", "s1"), newTarget("t2", "s2"))
+			h.loseLinks()
+			h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){
+				"other": func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
+					receive(&portion.Frame{Last: true, Reply: &portion.Reply{Status: tt.status, Header: tt.header, Body: []byte(tt.body)}}, nil)
+				},
+			})
+			res, body := h.get(t, nil)
+			is.Equal(res.StatusCode, tt.want)
+			is.Equal(body == tt.body, tt.want == tt.status)
+			if tt.want != tt.status {
+				is.Equal(res.Header.Get(headers.Signature)+res.Header.Get(headers.Parts), "")
+			}
+		})
+	}
+}
