Remember used parts of a retry budget when the host's share falls

Seen: targets can get more repeats than the retry budget allows. When the share of a host fell, what it had used beyond the smaller capacity was forgotten; when the share rose again, all of it was available at once.

Cause: SetCapacity released everything above the new capacity, with and without a window.

Change: with a window, what was used stays used until the window has passed. Without one nothing expires, and the release stays.

--- a/route/budget.go
+++ b/route/budget.go
@@ -138,7 +138,9 @@
 	if first && empty {
 		b.charge(now, capacity)
 	}
-	b.release(max(0, b.spent-capacity))
+	if window <= 0 { // with a window, what was used before a reduction becomes available after it
+		b.release(max(0, b.spent-capacity))
+	}
 }
 
 func (b *Budget) capacity() float64 {
--- a/route/budget_limit_test.go
+++ b/route/budget_limit_test.go
@@ -91,3 +91,22 @@
 	}
 	return float64(len(times))
 }
+
+// Guards against a host whose share of the capacity falls and rises again, and that has all of it
+// available each time.
+func TestBudgetOfChangingShare(t *testing.T) {
+	const window, capacity, share = 10 * time.Second, 8.0, 0.2
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	var b Budget
+	spent := 0
+	for at := time.Duration(0); at < window; at += time.Second {
+		for _, capacity := range []float64{capacity, capacity / 8} {
+			b.SetCapacity(start.Add(at), capacity, window, false)
+			for b.Spend(start.Add(at), share) {
+				spent++
+			}
+		}
+	}
+	is.Equal(spent, int(capacity))
+}
