Allow no repeats beyond the share if a budget's capacity is 0

Seen: with a configured slack of 0 each host may send ten repeats beyond the share of its requests, and these never become available to be counted again.

Cause: a capacity of 0 stood for "not set", which means the default of ten.

Change: the budget remembers that its capacity was set.

--- a/route/budget.go
+++ b/route/budget.go
@@ -26,9 +26,10 @@
 // that length: the capacity that an extra sub-request has used becomes available again after it.
 // It is safe for concurrent use.
 type Budget struct {
-	// configured is the capacity set by SetCapacity; 0 stands for defaultCapacity.
-	configured float64
-	window     time.Duration
+	// configured is the capacity set by SetCapacity. It applies if isConfigured is true.
+	configured   float64
+	isConfigured bool
+	window       time.Duration
 
 	mu    sync.Mutex
 	spent float64 // used part of the capacity
@@ -133,8 +134,8 @@
 func (b *Budget) SetCapacity(now time.Time, capacity float64, window time.Duration, empty bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	first := b.configured == 0
-	b.configured, b.window = capacity, window
+	first := !b.isConfigured
+	b.configured, b.isConfigured, b.window = capacity, true, window
 	if first && empty {
 		b.charge(now, capacity)
 	}
@@ -144,7 +145,7 @@
 }
 
 func (b *Budget) capacity() float64 {
-	if b.configured == 0 {
+	if !b.isConfigured {
 		return defaultCapacity
 	}
 	return b.configured
--- a/route/budget_limit_test.go
+++ b/route/budget_limit_test.go
@@ -110,3 +110,11 @@
 	}
 	is.Equal(spent, int(capacity))
 }
+
+// Guards against a host without a share that uses the default capacity.
+func TestBudgetWithoutCapacity(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	b.SetCapacity(time.Unix(100, 0), 0, 10*time.Second, false)
+	is.True(!b.Spend(time.Unix(100, 0), 0.2))
+}
