--- a/soak/check.go
+++ b/soak/check.go
@@ -35,10 +35,10 @@
 }
 
 // recordRun records that a target began to run a request.
-func (c *checker) recordRun(_ *standin.Target, request string) {
+func (c *checker) recordRun(x *standin.Execution) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs[request]++
+	c.runs[x.Request]++
 }
 
 // checkAnswer checks the answer to a request, which may run only once if singleRun is true.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -20,15 +21,17 @@
 // completeAnswer returns a complete answer to a request for all shards.
 func completeAnswer(id string) *standin.Answer {
 	a := &standin.Answer{Status: http.StatusOK}
+	var records []string
 	for _, s := range shards {
-		a.Parts = append(a.Parts, standin.Signature(s, id))
-	}
-	// The greatest records are those with the largest leading digit, of the last shards.
-	for digit := 2; digit >= 0; digit-- {
-		for i := len(shards) - 1; i >= 0 && len(a.Body) < standin.ResultLimit*16; i-- {
-			a.Body = append(a.Body, standin.Records(shards[i], id)[digit*16:(digit+1)*16]...)
+		signature := standin.Signature(s, id, "1")
+		a.Parts = append(a.Parts, signature)
+		for body := string(standin.Records(signature)); body != ""; body = body[16:] {
+			records = append(records, body[:16])
 		}
 	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	a.Body = []byte(strings.Join(records[:standin.ResultLimit], ""))
 	return a
 }
 
@@ -41,38 +44,42 @@
 		want string
 	}{
 		{"correct", func(c *checker) {
-			c.recordRun(nil, "r1")
+			c.recordRun(&standin.Execution{Request: "r1"})
 			c.checkAnswer("r1", false, completeAnswer("r1"))
 			c.expectSingleRun("r2")
-			c.recordRun(nil, "r2")
+			c.recordRun(&standin.Execution{Request: "r2"})
 			c.checkAnswer("r2", true, &standin.Answer{Status: http.StatusBadGateway})
 			c.expectSingleRun("r3")
 			c.checkAnswer("r3", true, &standin.Answer{Status: http.StatusServiceUnavailable})
 		}, ""},
 		{"part of another request", func(c *checker) {
-			c.recordRun(nil, "r1")
+			c.recordRun(&standin.Execution{Request: "r1"})
 			a := completeAnswer("r1")
-			a.Parts[0] = standin.Signature(shards[0], "r9")
+			a.Parts[0] = standin.Signature(shards[0], "r9", "1")
 			c.checkAnswer("r1", false, a)
 		}, "another request"},
 		{"coverage too high", func(c *checker) {
-			c.recordRun(nil, "r1")
+			c.recordRun(&standin.Execution{Request: "r1"})
 			a := completeAnswer("r1")
 			a.Parts = a.Parts[1:]
 			c.checkAnswer("r1", false, a)
 		}, "missing of"},
 		{"wrong records", func(c *checker) {
-			c.recordRun(nil, "r1")
+			c.recordRun(&standin.Execution{Request: "r1"})
 			a := completeAnswer("r1")
 			a.Body = a.Body[16:]
 			c.checkAnswer("r1", false, a)
 		}, "greatest records"},
 		{"answered without a run", func(c *checker) { c.checkAnswer("r1", false, completeAnswer("r1")) }, "no target ran it"},
-		{"ran twice", func(c *checker) { c.expectSingleRun("r1"); c.recordRun(nil, "r1"); c.recordRun(nil, "r1") }, "ran 2 times"},
+		{"ran twice", func(c *checker) {
+			c.expectSingleRun("r1")
+			c.recordRun(&standin.Execution{Request: "r1"})
+			c.recordRun(&standin.Execution{Request: "r1"})
+		}, "ran 2 times"},
 		{"refused and ran later", func(c *checker) {
 			c.expectSingleRun("r1")
 			c.checkAnswer("r1", true, &standin.Answer{Status: http.StatusServiceUnavailable})
-			c.recordRun(nil, "r1")
+			c.recordRun(&standin.Execution{Request: "r1"})
 		}, "as not run, but ran"},
 		{"route lost", func(c *checker) { c.checkAnswer("r1", false, &standin.Answer{Status: http.StatusNotFound}) }, "404"},
 	} {
