soak: check which run each answer comes from

The answers of targets depended on service and request only, so a caller that got the copy of another run, a failure as a part, or a body filled up with the head of a copy could not be told from one that got its own.

The checker keeps each run with its signature, status and body. A success must bear the signature and the whole body of a successful run of its own request, a signed failure the status of its run, and each part of a merged answer must be a successful run of this request. 408 and 421 promise that a request has not run, like 429 and 503.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,8 +24,12 @@
 	Control int           `help:"Number of control hosts." default:"3"`
 	Entry   int           `help:"Number of entry hosts." default:"3"`
 	Replace bool          `help:"Also replace control hosts by others; the other faults of a seed differ then."`
+	Stutter bool          `help:"Also make targets repeat, break off and fail replies; callers leave early, pipeline and send bodies slowly."`
+	Quiet   bool          `help:"Inject no other faults."`
+	Head    float64       `help:"Share of HEAD among the requests to one service that may run more than once; needs --stutter."`
 	Jobs    int           `help:"Number of seeds that run at the same time." default:"1"`
 	Dir     string        `help:"Directory for data and logs; those of seeds without a violation are removed." default:"tmp/soak"`
+	Causes  bool          `help:"Print which runs the requests had that got a mixed answer, 502 or 504."`
 	Verbose bool          `help:"Print each fault as it is injected."`
 }
 
@@ -69,7 +74,13 @@
 }
 
 func runSeed(ctx context.Context, o *options, seed uint64) (text string, ok bool) {
-	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
+	summary := func(report *soak.Report) string {
+		if !o.Causes {
+			return report.String()
+		}
+		return strings.Join(append([]string{report.String()}, report.Causes...), "\n  ")
+	}
+	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Quiet: o.Quiet, HeadShare: o.Head, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		}
@@ -79,10 +90,10 @@
 	case err != nil:
 		return fmt.Sprintf("seed %d: failed to run: %v", seed, err), false
 	case len(report.Violations) > 0:
-		return report.String(), false
+		return summary(report), false
 	}
 	if err := os.RemoveAll(r.Directory()); err != nil {
 		return err.Error(), false
 	}
-	return report.String(), true
+	return summary(report), true
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -35,6 +35,32 @@
 	return a
 }
 
+// record records a run of a request at a service and returns it.
+func record(c *checker, service, id, run string, status int) *standin.Execution {
+	signature := standin.Signature(service, id, run)
+	x := &standin.Execution{
+		Target: &standin.Target{Service: service}, Request: id, Method: http.MethodGet, Signature: signature, Status: status, Body: standin.Records(signature),
+	}
+	c.recordRun(x)
+	return x
+}
+
+// recordShards records a run at each shard, the last one with the status.
+func recordShards(c *checker, id string, status int) {
+	for i, s := range shards {
+		if i < len(shards)-1 {
+			record(c, s, id, "1", http.StatusOK)
+		} else {
+			record(c, s, id, "1", status)
+		}
+	}
+}
+
+// answerOf returns the answer that passes on the reply of a run.
+func answerOf(x *standin.Execution) *standin.Answer {
+	return &standin.Answer{Status: x.Status, Request: x.Request, Signature: x.Signature, Body: x.Body}
+}
+
 // Guards against a checker that misses a violation, or that reports one for a correct
 // sequence of events.
 func TestChecker(t *testing.T) {
@@ -44,44 +70,122 @@
 		want string
 	}{
 		{"correct", func(c *checker) {
-			c.recordRun(&standin.Execution{Request: "r1"})
-			c.checkAnswer("r1", false, completeAnswer("r1"))
+			recordShards(c, "r1", 200)
+			c.checkAnswer("r1", &mergedRoute, completeAnswer("r1"))
 			c.expectSingleRun("r2")
-			c.recordRun(&standin.Execution{Request: "r2"})
-			c.checkAnswer("r2", true, &standin.Answer{Status: http.StatusBadGateway})
+			record(c, "one", "r2", "1", 200)
+			c.checkAnswer("r2", &singleRunRoute, &standin.Answer{Status: http.StatusBadGateway})
 			c.expectSingleRun("r3")
-			c.checkAnswer("r3", true, &standin.Answer{Status: http.StatusServiceUnavailable})
+			c.checkAnswer("r3", &singleRunRoute, &standin.Answer{Status: http.StatusServiceUnavailable})
+			record(c, "one", "r4", "1", 500)
+			c.checkAnswer("r4", &repeatedRoute, answerOf(record(c, "one", "r4", "2", 200)))
+			c.checkAnswer("r5", &repeatedRoute, answerOf(record(c, "one", "r5", "1", 404)))
+			x := record(c, "one", "r6", "1", 200)
+			x.Method = http.MethodHead
+			c.checkAnswer("r6", &repeatedRoute, &standin.Answer{Status: 200, Signature: x.Signature})
+			c.checkError("r7", &net.OpError{Err: syscall.ECONNRESET})
 		}, ""},
 		{"part of another request", func(c *checker) {
-			c.recordRun(&standin.Execution{Request: "r1"})
+			recordShards(c, "r1", 200)
 			a := completeAnswer("r1")
 			a.Parts[0] = standin.Signature(shards[0], "r9", "1")
-			c.checkAnswer("r1", false, a)
+			c.checkAnswer("r1", &mergedRoute, a)
 		}, "another request"},
 		{"coverage too high", func(c *checker) {
-			c.recordRun(&standin.Execution{Request: "r1"})
+			recordShards(c, "r1", 200)
 			a := completeAnswer("r1")
 			a.Parts = a.Parts[1:]
-			c.checkAnswer("r1", false, a)
+			c.checkAnswer("r1", &mergedRoute, a)
 		}, "missing of"},
 		{"wrong records", func(c *checker) {
-			c.recordRun(&standin.Execution{Request: "r1"})
+			recordShards(c, "r1", 200)
 			a := completeAnswer("r1")
 			a.Body = a.Body[16:]
-			c.checkAnswer("r1", false, a)
+			c.checkAnswer("r1", &mergedRoute, a)
 		}, "greatest records"},
-		{"answered without a run", func(c *checker) { c.checkAnswer("r1", false, completeAnswer("r1")) }, "no target ran it"},
+		{"failure as a part", func(c *checker) {
+			recordShards(c, "r1", 409)
+			c.checkAnswer("r1", &mergedRoute, completeAnswer("r1"))
+		}, "a failure with status 409"},
+		{"part without a run", func(c *checker) {
+			record(c, shards[0], "r1", "1", 200)
+			record(c, shards[1], "r1", "1", 200)
+			c.checkAnswer("r1", &mergedRoute, completeAnswer("r1"))
+		}, "no run of it has signed"},
+		{"part twice", func(c *checker) {
+			recordShards(c, "r1", 200)
+			a := completeAnswer("r1")
+			a.Parts[1] = a.Parts[0]
+			c.checkAnswer("r1", &mergedRoute, a)
+		}, "a duplicate"},
+		{"run of another request", func(c *checker) {
+			record(c, "one", "r1", "1", 200)
+			a := answerOf(record(c, "one", "r2", "1", 200))
+			a.Request = ""
+			c.checkAnswer("r1", &repeatedRoute, a)
+		}, "which no run of it has"},
+		{"identity of another request", func(c *checker) {
+			a := answerOf(record(c, "one", "r1", "1", 200))
+			a.Request = "r2"
+			c.checkAnswer("r1", &repeatedRoute, a)
+		}, "the answer to request r2"},
+		{"success without a signature", func(c *checker) {
+			record(c, "one", "r1", "1", 200)
+			c.checkAnswer("r1", &repeatedRoute, &standin.Answer{Status: 200})
+		}, "which no run of it has"},
+		{"body of another run", func(c *checker) {
+			a := answerOf(record(c, "one", "r1", "1", 200))
+			a.Body = record(c, "one", "r1", "2", 200).Body
+			c.checkAnswer("r1", &repeatedRoute, a)
+		}, "bytes that are not"},
+		{"success of a run that failed", func(c *checker) {
+			a := answerOf(record(c, "one", "r1", "1", 500))
+			a.Status = 200
+			c.checkAnswer("r1", &repeatedRoute, a)
+		}, "which replied 500"},
+		{"failure with another status", func(c *checker) {
+			a := answerOf(record(c, "one", "r1", "1", 409))
+			a.Status = 502
+			c.checkAnswer("r1", &repeatedRoute, a)
+		}, "which replied 409"},
+		{"body for HEAD", func(c *checker) {
+			x := record(c, "one", "r1", "1", 200)
+			x.Method = http.MethodHead
+			a := answerOf(x)
+			a.Body = []byte("x")
+			c.checkAnswer("r1", &repeatedRoute, a)
+		}, "bytes that are not"},
+		{"no answer", func(c *checker) { c.checkError("r1", &standin.ProtocolError{Waiting: true, Err: io.ErrNoProgress}) }, "bytes that are no answer"},
+		{"changed body", func(c *checker) {
+			c.expect(&standin.Query{ID: "r1", Method: http.MethodGet, Body: []byte("x")})
+			record(c, "one", "r1", "1", 200)
+		}, "but was sent as GET with 1"},
+		{"too many attempts", func(c *checker) {
+			for i := range maxExcessRequests + 1 {
+				q := &standin.Query{ID: fmt.Sprint("r", i), Method: http.MethodGet, Path: mergedRoute.path}
+				c.expect(q)
+				for run := range mergedRoute.attempts + 1 {
+					record(c, shards[0], q.ID, fmt.Sprint(run), 500).Target.ID = fmt.Sprint("t", run)
+				}
+			}
+			c.checkAttempts()
+		}, "more targets than their route allows"},
+		{"answered without a run", func(c *checker) {
+			recordShards(c, "r1", 200)
+			c.runs = nil
+			c.checkAnswer("r1", &mergedRoute, completeAnswer("r1"))
+		}, "no target ran it"},
 		{"ran twice", func(c *checker) {
 			c.expectSingleRun("r1")
-			c.recordRun(&standin.Execution{Request: "r1"})
-			c.recordRun(&standin.Execution{Request: "r1"})
+			record(c, "one", "r1", "1", 200)
+			record(c, "one", "r1", "2", 200)
 		}, "ran 2 times"},
 		{"refused and ran later", func(c *checker) {
 			c.expectSingleRun("r1")
-			c.checkAnswer("r1", true, &standin.Answer{Status: http.StatusServiceUnavailable})
-			c.recordRun(&standin.Execution{Request: "r1"})
+			c.checkAnswer("r1", &singleRunRoute, &standin.Answer{Status: http.StatusServiceUnavailable})
+			record(c, "one", "r1", "1", 200)
 		}, "as not run, but ran"},
-		{"route lost", func(c *checker) { c.checkAnswer("r1", false, &standin.Answer{Status: http.StatusNotFound}) }, "404"},
+		{"route lost", func(c *checker) { c.checkAnswer("r1", &mergedRoute, &standin.Answer{Status: http.StatusNotFound}) }, "404"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/soak/load.go
+++ b/soak/load.go
@@ -14,21 +14,35 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		host := (caller + i) % r.EntryHosts
 		id := r.nextID(host)
-		path, method, services := "/all/x", http.MethodGet, shards
+		to, method := &mergedRoute, http.MethodGet
 		if i%2 == 1 {
-			path, method, services = "/one/x", http.MethodPost, singleRunServices
+			to, method = &singleRunRoute, http.MethodPost
 			r.check.expectSingleRun(id)
 		}
-		r.traffic.recordSent(services)
-		to := r.callerLinks[host].Address
-		a, err := standin.SendRequest(ctx, to, method, path, id, callerTimeout)
+		r.traffic.recordSent(to.services)
+		a, err := standin.SendRequest(ctx, r.callerLinks[host].Address, method, to.path, id, callerTimeout)
 		if err == nil { // otherwise the caller sees only a timeout or a closed connection
-			r.check.checkAnswer(id, path == "/one/x", a)
+			r.check.checkAnswer(id, to, a)
 		}
 		time.Sleep(callPause)
 	}
 }
 
+// route is a route of the routing document. Requests to it may run only once if singleRun is true, and
+// go to all services if merged is true.
+type route struct {
+	path              string
+	services          []string
+	attempts          int
+	singleRun, merged bool
+}
+
+var (
+	mergedRoute    = route{path: "/all/x", services: shards, attempts: 2, merged: true}
+	singleRunRoute = route{path: "/one/x", services: singleRunServices, attempts: 1, singleRun: true}
+	repeatedRoute  = route{path: "/any/x", services: singleRunServices, attempts: 3}
+)
+
 // singleRunServices holds the service of the requests that may run only once.
 var singleRunServices = []string{"one"}
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -56,6 +56,14 @@
 	// Replacements is true if control hosts are also replaced by others. The other faults of a
 	// seed differ then.
 	Replacements bool
+	// Stutter is true if targets depart from one whole reply per request, in shares and forms that
+	// the seed determines, and callers leave early, pipeline and send bodies slowly. The other faults
+	// of a seed remain the same.
+	Stutter bool
+	// Quiet is true if there are no other faults. HeadShare is the share of HEAD among idempotent
+	// requests that are not merged; it needs Stutter.
+	Quiet     bool
+	HeadShare float64
 	// Program is the path of the daemon, Dir a directory for data and logs.
 	Program, Dir string
 	// Logf logs each fault as it is injected.
@@ -86,14 +94,22 @@
 	Seed                        uint64
 	Requests, Answered, Refused int64
 	Documents                   uint64
+	// Mixed is the number of answers that were not those of their requests, or not whole, Lost the number of
+	// requests that got 502 or 504, Causes tells which runs these had.
+	Mixed, Lost int
+	Causes      []string
+	// Repeats is the maximum number of repeated arrivals at a service in a window of the retry budget, which
+	// allows RepeatsAllowed there.
+	Repeats        int
+	RepeatsAllowed float64
 	// Violations are the broken guarantees.
 	Violations []string
 }
 
 // String returns a summary line, followed by one line for each violation.
 func (r *Report) String() string {
-	text := fmt.Sprintf("seed %d: %d requests, %d answered, %d refused, %d documents, %d violations",
-		r.Seed, r.Requests, r.Answered, r.Refused, r.Documents, len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d requests, %d answered, %d refused, %d documents, %d got 502 or 504, %d of %.0f repeats, %d mixed, %d violations",
+		r.Seed, r.Requests, r.Answered, r.Refused, r.Documents, r.Lost, r.Repeats, r.RepeatsAllowed, r.Mixed, len(r.Violations))
 	return strings.Join(append([]string{text}, r.Violations...), "\n  ")
 }
 
@@ -114,14 +130,22 @@
 	load, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	for i := range callers {
-		wg.Go(func() { r.sendRequests(load, i) })
+		if r.Stutter {
+			wg.Go(func() { r.sendStuttered(load, i) })
+		} else {
+			wg.Go(func() { r.sendRequests(load, i) })
+		}
 	}
 	for i := range r.EntryHosts {
 		wg.Go(func() { r.checkVersions(load, r.machine(r.ControlHosts+i)) })
 	}
 	wg.Go(func() { r.putDocuments(load) })
 	wg.Go(func() { r.checkReads(load) })
-	r.inject(ctx)
+	if r.Quiet {
+		sleep(ctx, r.Duration)
+	} else {
+		r.inject(ctx)
+	}
 	r.clearFaults(ctx)
 	if err := r.awaitComplete(ctx); err != nil {
 		r.check.addViolation("answers are not complete %s after the last fault: %v", recoveryTimeout, err)
@@ -131,8 +155,13 @@
 	stop()
 	wg.Wait()
 	r.checkLastDocument(ctx)
-	r.traffic.report(&r.check)
-	return r.check.report(r), nil
+	repeats, allowed := r.traffic.report(&r.check)
+	if r.Quiet {
+		r.check.checkAttempts()
+	}
+	report := r.check.report(r)
+	report.Repeats, report.RepeatsAllowed = repeats, allowed
+	return report, nil
 }
 
 // start starts all processes and targets and waits until answers are complete.
@@ -177,7 +206,7 @@
 	var failed error
 	t := &standin.Target{
 		ID: fmt.Sprintf("%s-%d", service, len(r.targetLinks)), Service: service, Centre: centre, ColdDuration: cold,
-		ControlAddresses: r.deployment.OperatorAddresses, OnArrival: r.traffic.recordArrival, OnRun: r.check.recordRun,
+		ControlAddresses: r.deployment.OperatorAddresses, OnArrival: r.traffic.recordArrival, OnRun: r.check.recordRun, Stutter: r.stutter(),
 		AdvertisedAddress: func(own netip.AddrPort) netip.AddrPort {
 			p, err := NewProxy(anyPort, own)
 			if err != nil {
@@ -286,7 +315,7 @@
 			r.traffic.recordSent(shards)
 			a, err := standin.SendRequest(ctx, r.machine(r.ControlHosts+i).CallerAddress(), "GET", "/all/x", id, callerTimeout)
 			if err == nil {
-				r.check.checkAnswer(id, false, a)
+				r.check.checkAnswer(id, &mergedRoute, a)
 				if a.Status == 200 && a.MissingShards == 0 {
 					break
 				}
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -84,8 +84,9 @@
 	c.forbidden, c.forbiddenAfter = targets, after
 }
 
-// report checks the recorded arrivals at the end of a run.
-func (c *traffic) report(to *checker) {
+// report checks the recorded arrivals at the end of a run. It returns the maximum number of repeated
+// arrivals in a window and how many are allowed there.
+func (c *traffic) report(to *checker) (repeats int, allowed float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, text := range c.forbiddenArrivals {
@@ -103,12 +104,17 @@
 	for service, times := range c.extra {
 		for i, at := range times {
 			sent := c.maxSent(service, at)
-			if n := countWithin(times[i:], at, standin.RetryWindow); float64(n) > standin.RetryShare*float64(sent)+standin.RetrySlack {
+			n, limit := countWithin(times[i:], at, standin.RetryWindow), standin.RetryShare*float64(sent)+standin.RetrySlack
+			if n > repeats {
+				repeats, allowed = n, limit
+			}
+			if float64(n) > limit {
 				to.addViolation("service %s got %d repeated arrivals for %d requests in %s", service, n, sent, standin.RetryWindow)
 				break
 			}
 		}
 	}
+	return repeats, allowed
 }
 
 // maxSent returns the maximum number of requests sent for a service in one of three windows:
