Pass answers to HEAD between hosts with their length

What callers saw: the answer to a HEAD that another host had served stated a Content-Length of 0 whatever the target had stated.

Cause: the host that sends the response stated the length of the body in the message, which an answer to HEAD does not have.

Change: it states the Content-Length of the reply's header, which the other host already sends. Messages between hosts are the same. A host of an earlier build that receives such a reply sends status, signature and a length of 0; one that serves the request refuses it with 502 as before.

--- a/relay/head_test.go
+++ b/relay/head_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"wasabirelay/portion"
 )
 
 // bodilessTarget answers the requests on each connection: the first one with a reply, whose identity and signature it
@@ -140,3 +144,69 @@
 	is.Equal(bodies[1], string(record("whole")))
 	is.Equal(f.connections.Load(), int64(1))
 }
+
+// collectEncoded is collectHere with the messages encoded as between hosts.
+func (h *harness) collectEncoded(ctx context.Context, r *portion.Request, receive func(*portion.Frame, error)) {
+	var request portion.Request
+	if err := recode(r, &request); err != nil {
+		receive(nil, err)
+		return
+	}
+	h.collectHere(ctx, &request, func(f *portion.Frame, err error) {
+		var frame portion.Frame
+		if failed := recode(f, &frame); failed != nil {
+			err = failed
+		}
+		receive(&frame, err)
+	})
+}
+
+func recode(from, to any) error {
+	b, err := json.Marshal(from)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, to)
+}
+
+// Guards against answers without a body that another host has passed on and that state another length, or the length
+// of a body that the caller then waits for.
+func TestPassedRepliesWithoutABody(t *testing.T) {
+	for _, tt := range bodilessReplies {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &bodilessTarget{reply: tt.reply}
+			other := newRawHarness(t, 1, f.serve)
+			h := newHarness(t, singleRoute(false, 1), newTarget("a", "s1"))
+			h.loseLinks()
+			h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectEncoded})
+			res, bodies := exchangeTwo(t, h, tt.method, "", "")
+			is.Equal(res[0].StatusCode, tt.status)
+			is.Equal(res[0].Header.Get("Content-Length"), tt.length)
+			is.Equal(res[0].Header.Get(headers.Signature), "sign")
+			is.Equal(res[0].Header.Get(headers.Request), "r0")
+			is.Equal(bodies[0], "")
+			is.Equal(res[1].StatusCode, http.StatusOK)
+			is.Equal(bodies[1], string(record("whole")))
+			is.Equal(f.methods, []string{tt.method})
+			is.Equal(f.connections.Load(), int64(1))
+		})
+	}
+}
+
+// Guards against a refusal to HEAD by another host that the caller does not get, or a connection that can't be used
+// after it.
+func TestPassedRefusalToHead(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(false, 1), newTarget("a", "s1"))
+	h.loseLinks()
+	h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){
+		"other": func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
+			header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+			receive(&portion.Frame{Last: true, Reply: &portion.Reply{Status: http.StatusBadGateway, Header: header, Body: []byte("no usable reply\n")}}, nil)
+		},
+	})
+	res, bodies := exchangeTwo(t, h, http.MethodHead, "", "")
+	is.Equal(res[0].StatusCode, http.StatusBadGateway)
+	is.Equal(bodies, [2]string{"", "no usable reply\n"})
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -136,7 +136,7 @@
 		for name, values := range s.Headers.endToEnd(reply.Header) {
 			h[name] = values
 		}
-		setLength(h, j.Method, "0", len(reply.Body))
+		setLength(h, j.Method, reply.Header.Get("Content-Length"), len(reply.Body))
 		w.WriteHeader(reply.Status)
 		_, _ = w.Write(reply.Body) // an error means that the caller has left
 		s.recordResponse(j, reply.Status, 0, 0, nil)
