Carry headers of replies that are no UTF-8 unchanged between hosts

Callers of a host without links got a signature, and other headers, with other bytes than the target had sent, and merged responses listed a signature that no target had given.

Cause: messages between hosts are JSON, which replaces bytes that are no UTF-8. Only requests were checked for that.

Change: the reply to a request that was passed on also holds its header in wire format if JSON can't carry it. A signature that JSON can't carry names no part of a merged response.

Format: messages between hosts gain the field raw in the reply to a whole request.

--- a/portion/message.go
+++ b/portion/message.go
@@ -1,9 +1,16 @@
 package portion
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -88,6 +95,8 @@
 	Status int         `json:"status"`
 	Header http.Header `json:"header,omitempty"`
 	Body   []byte      `json:"body,omitempty"`
+	// Raw is the header in wire format if it has bytes that are no UTF-8; Header is then not exact.
+	Raw []byte `json:"raw,omitempty"`
 	// Target and Incarnation name the target whose reply it is, and Declared what the target declares
 	// in it: the host that sends the response to the caller keeps to that as well.
 	Target      string                   `json:"target,omitempty"`
@@ -95,6 +104,29 @@
 	Declared    *declaration.Declaration `json:"declared,omitempty"`
 }
 
+// SetHeader sets the header.
+func (r *Reply) SetHeader(h http.Header) {
+	r.Header = h
+	for _, values := range h {
+		if slices.ContainsFunc(values, func(v string) bool { return !utf8.ValidString(v) }) {
+			var b bytes.Buffer
+			_ = h.Write(&b) // writes to a buffer never fail
+			r.Raw = b.Bytes()
+			return
+		}
+	}
+}
+
+// ExactHeader returns the header that was set.
+func (r *Reply) ExactHeader() (http.Header, error) {
+	if len(r.Raw) == 0 {
+		return r.Header, nil
+	}
+	lines := io.MultiReader(bytes.NewReader(r.Raw), strings.NewReader("\r\n"))
+	h, err := textproto.NewReader(bufio.NewReader(lines)).ReadMIMEHeader()
+	return http.Header(h), errors.Wrap(err, "read the header of a response")
+}
+
 // Part is the reply of one shard.
 type Part struct {
 	Service   string `json:"service"`
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -218,9 +219,9 @@
 }
 
 // isPartSignature reports whether the signature can name a part of a merged response, which lists the signatures
-// separated by commas.
+// separated by commas. Messages between hosts carry it as text, in which other bytes are replaced.
 func isPartSignature(signature string) bool {
-	return signature != "" && !strings.Contains(signature, ",")
+	return signature != "" && !strings.Contains(signature, ",") && !strings.ContainsRune(signature, utf8.RuneError)
 }
 
 func isSuccess(status int) bool {
--- a/relay/encoding_test.go
+++ b/relay/encoding_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +52,63 @@
 		})
 	}
 }
+
+// Guards against a signature or another header that arrives changed because another host has passed the reply on,
+// and against a merged response that lists such a signature.
+func TestReplyThatIsNoText(t *testing.T) {
+	const odd = "a\xe9\xff<&>b"
+	odds := func(f *fakeTarget) *fakeTarget {
+		f.reply = func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headers.Signature, odd)
+			w.Header()["X-Odd"] = []string{odd, "", "c"}
+			_, _ = w.Write(record("x"))
+		}
+		return f
+	}
+	for _, passed := range []bool{false, true} {
+		t.Run(fmt.Sprint("passed on ", passed), func(t *testing.T) {
+			is := is.New(t)
+			h, other := newHarness(t, singleRoute(true, 1), odds(newTarget("t1", "s1"))), newHarness(t, singleRoute(true, 1), odds(newTarget("t1", "s1")))
+			if passed {
+				h.loseLinks()
+				h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectByMessage})
+			}
+			res, body := h.get(t, nil)
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(res.Header.Get(headers.Signature), odd)
+			is.Equal(res.Header["X-Odd"], []string{odd, "", "c"})
+			is.Equal(body, string(record("x")))
+		})
+	}
+	t.Run("merged", func(t *testing.T) {
+		is := is.New(t)
+		h, _ := eightShards(t, 0.5, map[int]func(*fakeTarget){1: func(f *fakeTarget) { odds(f) }, 5: func(f *fakeTarget) { odds(f) }})
+		h.divided(4, h.collectByMessage)
+		res, _ := h.get(t, nil)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(res.Header.Get(headers.Missing), "2")
+		is.Equal(strings.Count(res.Header.Get(headers.Parts), "sign-t"), 6)
+		is.Equal(strings.Count(res.Header.Get(headers.Parts), ","), 5)
+	})
+}
+
+// collectByMessage is collectHere with the request and the frames as messages between hosts carry them.
+func (h *harness) collectByMessage(ctx context.Context, r *portion.Request, receive func(*portion.Frame, error)) {
+	var request portion.Request
+	throughJSON(r, &request)
+	h.collectHere(ctx, &request, func(f *portion.Frame, err error) {
+		var frame portion.Frame
+		throughJSON(f, &frame)
+		receive(&frame, err)
+	})
+}
+
+func throughJSON(from, to any) {
+	text, err := json.Marshal(from)
+	if err == nil {
+		err = json.Unmarshal(text, to)
+	}
+	if err != nil {
+		panic(err)
+	}
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -158,7 +158,12 @@
 	if reply == nil || !isFinalStatus(reply.Status) {
 		return errors.New("there is no response")
 	}
-	header := limit.NewHeader(reply.Header)
+	fields, err := reply.ExactHeader()
+	if err != nil {
+		return err
+	}
+	reply.Header = fields
+	header := limit.NewHeader(fields)
 	signature, one := header.Only(s.Headers.Signature)
 	success := isSuccess(reply.Status)
 	if !success && signature == "" && one {
@@ -212,7 +217,8 @@
 	if reply.status == 0 { // the other host has left, and nothing was written
 		return &portion.Frame{}
 	}
-	out := &portion.Reply{Status: reply.status, Header: reply.header, Body: reply.body.Bytes()}
+	out := &portion.Reply{Status: reply.status, Body: reply.body.Bytes()}
+	out.SetHeader(reply.header)
 	if r := reply.result; r != nil {
 		out.Target, out.Incarnation = r.target.Name, r.target.Incarnation
 		if s.DecodeDeclaration != nil {
