Test replies to other requests whose end is not known on routes of all kinds

Requests waited until their deadline and then failed with 504 although no answer could come any more: a late copy without a length had arrived on their connection, or a reply to an unknown request without its body.

--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -84,7 +84,7 @@
 		Pool: &limit.Pool{AllowUnframed: true}, Table: &route.Table{Centre: "a"}, Metrics: NewMetrics(prometheus.NewRegistry()),
 		View: func() *View { return view }, RetryShare: 0.2, RetrySlack: 10, Draining: func() bool { return false },
 	}
-	s.Pool.CheckReply = s.CheckReply
+	s.Pool.CheckReply, s.Pool.ReplyID = s.CheckReply, s.ReplyID
 	s.Pool.SetShares(shares)
 	b.Cleanup(s.Pool.Close)
 	b.ReportAllocs()
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -215,3 +216,49 @@
 		})
 	}
 }
+
+// Guards against a request that waits until its deadline for the body of a reply to another request.
+func TestReplyToAnotherRequestWithoutEnd(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// first is what the target sends at once, before the reply to the present request.
+		first func(last string) string
+	}{
+		{"a late copy without length", func(last string) string { return unframedReply(last, testBody(last)) }},
+		{"a late copy of a refusal without length", func(last string) string {
+			return fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: 1\r\n\r\n", headers.Request, last, headers.NotRun)
+		}},
+		{"an unknown identity, no body", func(string) string { return strings.TrimSuffix(framedReply("other", "x"), "x") }},
+		{"no identity, no body", func(string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" }},
+		{"a closing late copy, no body", func(last string) string {
+			return strings.TrimSuffix(framedReply(last, "x"), "\r\n\r\nx") + "\r\nConnection: close\r\n\r\n"
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newRawHarness(t, 1, func(conn net.Conn) {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for last := ""; ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					id := r.Header.Get(headers.Request)
+					if last == "" {
+						_, _ = io.WriteString(conn, framedReply(id, testBody(id)))
+					} else {
+						_, _ = io.WriteString(conn, tt.first(last))
+					}
+					last = id
+				}
+			})
+			for i := range 4 {
+				started := time.Now()
+				res, _ := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
+				is.Equal(res.StatusCode, []int{http.StatusOK, http.StatusBadGateway}[i%2])
+				is.True(time.Since(started) < 750*time.Millisecond) // half of the deadline
+			}
+		})
+	}
+}
