Stop waiting for a body once another reply has arrived in it

Requests waited until their deadline and failed with 504 although their answer could not come any more: a late copy, or the reply itself, had broken off in its body, and a shorter reply had arrived in its place on the same connection.

Cause: the body was only looked at when it had its whole length, and the second reply did not have as many bytes as were missing.

While a body with a length arrives in parts, each part is now searched for the identity of a request that the connection has carried; the attempt fails as soon as there is one. Weaker signs count only once the body is complete. A target that sends nothing more after a broken copy can't be told from a slow one and is waited for as before.

--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -116,16 +116,16 @@
 // BenchmarkSplicing measures the search for another reply in a body without one: in text without the first letter of
 // a status line, and in text that repeats it.
 func BenchmarkSplicing(b *testing.B) {
-	p := &Pool{ReplyID: func(res *Response) string { return res.Header.Get("Id") }}
 	for _, text := range []string{"xx", "Hx"} {
 		for _, size := range []int{16, 512, 16 << 10} {
 			b.Run(text+"/"+strconv.Itoa(size), func(b *testing.B) {
 				c := newConnection(&countingConn{}, nil, netip.AddrPort{})
+				c.replyID = func(res *Response) string { return res.Header.Get("Id") }
 				c.head = head{line: "HTTP/1.1 200 OK", length: int64(size)}
 				body := []byte(strings.Repeat(text, size/2))
 				b.ReportAllocs()
 				for b.Loop() {
-					if p.isSpliced(c, body) {
+					if c.isSpliced(body, false) {
 						b.Fatal("spliced")
 					}
 				}
--- a/limit/connection.go
+++ b/limit/connection.go
@@ -67,6 +67,8 @@
 	current uint64
 	// repeatable holds the contents of those that it may carry again.
 	repeatable sentIDs
+	// replyID is Pool.ReplyID.
+	replyID func(*Response) string
 	// closing is true if the connection closes after the reply.
 	closing bool
 	// expires is when the target closes the connection if it stays idle; zero if the target
@@ -266,7 +268,11 @@
 		return nil, &ReplyError{Reason: TooLarge}
 	case c.head.length >= 0:
 		body := make([]byte, c.head.length)
-		if _, err := io.ReadFull(from, body); err != nil {
+		err := c.readFull(from, body)
+		if errors.Is(err, errSplicedBody) {
+			return nil, &ReplyError{Reason: Spliced}
+		}
+		if err != nil {
 			return nil, &ReplyError{Reason: Truncated, Err: err}
 		}
 		return body, nil
--- a/limit/do.go
+++ b/limit/do.go
@@ -86,7 +86,7 @@
 	if !wanted.fresh {
 		c.repeatable.add(wanted.content, wanted.head)
 	}
-	c.current = wanted.id
+	c.current, c.replyID = wanted.id, p.ReplyID
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
 		if w.stop() {
@@ -181,7 +181,7 @@
 	if err != nil {
 		return readResult{err: err}
 	}
-	if p.isSpliced(c, body) {
+	if c.isSpliced(body, false) {
 		return readResult{err: &ReplyError{Reason: Spliced}}
 	}
 	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // statusForm is the start of a status line, in which 0 stands for any digit.
@@ -30,6 +32,8 @@
 	replyID func(*Response) string
 	// known reports whether the connection has carried the sub-request with the ID.
 	known func(id string) bool
+	// partial is true if only a part of the body is known. Only an identity is then a sign of another reply.
+	partial bool
 }
 
 // in reports whether another reply starts in the body. behind is what has been received after the body.
@@ -39,53 +43,49 @@
 		if i < 0 {
 			break
 		}
-		spliced, examined := s.at(body, from+i, behind)
-		if spliced {
+		if s.at(body, from+i, behind) {
 			return true
 		}
-		from = min(from+i+examined, len(body))
+		from += i + 1
 	}
 	if len(behind) == 0 {
 		return false
 	}
 	for i := max(0, len(body)-len(versionPrefix)+1); i < len(body); i++ {
-		if bytes.HasPrefix(versionPrefix, body[i:]) {
-			if spliced, _ := s.at(body, i, behind); spliced {
-				return true
-			}
+		if bytes.HasPrefix(versionPrefix, body[i:]) && s.at(body, i, behind) {
+			return true
 		}
 	}
 	return false
 }
 
-// at reports whether another reply starts at the index of the body, and how many bytes of the body that holds
-// for in any case.
-func (s *splicing) at(body []byte, start int, behind []byte) (spliced bool, examined int) {
+// at reports whether another reply starts at the index of the body.
+func (s *splicing) at(body []byte, start int, behind []byte) bool {
 	text := body[start:]
 	if len(text) < readBufferSize && len(behind) > 0 {
 		text = append(bytes.Clone(text), behind...)
 	}
-	whole := len(text) <= readBufferSize
+	whole := !s.partial && len(text) <= readBufferSize
 	text = text[:min(len(text), readBufferSize)]
 	if !isStatus(text) {
-		return whole && len(text) >= minCutStatus && strings.HasPrefix(s.own, string(text)), 1
+		return whole && len(text) >= minCutStatus && strings.HasPrefix(s.own, string(text))
 	}
 	line, rest, ended := bytes.Cut(text, lineEnd)
 	if !ended {
-		return whole && strings.HasPrefix(s.own+"\r", string(line)), len(versionPrefix)
+		return whole && strings.HasPrefix(s.own+"\r", string(line))
 	}
 	fields, rest, state := cutFields(rest)
 	header := Header{text: string(fields)}
 	id := s.replyID(&Response{Header: header})
 	switch {
 	case id != "" && s.known(id):
-		return true, 0
+		return true
 	case state == fieldsCut && whole && string(line) == s.own:
-		return true, 0
-	case state == fieldsEnded && id == "" && repeats(body[:start], rest):
-		return true, 0
+		return true
+	case state == fieldsEnded && !s.partial && id == "" && repeats(body[:start], rest):
+		return true
 	}
-	return false, len(line)
+	return false
 }
 
 // repeats reports whether the text after a head begins like the one before it.
@@ -166,15 +166,39 @@
 	return false
 }
 
-// isSpliced reports whether another reply starts in the body that was read from the connection.
-func (p *Pool) isSpliced(c *connection, body []byte) bool {
-	if p.ReplyID == nil || len(body) == 0 {
+// errSplicedBody reports that a body that is being read holds the start of another reply.
+var errSplicedBody = errors.New("another reply starts in the body")
+
+// isSpliced reports whether another reply starts in the body that was read from the connection, or in the part of it.
+func (c *connection) isSpliced(body []byte, partial bool) bool {
+	if c.replyID == nil || len(body) == 0 {
 		return false
 	}
-	s := splicing{own: c.head.line, replyID: p.ReplyID, known: func(id string) bool { return c.sent.has(xxhash.Sum64String(id)) }}
+	s := splicing{
+		own: c.head.line, replyID: c.replyID, partial: partial,
+		known: func(id string) bool { return c.sent.has(xxhash.Sum64String(id)) },
+	}
 	var behind []byte
-	if c.head.length >= 0 {
+	if c.head.length >= 0 && !partial {
 		behind, _ = c.reader.Peek(c.reader.Buffered())
 	}
 	return s.in(body, behind)
 }
+
+// readFull fills the body. It ends early if another reply starts in it, because the rest may then never come.
+func (c *connection) readFull(from io.Reader, body []byte) error {
+	for n := 0; n < len(body); {
+		m, err := from.Read(body[n:])
+		n += m
+		switch {
+		case n == len(body):
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		case c.isSpliced(body[max(0, n-m-readBufferSize):n], true):
+			return errSplicedBody
+		}
+	}
+	return nil
+}
--- a/limit/splice_test.go
+++ b/limit/splice_test.go
@@ -53,6 +53,7 @@
 		{"cut in the version, other bytes behind", "1234567H", "ello", false},
 		{"cut in the status", "123HTTP/1.1 2", "", true},
 		{"cut in another status", "123HTTP/1.1 5", "", false},
+		{"cut behind a mention", "HTTP/1.1 200 5HTTP/1.1 200 OK\r\nConte", "", true},
 		{"cut in the reason", "123HTTP/1.1 200 O", "", true},
 		{"cut in the line break", "123HTTP/1.1 200 OK\r", "", true},
 		{"cut in another reason", "123HTTP/1.1 200 No", "", false},
@@ -69,6 +70,27 @@
 	}
 }
 
+// Guards against a part of a body that is rejected although the rest may show that it only mentions a reply, and against
+// waiting for the rest of one that holds another reply.
+func TestSplicingOfPart(t *testing.T) {
+	for _, tt := range []struct {
+		body string
+		want bool
+	}{
+		{"123HTTP/1.1 200", false},
+		{"123HTTP/1.1 200 OK\r\nConte", false},
+		{"123HTTP/1.1 200 OK\r\nId: mine", false},
+		{"1234HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n1234", false},
+		{"123HTTP/1.1 200 OK\r\nId: mine\r\n", true},
+	} {
+		t.Run(tt.body, func(t *testing.T) {
+			s := testSplicing()
+			s.partial = true
+			is.New(t).Equal(s.in([]byte(tt.body), nil), tt.want)
+		})
+	}
+}
+
 // Guards against a head that breaks off and goes on with the one of another reply, and against rejecting fields
 // that only name a version.
 func TestIsHeadSpliced(t *testing.T) {
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -262,3 +262,48 @@
 		})
 	}
 }
+
+// Guards against a request that waits until its deadline although its reply has arrived inside the body of another one
+// that has broken off.
+func TestReplyInsideLongerBody(t *testing.T) {
+	const missing = 20_000 // bytes that the first reply lacks, more than the second one has
+	for _, tt := range []struct {
+		name string
+		// first is the reply that breaks off.
+		first func(id, last string) string
+	}{
+		{"late copy", func(_, last string) string { return framedReply(last, strings.Repeat("x", 2*missing)) }},
+		{"own reply", func(id, _ string) string { return framedReply(id, strings.Repeat("x", 2*missing)) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newRawHarness(t, 1, func(conn net.Conn) {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for last := ""; ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					id := r.Header.Get(headers.Request)
+					if last != "" {
+						first := tt.first(id, last)
+						_, _ = io.WriteString(conn, first[:len(first)-missing])
+						time.Sleep(20 * time.Millisecond)
+					}
+					for _, part := range []string{framedReply(id, testBody(id))[:60], framedReply(id, testBody(id))[60:]} {
+						_, _ = io.WriteString(conn, part)
+						time.Sleep(10 * time.Millisecond)
+					}
+					last = id
+				}
+			})
+			for i := range 4 {
+				started := time.Now()
+				res, _ := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
+				is.Equal(res.StatusCode, []int{http.StatusOK, http.StatusBadGateway}[i%2])
+				is.True(time.Since(started) < 750*time.Millisecond) // half of the deadline
+			}
+		})
+	}
+}
