Answer HEAD on routes to shards without a length

What callers saw: 502 while no answer to HEAD could be read, and since then a success that states a Content-Length of 0, which GET does not have.

Cause: the length stated was that of the merge of no records.

Change: the response to HEAD has the signatures of the parts and the number of missing shards, and no length. docs/design.md, 6.9, weighs the alternatives. Messages between hosts are the same.

TestHeadOfShards fails in its 4 cases without the change (length 0) and on (502): all shards, divided among hosts, passed on, one shard fails.

--- a/relay/gather.go
+++ b/relay/gather.go
@@ -48,7 +48,8 @@
 	s.refuseIncomplete(w, j, c)
 }
 
-// writeMerged merges the replies and sends the response.
+// writeMerged merges the replies and sends the response. The response to HEAD has no length: targets answer it without
+// records.
 func (s *Service) writeMerged(w http.ResponseWriter, j *job, c *gathered) {
 	missing := len(j.route.Shards) - len(c.signatures)
 	body := merge(c.bodies, j.route.ResultLimit)
@@ -57,7 +58,9 @@
 	h.Set(s.Headers.Parts, strings.Join(c.signatures, ", "))
 	h.Set(s.Headers.Missing, strconv.Itoa(missing))
 	h.Set("Content-Type", "application/octet-stream")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if j.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(body) // an error means that the caller has left
 	s.recordResponse(j, http.StatusOK, missing, c.extra, c.failed)
--- a/relay/head_test.go
+++ b/relay/head_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -210,3 +211,58 @@
 	is.Equal(res[0].StatusCode, http.StatusBadGateway)
 	is.Equal(bodies, [2]string{"", "no usable reply\n"})
 }
+
+// Guards against a HEAD on a route to shards that fails although its targets answer, that reports a length which the
+// records don't have, or whose incomplete response does not show.
+func TestHeadOfShards(t *testing.T) {
+	for _, tt := range []struct {
+		name           string
+		change         func(first *fakeTarget)
+		divided        bool
+		passed         bool
+		parts, missing string
+	}{
+		{"all shards", nil, false, false, "sign-t0, sign-t1, sign-t2, sign-t3", "0"},
+		{"divided among hosts", nil, true, false, "sign-t0, sign-t1, sign-t2, sign-t3", "0"},
+		{"passed on", nil, false, true, "sign-t0, sign-t1, sign-t2, sign-t3", "0"},
+		{
+			"one shard fails", func(f *fakeTarget) { f.status(http.StatusNotFound, true) }, false, false,
+			"sign-t1, sign-t2, sign-t3", "1",
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var targets []*fakeTarget
+			for i := range 4 {
+				targets = append(targets, newTarget(fmt.Sprint("t", i), fmt.Sprint("s", i)).records(fmt.Sprint(i)))
+			}
+			if tt.change != nil {
+				tt.change(targets[0])
+			}
+			route := shardsRoute(0.75, "s0", "s1", "s2", "s3")
+			h := newHarness(t, route, targets...)
+			if tt.divided {
+				h.divided(2, h.collectEncoded)
+			}
+			if tt.passed {
+				other := h
+				h = newHarness(t, route)
+				h.loseLinks()
+				h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectEncoded})
+			}
+			res, bodies := exchangeTwo(t, h, http.MethodHead, "", "")
+			is.Equal(res[0].StatusCode, http.StatusOK)
+			is.Equal(res[0].Header.Values("Content-Length"), nil)
+			is.Equal(res[0].Header.Get(headers.Missing), tt.missing)
+			parts := strings.Split(res[0].Header.Get(headers.Parts), ", ")
+			slices.Sort(parts)
+			is.Equal(strings.Join(parts, ", "), tt.parts)
+			is.Equal(bodies[0], "")
+			is.Equal(res[1].StatusCode, http.StatusOK)
+			is.Equal(len(bodies[1]), 3*recordSize)
+			for _, f := range targets {
+				is.Equal(f.requests.Load(), int64(2)) // no repeats
+			}
+		})
+	}
+}
