Don't pass a failure on as a promise that a request has not run

Cause: a signed failure was passed on with its status, whatever callers take the status for. Only a target's own "not run" says that it has not run.

Change: such a failure of a request that may run once is answered 502 without the target's signature, also if another host has passed it on. Idempotent requests get the target's status and signature as before.

No file or message format has changed.

--- a/relay/gather.go
+++ b/relay/gather.go
@@ -93,7 +93,7 @@
 	}
 	r := s.fetchOne(ctx, j, service)
 	switch {
-	case r.response != nil && r.ran && r.err == nil:
+	case r.response != nil && r.ran && r.err == nil && !misleads(j, r.response.Status):
 		if recorder, ok := w.(*replyRecorder); ok {
 			recorder.result = &r
 		}
@@ -116,6 +116,16 @@
 	}
 }
 
+// misleads reports whether a caller would take a failure of a target that has run the request for the promise that
+// the request has not run, although it may run only once.
+func misleads(j *job, status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !j.route.Idempotent
+	}
+	return false
+}
+
 // fetchOne fetches from one service and returns the final result.
 func (s *Service) fetchOne(ctx context.Context, j *job, service string) result {
 	ctx, cancel := context.WithCancel(ctx)
--- a/relay/notrun_test.go
+++ b/relay/notrun_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"wasabirelay/portion"
 	"wasabirelay/routing"
 )
 
@@ -46,3 +48,38 @@
 		}
 	}
 }
+
+// Guards against a caller that is told that its request has not run, and sends it again, although the target has
+// run it and failed: only a target that says so has not run a request.
+func TestFailureIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusInternalServerError} {
+		for _, idempotent := range []bool{false, true} {
+			for _, passed := range []bool{false, true} {
+				t.Run(fmt.Sprint(status, ", idempotent ", idempotent, ", passed on ", passed), func(t *testing.T) {
+					is := is.New(t)
+					target := newTarget("t1", "s1").status(status, true)
+					h := newHarness(t, singleRoute(idempotent, 1), target)
+					if passed {
+						h.loseLinks()
+						h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){
+							"earlier": func(_ context.Context, _ *portion.Request, receive func(*portion.Frame, error)) {
+								target.ran.Add(1)
+								header := http.Header{headers.Request: {"r1"}, headers.Signature: {"sign-t1"}}
+								receive(&portion.Frame{Last: true, Reply: &portion.Reply{Status: status, Header: header}}, nil)
+							},
+						})
+					}
+					res, _ := h.get(t, nil)
+					is.Equal(target.ran.Load(), int64(1))
+					if !idempotent && status != http.StatusInternalServerError {
+						is.Equal(res.StatusCode, http.StatusBadGateway)
+						is.Equal(res.Header.Get(headers.Signature), "")
+						return
+					}
+					is.Equal(res.StatusCode, status)
+					is.Equal(res.Header.Get(headers.Signature), "sign-t1")
+				})
+			}
+		}
+	}
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -177,6 +177,8 @@
 		return s.checkMerged(j, reply)
 	case signature == "":
 		return errUnsigned
+	case misleads(j, reply.Status):
+		return errors.Errorf("a target has run the request and failed with status %d", reply.Status)
 	}
 	return nil
 }
