Keep cancellations that overtake their portion

A host went on to work on portions, and on whole requests that were passed on to it, after the caller had left, until their timeout: targets ran requests that nobody waited for.

Cause: calls between hosts are handled concurrently and notifications in order. A cancellation that arrived together with its portion, as after a freeze, or that was sent before it, found no portion and was dropped.

Change: a host keeps such a cancellation for a while and refuses the portion, whose receiver is gone. A portion that is cancelled before it was sent is not sent any more.

No file or message format has changed.

--- a/portion/helpers.go
+++ b/portion/helpers.go
@@ -175,6 +175,9 @@
 // call sends the portion and passes the last frame on. It continues after the portion was
 // cancelled: other portions use the same connection, which a call that is given up would close.
 func (h *Helpers) call(one *helper, r *Request) {
+	if h.receiver(one, r.ID) == nil {
+		return // cancelled before anything was sent
+	}
 	ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, r.Timeout+replyMargin)
 	defer cancel()
 	var last Frame
--- a/portion/portion_test.go
+++ b/portion/portion_test.go
@@ -117,6 +117,40 @@
 	}
 }
 
+// Guards against work on a portion that was cancelled before the other host began with it, because both messages
+// arrive together: that host was frozen, or the caller left at once.
+func TestEarlyCancel(t *testing.T) {
+	is := is.New(t)
+	var began, lasted atomic.Int64
+	p := newPair(t, func(ctx context.Context, _ *Request, _ func(*Frame)) *Frame {
+		began.Add(1)
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+			lasted.Add(1)
+		}
+		return &Frame{}
+	})
+	const portions = 300
+	for range portions {
+		p.collect(t, nil).Cancel()
+	}
+	conn, err := (&peer.Client{Address: p.address}).Connect(t.Context())
+	is.NoErr(err)
+	defer conn.Close()
+	for id := range uint64(portions) {
+		r := &Request{ID: id, Method: "GET", URI: "/q/", Host: "h", Shards: []string{"s1"}, Timeout: 2 * time.Second}
+		go func() { _ = conn.Call(t.Context(), MethodCollect, r, &Frame{}) }()
+		is.NoErr(conn.Notify(t.Context(), MethodCancel, cancelRequest{ID: id}))
+	}
+	time.Sleep(700 * time.Millisecond)
+	t.Logf("%d of %d portions were begun", began.Load(), 2*portions)
+	is.Equal(lasted.Load(), int64(0))
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	is.Equal(len(p.server.running), 0)
+}
+
 // Guards against a portion that counts as not run although the other host may have sent it to
 // targets, and the reverse.
 func TestLostPortion(t *testing.T) {
--- a/portion/server.go
+++ b/portion/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -12,8 +13,15 @@
 	"wasabirelay/peer"
 )
 
-// flushTime is the time in which the last frame of a portion that has ended is sent.
-const flushTime = 20 * time.Millisecond
+const (
+	// flushTime is the time in which the last frame of a portion that has ended is sent.
+	flushTime = 20 * time.Millisecond
+	// earlyTime is how long a cancellation is kept for a portion that has not begun: messages are handled
+	// concurrently, and a host that wakes from a freeze reads a portion and its cancellation together.
+	earlyTime = time.Second
+	// maxEarly bounds these cancellations.
+	maxEarly = 1024
+)
 
 // Server collects portions for other hosts. Exported fields are set before use. It is safe for
 // concurrent use.
@@ -26,6 +34,8 @@
 
 	mu      sync.Mutex
 	running map[collectionKey]context.CancelFunc
+	// early holds the times of the cancellations of portions that are not running: they have ended, or not begun.
+	early map[collectionKey]time.Time
 	// closed is true once new portions are refused. idle is closed when the last one has ended.
 	closed bool
 	idle   chan struct{}
@@ -53,8 +63,8 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	key := collectionKey{conn, r.ID}
-	if !s.begin(key, cancel) {
-		return &Frame{ID: r.ID, Refused: "this host shuts down", Last: true}, nil
+	if reason := s.begin(key, cancel); reason != "" {
+		return &Frame{ID: r.ID, Refused: reason, Last: true}, nil
 	}
 	defer s.end(key)
 	go func() { // nobody needs the replies once the connection is lost
@@ -82,24 +92,45 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cancel := s.running[collectionKey{conn, r.ID}]; cancel != nil {
+	key := collectionKey{conn, r.ID}
+	if cancel := s.running[key]; cancel != nil {
 		cancel()
+	} else {
+		s.keepEarly(key)
 	}
 	return nil, nil
 }
 
-// begin registers a portion. It reports false if new portions are refused.
-func (s *Server) begin(key collectionKey, cancel context.CancelFunc) bool {
+// keepEarly keeps a cancellation for a portion that is not running. The caller holds s.mu.
+func (s *Server) keepEarly(key collectionKey) {
+	now := s.Clock.Now()
+	if s.early == nil {
+		s.early = map[collectionKey]time.Time{}
+	}
+	if len(s.early) >= maxEarly {
+		maps.DeleteFunc(s.early, func(_ collectionKey, at time.Time) bool { return now.Sub(at) >= earlyTime })
+	}
+	if len(s.early) < maxEarly {
+		s.early[key] = now
+	}
+}
+
+// begin registers a portion, or returns the reason why this host doesn't work on it.
+func (s *Server) begin(key collectionKey, cancel context.CancelFunc) (refused string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		return false
+		return "this host shuts down"
+	}
+	if _, cancelled := s.early[key]; cancelled {
+		delete(s.early, key)
+		return "the portion was cancelled"
 	}
 	if s.running == nil {
 		s.running = map[collectionKey]context.CancelFunc{}
 	}
 	s.running[key] = cancel
-	return true
+	return ""
 }
 
 func (s *Server) end(key collectionKey) {
