--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -139,3 +139,57 @@
 		})
 	}
 }
+
+// Guards against a request that runs without the identity that its caller sent, or with another one, against an
+// answer that names another, and against refusing an unusual identity.
+func TestIdentityOfRequest(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked"
+	long := strings.Repeat("i", 4<<10)
+	for _, tt := range []struct {
+		name   string
+		lines  []string // of the head
+		body   string
+		status int
+		id     string // at the target and in the answer
+	}{
+		{"usual", []string{"Req: r1"}, "", 200, "r1"},
+		{"none", nil, "", 400, ""},
+		{"empty", []string{"Req:"}, "", 400, ""},
+		{"blanks", []string{"Req: \t "}, "", 400, ""},
+		{"among blanks", []string{"Req: \t r1 \t"}, "", 200, "r1"},
+		{"with blanks and signs", []string{"Req: a  b,\"c\";\\=:"}, "", 200, "a  b,\"c\";\\=:"},
+		{"other case of the name", []string{"rEQ: r1"}, "", 200, "r1"},
+		{"no UTF-8", []string{"Req: a\xe9\xff"}, "", 200, "a\xe9\xff"},
+		{"long", []string{"Req: " + long}, "", 200, long},
+		{"control character", []string{"Req: a\x01"}, "", 400, ""},
+		{"bare carriage return", []string{"Req: a\rX: b"}, "", 400, ""},
+		{"twice the same", []string{"Req: r1", "Req: r1"}, "", 200, "r1"},
+		{"two", []string{"Req: r1", "Req: r2"}, "", 200, "r1"},
+		{"one and an empty one", []string{"Req:", "Req: r2"}, "", 400, ""},
+		{"only in the trailer", []string{chunked, "Trailer: Req"}, "2\r\nok\r\n0\r\nReq: r1\r\n\r\n", 400, ""},
+		{"another in the trailer", []string{"Req: r1", chunked, "Trailer: Req"}, "2\r\nok\r\n0\r\nReq: r2\r\n\r\n", 200, "r1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			target := newTarget("a", "s1").records("x")
+			h := newHarness(t, singleRoute(false, 1), target)
+			conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+			head := append([]string{"POST /q/x HTTP/1.1", "Host: h", headers.Timeout + ": 1500"}, tt.lines...)
+			_, err = io.WriteString(conn, strings.Join(head, "\r\n")+"\r\n\r\n"+tt.body)
+			is.NoErr(err)
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer res.Body.Close()
+			is.Equal(res.StatusCode, tt.status)
+			is.Equal(res.Header.Get(headers.Request), tt.id)
+			if tt.status != http.StatusOK {
+				is.Equal(target.requests.Load(), int64(0))
+				return
+			}
+			is.Equal(target.last.Header.Get(headers.Request), tt.id)
+		})
+	}
+}
