--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,13 +22,35 @@
 // faultDuration is how long faults are injected for each seed.
 const faultDuration = 6 * time.Second
 
-// Guards against broken guarantees while processes are killed, paused, shut down and lose
-// their data, targets fail, and links are delayed, reset and interrupted in one or both directions.
-func TestSoak(t *testing.T) {
+// buildNode builds the daemon and returns its path.
+func buildNode(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "node")
 	if out, err := exec.Command("go", "build", "-o", program, "wasabirelay/cmd/wasabirelay-node").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	return program
+}
+
+// do runs a seed and reports its violations.
+func do(t *testing.T, r *Run) {
+	t.Helper()
+	report, err := r.Do(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Violations) > 0 {
+		t.Error(report)
+	}
+	if report.Answered == 0 {
+		t.Errorf("seed %d: no request was answered", r.Seed)
+	}
+}
+
+// Guards against broken guarantees while processes are killed, paused, shut down and lose
+// their data, targets fail, and links are delayed, reset and interrupted in one or both directions.
+func TestSoak(t *testing.T) {
+	program := buildNode(t)
 	type run struct {
 		seed         uint64
 		replacements bool
@@ -42,15 +64,21 @@
 		r := &Run{
 			Seed: seed, Duration: faultDuration, ControlHosts: 3, EntryHosts: 3, Replacements: run.replacements, Program: program, Dir: t.TempDir(), Logf: t.Logf,
 		}
-		report, err := r.Do(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
-		if len(report.Violations) > 0 {
-			t.Error(report)
-		}
-		if report.Answered == 0 {
-			t.Errorf("seed %d: no request was answered", seed)
-		}
+		do(t, r)
+	}
+}
+
+// stutterDuration is how long requests are sent before the checks at the end, during which they continue.
+const stutterDuration = time.Second
+
+// Guards against answers that come from another run, or are not whole, while targets repeat, break
+// off and fail their replies, and callers leave early, pipeline and send bodies slowly. The seeds
+// cover replies without a length, and broken ones, with copies behind them.
+func TestStutter(t *testing.T) {
+	program := buildNode(t)
+	for _, seed := range []uint64{2, 4} {
+		do(t, &Run{
+			Seed: seed, Duration: stutterDuration, ControlHosts: 3, EntryHosts: 3, Stutter: true, Quiet: true, Program: program, Dir: t.TempDir(), Logf: t.Logf,
+		})
 	}
 }
