Skip whole replies without an identity that may be late copies

What callers saw: 502 for requests that may run once, and a repeat of each other one, because a target had sent a copy of an earlier reply without its identity first.

Cause: a reply without an identity counted as one to an unknown request, which closes the connection.

Change: on a connection that has carried several requests, such a reply is skipped like a late copy, with the same bound, if all of it has arrived. The first reply on a connection can't be a copy, so that a target that names no request at all still fails at once. A reply that names several requests is told apart from one that names none, and still closes the connection.

Result: the new case of relay TestLateCopyOfAnotherReply fails before. No format has changed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -254,6 +254,12 @@
 	}
 }
 
+// isAnonymousCopy reports whether the reply, which names no sub-request, may be a copy of an earlier one. It is
+// skipped only if all of it has arrived: nothing tells whether the rest ever does.
+func (c *connection) isAnonymousCopy() bool {
+	return c.sent.several() && !c.closing && c.bodyBuffered()
+}
+
 // readBody reads the complete body of the reply. It does not close the body: that would
 // continue to read after an error, and the connection is closed in that case anyway.
 func (c *connection) readBody(limit int64, unframed bool) ([]byte, error) {
--- a/limit/do.go
+++ b/limit/do.go
@@ -168,6 +168,9 @@
 		head, _ = c.sent.find(id)
 	}
 	c.expectBody(head)
+	if p.ReplyID != nil && name == "" {
+		c.late = c.isAnonymousCopy()
+	}
 	known := c.late || id == c.current || c.current == 0 // without an ID, only CheckReply can tell
 	if !known || c.late && c.closing {
 		return &ReplyError{Reason: Mismatched, Err: errors.Errorf("the reply is for request %q", name)}
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -75,9 +75,10 @@
 	// CheckReply, if set, returns an error if a complete reply does not belong to the request.
 	// The connection is closed then, because later replies on it can't be trusted either.
 	CheckReply func(req *http.Request, res *Response) error
-	// ReplyID, if set, returns the EncodedRequest.ID of the sub-request that a reply names in its header. A late
-	// copy of an earlier reply on the connection is then skipped instead of closing the connection. A reply that
-	// names a sub-request which the connection has not carried is rejected before its body is read.
+	// ReplyID, if set, returns the EncodedRequest.ID of the sub-request that a reply names in its header, or "" if it
+	// names none. A late copy of an earlier reply on the connection, and a reply without an ID that may be one, is then
+	// skipped instead of closing the connection. A reply that names a sub-request which the connection has not
+	// carried is rejected before its body is read.
 	ReplyID func(res *Response) string
 	// OnSkipped, if set, is called with each late copy that is skipped and the address of its target.
 	OnSkipped func(address netip.AddrPort, res *Response)
--- a/limit/sent.go
+++ b/limit/sent.go
@@ -35,3 +35,7 @@
 	i := slices.Index(s.ids, id)
 	return i >= 0 && s.heads[i], i >= 0
 }
+
+// several reports whether the connection has carried several sub-requests, all with the same method as far as it matters
+// for the end of a reply.
+func (s *sentIDs) several() bool { return len(s.ids) > 1 && !slices.Contains(s.heads, !s.heads[0]) }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -78,10 +78,17 @@
 	return nil
 }
 
-// ReplyID returns the identity of the request that a reply names, or "" if the reply names several. It is the
-// value of limit.Pool.ReplyID.
+// severalIDs stands for the identities of a reply that names several requests. No request has it, since no header
+// field holds a line break.
+const severalIDs = "\n"
+
+// ReplyID returns the identity of the request that a reply names, "" if it names none, or severalIDs. It is the value of
+// limit.Pool.ReplyID.
 func (s *Service) ReplyID(res *limit.Response) string {
-	id, _ := res.Header.Only(s.Headers.Request)
+	id, ok := res.Header.Only(s.Headers.Request)
+	if !ok {
+		return severalIDs
+	}
 	return id
 }
 
--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -98,6 +98,7 @@
 type echoingTarget struct {
 	copies           int
 	foreign          bool
+	anonymous        bool // the copies name no request
 	ran, connections atomic.Int64
 }
 
@@ -113,8 +114,11 @@
 		}
 		f.ran.Add(1)
 		id := r.Header.Get(headers.Request)
-		if f.foreign && last != "" {
+		switch {
+		case f.foreign:
 			last = strings.ReplaceAll(last, headers.Request+": ", headers.Request+": other-")
+		case f.anonymous:
+			last = strings.ReplaceAll(last, headers.Request+": ", "Other: ")
 		}
 		reply := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sign\r\nContent-Length: 16\r\n\r\n%s", headers.Request, id, headers.Signature, record(id))
 		_, _ = io.WriteString(conn, strings.Repeat(last, f.copies))
@@ -134,6 +138,7 @@
 	}{
 		{"one copy", &echoingTarget{copies: 1}, http.StatusOK},
 		{"some copies", &echoingTarget{copies: 3}, http.StatusOK},
+		{"without an identity", &echoingTarget{copies: 3, anonymous: true}, http.StatusOK},
 		{"without end", &echoingTarget{copies: 40}, http.StatusBadGateway},
 		{"an unknown identity", &echoingTarget{copies: 1, foreign: true}, http.StatusBadGateway},
 	} {
