Skip up to seven late copies of a reply

What callers saw: 502 for a request that may run once, and a repeat of each other one, when more than three copies of earlier replies came before its own.

Change: seven copies are read before the connection is given up. Their number stays bounded, and so does the time, by the deadline of the request.

Result: the new case of relay TestLateCopyOfAnotherReply fails before; copies without end still close the connection. No format has changed.

--- a/limit/do.go
+++ b/limit/do.go
@@ -125,7 +125,7 @@
 
 // maxReplies bounds the replies that are read for one sub-request: late copies of earlier replies on its
 // connection, and its own.
-const maxReplies = 4
+const maxReplies = 8
 
 // errLateCopy reports a late copy of the reply to an earlier sub-request on the connection. The reply to this
 // one may follow.
--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -138,6 +138,7 @@
 	}{
 		{"one copy", &echoingTarget{copies: 1}, http.StatusOK},
 		{"some copies", &echoingTarget{copies: 3}, http.StatusOK},
+		{"many copies", &echoingTarget{copies: 7}, http.StatusOK},
 		{"without an identity", &echoingTarget{copies: 3, anonymous: true}, http.StatusOK},
 		{"without end", &echoingTarget{copies: 40}, http.StatusBadGateway},
 		{"an unknown identity", &echoingTarget{copies: 1, foreign: true}, http.StatusBadGateway},
