Reject bodies of doubtful end that hold a reply without an identity

Callers got 200 with the bytes of an earlier reply at the end of the body: a target sent a reply without a length, and a copy of an earlier one, without its identity, before the connection ended.

Cause: a head inside a body counts as another reply only if it names a request of the connection, or is the reply's own again, because a body may show replies.

Change: where the end of a body is doubtful in any case, that is without a length or with more bytes behind it, the head of any reply of a target counts: one with an identity, a signature or a "not run". Other text still passes.

Result: relay TestAnonymousReplyInsideBody fails before. No format has changed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -67,8 +67,9 @@
 	current uint64
 	// repeatable holds the contents of those that it may carry again.
 	repeatable sentIDs
-	// replyID is Pool.ReplyID.
+	// replyID is Pool.ReplyID, isReply is Pool.IsReply.
 	replyID func(*Response) string
+	isReply func(*Response) bool
 	// closing is true if the connection closes after the reply.
 	closing bool
 	// expires is when the target closes the connection if it stays idle; zero if the target
--- a/limit/do.go
+++ b/limit/do.go
@@ -86,7 +86,7 @@
 	if !wanted.fresh {
 		c.repeatable.add(wanted.content, wanted.head)
 	}
-	c.current, c.replyID = wanted.id, p.ReplyID
+	c.current, c.replyID, c.isReply = wanted.id, p.ReplyID, p.isReply
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
 		if w.stop() {
@@ -202,6 +202,8 @@
 	return readResult{response: res}
 }
 
+func (p *Pool) isReply(res *Response) bool { return p.IsReply != nil && p.IsReply(res) }
+
 // check calls CheckReply. A panic in it counts as a mismatch, so that the connection is closed and
 // its place becomes free.
 func (p *Pool) check(req *http.Request, res *Response) (err error) {
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -80,6 +80,9 @@
 	// skipped instead of closing the connection. A reply that names a sub-request which the connection has not
 	// carried is rejected before its body is read.
 	ReplyID func(res *Response) string
+	// IsReply, if set, reports whether a header is that of a target's reply. A body whose end is doubtful is rejected if
+	// it holds such a header.
+	IsReply func(res *Response) bool
 	// OnSkipped, if set, is called with each late copy that is skipped and the address of its target.
 	OnSkipped func(address netip.AddrPort, res *Response)
 	// AllowUnframed accepts replies whose body ends with the connection. A reply counts as
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -32,6 +32,10 @@
 	replyID func(*Response) string
 	// known reports whether the connection has carried the sub-request with the ID.
 	known func(id string) bool
+	// isReply is Pool.IsReply.
+	isReply func(*Response) bool
+	// unframed is true if the body has no length, so that it may well hold more than one reply.
+	unframed bool
 	// partial is true if only a part of the body is known. Only an identity is then a sign of another reply.
 	partial bool
 }
@@ -66,6 +70,8 @@
 		text = append(bytes.Clone(text), behind...)
 	}
 	whole := !s.partial && len(text) <= readBufferSize
+	// Bytes behind a body with a length are no part of a sound reply either.
+	doubtful := !s.partial && (s.unframed || len(behind) > 0)
 	text = text[:min(len(text), readBufferSize)]
 	if !isStatus(text) {
 		return whole && len(text) >= minCutStatus && strings.HasPrefix(s.own, string(text))
@@ -80,7 +86,9 @@
 	switch {
 	case id != "" && s.known(id):
 		return true
-	case state == fieldsCut && whole && string(line) == s.own:
+	case state == fieldsCut && whole && (doubtful || string(line) == s.own):
+		return true
+	case state == fieldsEnded && doubtful && s.isReply(&Response{Header: header}):
 		return true
 	case state == fieldsEnded && !s.partial && id == "" && repeats(body[:start], rest):
 		return true
@@ -175,7 +183,7 @@
 		return false
 	}
 	s := splicing{
-		own: c.head.line, replyID: c.replyID, partial: partial,
+		own: c.head.line, replyID: c.replyID, isReply: c.isReply, unframed: c.head.length < 0 && !c.head.chunked, partial: partial,
 		known: func(id string) bool { return c.sent.has(xxhash.Sum64String(id)) },
 	}
 	var behind []byte
--- a/limit/splice_test.go
+++ b/limit/splice_test.go
@@ -19,6 +19,7 @@
 		own:     spliceLine,
 		replyID: func(res *Response) string { return res.Header.Get("Id") },
 		known:   func(id string) bool { return id == "mine" || id == "earlier" },
+		isReply: func(res *Response) bool { return res.Header.Get("Sign") != "" },
 	}
 }
 
@@ -70,6 +71,31 @@
 	}
 }
 
+// Guards against a body whose end is doubtful and that holds a copy of another reply without its identity, and against
+// rejecting one that only mentions replies.
+func TestSplicingOfDoubtfulBody(t *testing.T) {
+	const anonymous = "HTTP/1.1 404 Not Found\r\nSign: 3e1b\r\nContent-Length: 4\r\n\r\n5678"
+	for _, tt := range []struct {
+		name, body, behind string
+		unframed, want     bool
+	}{
+		{"sound", "1234" + anonymous, "", false, false},
+		{"no length", "1234" + anonymous, "", true, true},
+		{"bytes behind", "1234" + anonymous[:40], anonymous[40:], false, true},
+		{"no length, cut in a value", "1234" + anonymous[:30], "", true, true},
+		{"no length, cut in the line break", "1234" + anonymous[:24], "", true, true},
+		{"no length, cut in the reason", "1234" + anonymous[:16], "", true, false}, // a text may end so
+		{"no length, no reply of a target", "1234HTTP/1.1 200 OK\r\nServer: x\r\n\r\n5678", "", true, false},
+		{"no length, mention", "they speak HTTP/1.1 200 times a day", "", true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testSplicing()
+			s.unframed = tt.unframed
+			is.New(t).Equal(s.in([]byte(tt.body), []byte(tt.behind)), tt.want)
+		})
+	}
+}
+
 // Guards against a part of a body that is rejected although the rest may show that it only mentions a reply, and against
 // waiting for the rest of one that holds another reply.
 func TestSplicingOfPart(t *testing.T) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -157,7 +157,8 @@
 	e.client.OwnCrashes = func(after uint64) ([]poison.Record, uint64) { return e.relay.Crashes.Own(e.Clock.Now(), after) }
 	e.client.MergeCrashes = func(records []poison.Record) { e.relay.Crashes.Merge(e.Clock.Now(), records) }
 	e.evidence.SkippedLatencies = 1 // the latencies that relay passes include no connecting
-	e.pool.CheckReply, e.pool.ReplyID, e.pool.OnSkipped = e.relay.CheckReply, e.relay.ReplyID, e.relay.RecordLateCopy
+	e.pool.CheckReply, e.pool.ReplyID, e.pool.IsReply = e.relay.CheckReply, e.relay.ReplyID, e.relay.IsReply
+	e.pool.OnSkipped = e.relay.RecordLateCopy
 	e.helpers = portion.Helpers{Clock: e.Clock, Log: e.Log, DialTimeout: exchange.DialTimeout}
 	e.portions = portion.Server{Collect: e.relay.Collect, Clock: e.Clock, Log: e.Log}
 	if e.Settings.Peer.IsValid() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -92,6 +92,16 @@
 	return id
 }
 
+// IsReply reports whether a header is that of a target's reply. It is the value of limit.Pool.IsReply.
+func (s *Service) IsReply(res *limit.Response) bool {
+	for _, name := range []string{s.Headers.Request, s.Headers.Signature, s.Headers.NotRun} {
+		if res.Header.Get(name) != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordLateCopy counts and logs a late copy that the pool has skipped. It is the value of limit.Pool.OnSkipped.
 func (s *Service) RecordLateCopy(address netip.AddrPort, res *limit.Response) {
 	s.Metrics.lateCopy()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -148,7 +148,7 @@
 		Pool: &limit.Pool{DrainTimeout: 50 * time.Millisecond, AllowUnframed: true}, Table: &route.Table{Centre: "c"},
 		View: func() *View { return h.view }, RetryShare: 1, RetrySlack: 100, Draining: func() bool { return false },
 	}
-	h.service.Pool.CheckReply, h.service.Pool.ReplyID = h.service.CheckReply, h.service.ReplyID
+	h.service.Pool.CheckReply, h.service.Pool.ReplyID, h.service.Pool.IsReply = h.service.CheckReply, h.service.ReplyID, h.service.IsReply
 	h.service.Pool.SetShares(shares)
 	h.server = httptest.NewServer(h.service)
 	t.Cleanup(func() { h.server.Close(); h.service.Pool.Close() })
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -307,3 +307,22 @@
 		})
 	}
 }
+
+// Guards against a success whose body ends with a copy of an earlier reply that lacks its identity, behind a reply
+// without a length.
+func TestAnonymousReplyInsideBody(t *testing.T) {
+	is := is.New(t)
+	h := newRawHarness(t, 1, serveReplies(func(id, last string) (string, bool) {
+		if last == "" {
+			return framedReply(id, testBody(id)), false
+		}
+		copied := strings.Replace(framedReply(last, testBody(last)), headers.Request+": "+last+"\r\n", "", 1)
+		return unframedReply(id, testBody(id)) + copied, true
+	}))
+	for i, status := range []int{http.StatusOK, http.StatusBadGateway, http.StatusOK, http.StatusBadGateway} {
+		id := fmt.Sprint("r", i)
+		res, body := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, id) })
+		is.Equal(res.StatusCode, status)
+		is.Equal(body == testBody(id), status == http.StatusOK)
+	}
+}
