Accept requests in absolute form

Callers that send the request target in absolute form (GET http://host/path), which every HTTP/1.1 server has to accept, got 404 although a route allows the request.

Cause: routes were matched with the request target as it was sent.

Change: scheme and host are cut off before the match; path and query go on unchanged, and the host is that of the request target.

No file or message format has changed.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -28,6 +28,7 @@
 	if view == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no routing document is known yet", retry: retryAfter}
 	}
+	r.RequestURI = originForm(r.RequestURI)
 	rt := view.Routing.Match(r.Host, pathOf(r.RequestURI))
 	if rt == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route matches"}
@@ -50,6 +51,22 @@
 	return j, nil
 }
 
+// originForm returns the request URI without the scheme and the host that its absolute form begins with.
+func originForm(uri string) string {
+	scheme, rest, ok := strings.Cut(uri, "://")
+	if !ok || strings.ContainsAny(scheme, "/?") {
+		return uri
+	}
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		return "/"
+	}
+	if rest[end] == '?' {
+		return "/" + rest[end:]
+	}
+	return rest[end:]
+}
+
 // pathOf returns the path of a request URI.
 func pathOf(uri string) string {
 	path, _, _ := strings.Cut(uri, "?")
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -193,3 +193,41 @@
 		})
 	}
 }
+
+// Guards against refusing a request in absolute form, which every server has to accept, and against targets that
+// get another path or query than the caller sent.
+func TestFormsOfRequestTarget(t *testing.T) {
+	for _, tt := range []struct{ sent, host, got string }{
+		{"/q/x%2Fy?a=%20&b=http://h/r/", "h", "/q/x%2Fy?a=%20&b=http://h/r/"},
+		{"/q//x/../y;z", "h:80", "/q//x/../y;z"},
+		{"http://h/q/x%2Fy?a=/b", "other", "/q/x%2Fy?a=/b"},
+		{"HTTP://H:80/q/x", "other", "/q/x"},
+		{"http://h", "h", ""},
+		{"http://h?a=/q/", "h", ""},
+		{"//h/q/x", "h", ""},
+		{"q/x", "h", ""},
+		{"*", "h", ""},
+	} {
+		t.Run(tt.sent, func(t *testing.T) {
+			is := is.New(t)
+			target := newTarget("a", "s1").records("x")
+			h := newHarness(t, singleRoute(false, 1), target)
+			conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+			_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: r1\r\n%s: 1500\r\n\r\n", tt.sent, tt.host, headers.Request, headers.Timeout)
+			is.NoErr(err)
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer res.Body.Close()
+			if tt.got == "" {
+				is.True(res.StatusCode == http.StatusNotFound || res.StatusCode == http.StatusBadRequest)
+				is.Equal(target.requests.Load(), int64(0))
+				return
+			}
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(target.last.RequestURI, tt.got)
+		})
+	}
+}
