soak: let the pause between requests be set

The retry budget is a share of the requests plus a fixed number, so it is tightest where there are few requests; the soak always sent as many as it could.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Stutter bool          `help:"Also make targets repeat, break off and fail replies; callers leave early, pipeline and send bodies slowly."`
 	Quiet   bool          `help:"Inject no other faults."`
 	Head    float64       `help:"Share of HEAD among the requests to one service that may run more than once; needs --stutter."`
+	Pause   time.Duration `help:"Pause between the requests of a caller." default:"5ms"`
 	Jobs    int           `help:"Number of seeds that run at the same time." default:"1"`
 	Dir     string        `help:"Directory for data and logs; those of seeds without a violation are removed." default:"tmp/soak"`
 	Causes  bool          `help:"Print which runs the requests had that got a mixed answer, 502 or 504."`
@@ -80,7 +81,7 @@
 		}
 		return strings.Join(append([]string{report.String()}, report.Causes...), "\n  ")
 	}
-	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Quiet: o.Quiet, HeadShare: o.Head, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
+	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Quiet: o.Quiet, HeadShare: o.Head, CallPause: o.Pause, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		}
--- a/soak/load.go
+++ b/soak/load.go
@@ -24,7 +24,7 @@
 		if err == nil { // otherwise the caller sees only a timeout or a closed connection
 			r.check.checkAnswer(id, to, a)
 		}
-		time.Sleep(callPause)
+		time.Sleep(r.CallPause)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -26,9 +27,9 @@
 	replicas = 3
 	// callers is the number of callers that send requests one after the other.
 	callers = 6
-	// callPause is the pause between the requests of a caller. It keeps the load below the
+	// defaultCallPause is the pause between the requests of a caller. It keeps the load below the
 	// limits of the machine: the soak test checks guarantees, not the capacity.
-	callPause = 5 * time.Millisecond
+	defaultCallPause = 5 * time.Millisecond
 	// callerTimeout is how long a caller waits for an answer.
 	callerTimeout = 1500 * time.Millisecond
 	// recoveryTimeout is how long the system may take after the last fault until all answers
@@ -64,6 +65,9 @@
 	// requests that are not merged; it needs Stutter.
 	Quiet     bool
 	HeadShare float64
+	// CallPause is the pause between the requests of a caller; the default is 5 ms. The retry budget is the
+	// tighter the fewer requests there are.
+	CallPause time.Duration
 	// Program is the path of the daemon, Dir a directory for data and logs.
 	Program, Dir string
 	// Logf logs each fault as it is injected.
@@ -120,6 +124,7 @@
 // the report.
 func (r *Run) Do(ctx context.Context) (*Report, error) {
 	r.rand = rand.New(rand.NewPCG(r.Seed, 1))
+	r.CallPause = cmp.Or(r.CallPause, defaultCallPause)
 	r.crashed = map[int]bool{}
 	r.check.init()
 	r.traffic.init()
--- a/soak/stutter.go
+++ b/soak/stutter.go
@@ -78,7 +78,7 @@
 		if err != nil && c == direct[host] {
 			r.check.checkError(queries[min(len(answers), n-1)].ID, err)
 		}
-		time.Sleep(callPause)
+		time.Sleep(r.CallPause)
 	}
 }
 
