--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -258,6 +258,18 @@
 	}
 }
 
+// Guards against a wrong number of requests in a window where they are recorded out of order.
+func TestRecordSentAt(t *testing.T) {
+	is := is.New(t)
+	var c traffic
+	c.init()
+	now := time.Now()
+	for _, after := range []time.Duration{standin.RetryWindow, 0, standin.RetryWindow / 4} {
+		c.recordSentAt(now.Add(after), []string{"s"})
+	}
+	is.Equal(c.maxSent("s", now), 2)
+}
+
 // Guards against a missed violation: a request of a host to a target that has told it that it
 // leaves; and against a false one: the first request of another host.
 func TestLeavingByReplies(t *testing.T) {
--- a/soak/load.go
+++ b/soak/load.go
@@ -103,7 +103,10 @@
 // inForce reports whether the document of a version is in force on an entry host. Each
 // document has a route that only it contains.
 func (r *Run) inForce(ctx context.Context, m *standin.Machine, version uint64) bool {
-	r.traffic.recordSent(singleRunServices)
+	sent := time.Now()
 	a, err := standin.SendRequest(ctx, m.CallerAddress(), http.MethodGet, fmt.Sprintf("/v%d/x", version), r.nextID(r.entryIndex(m)), callerTimeout)
+	if err != nil || a.Status != http.StatusNotFound {
+		r.traffic.recordSentAt(sent, singleRunServices) // without the route it is a request for no service
+	}
 	return err == nil && a.Status == http.StatusOK
 }
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -46,11 +46,15 @@
 }
 
 // recordSent records that a caller sends a request for the services.
-func (c *traffic) recordSent(services []string) {
+func (c *traffic) recordSent(services []string) { c.recordSentAt(time.Now(), services) }
+
+// recordSentAt records that a caller has sent a request for the services at a time.
+func (c *traffic) recordSentAt(at time.Time, services []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range services {
-		c.sent[s] = append(c.sent[s], time.Now())
+		i, _ := slices.BinarySearchFunc(c.sent[s], at, time.Time.Compare)
+		c.sent[s] = slices.Insert(c.sent[s], i, at)
 	}
 }
 
