Read chunked bodies without a second parse of the head

What callers saw: nothing. Since heads are parsed without the request, the head of a chunked reply was parsed a second time to read its body.

Change: chunks are read with httputil.NewChunkedReader, and the trailer behind them with net/textproto, within the read buffer as before.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"net/netip"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"syscall"
@@ -183,8 +185,7 @@
 	return &ReplyError{Reason: Malformed, Err: errors.New("too many interim replies")}
 }
 
-// parseBuffered waits for the next complete head and consumes it, unless its body is chunked: net/http
-// reads such a body from the head on.
+// parseBuffered waits for the next complete head and consumes it.
 func (c *connection) parseBuffered() error {
 	text, err := c.bufferHeader()
 	if err != nil {
@@ -200,17 +201,10 @@
 		}
 	}
 	c.head = h
-	if !h.chunked {
-		c.discardHead()
-	}
+	_, _ = c.reader.Discard(h.size) // can't fail: the head is in the buffer
 	return nil
 }
 
-// discardHead consumes the head.
-func (c *connection) discardHead() {
-	_, _ = c.reader.Discard(c.head.size) // can't fail: the head is in the buffer
-}
-
 // idleMargin is how long before its announced expiry an idle connection is no longer used,
 // because a request takes some time to arrive.
 const idleMargin = 500 * time.Millisecond
@@ -261,21 +255,16 @@
 	return c.sent.several() && !c.closing && c.bodyBuffered()
 }
 
-// readBody reads the complete body of the reply. It does not close the body: that would
-// continue to read after an error, and the connection is closed in that case anyway.
+// readBody reads the complete body of the reply.
 func (c *connection) readBody(limit int64, unframed bool) ([]byte, error) {
-	from := io.Reader(c.reader)
 	switch {
 	case c.bodiless:
-		if c.head.chunked {
-			c.discardHead()
-		}
 		return nil, nil
 	case c.head.length > limit:
 		return nil, &ReplyError{Reason: TooLarge}
 	case c.head.length >= 0:
 		body := make([]byte, c.head.length)
-		err := c.readFull(from, body)
+		err := c.readFull(body)
 		if errors.Is(err, errSplicedBody) {
 			return nil, &ReplyError{Reason: Spliced}
 		}
@@ -284,16 +273,24 @@
 		}
 		return body, nil
 	case c.head.chunked:
-		res, err := http.ReadResponse(c.reader, nil) //nolint:bodyclose // see above
+		body, err := readUpTo(httputil.NewChunkedReader(c.reader), limit)
 		if err != nil {
-			return nil, &ReplyError{Reason: Malformed, Err: err}
+			return nil, err
 		}
-		from = res.Body
+		if err := c.readTrailer(); err != nil {
+			return nil, &ReplyError{Reason: Truncated, Err: err}
+		}
+		return body, nil
 	case !unframed:
 		// The body ends with the connection, so a truncated body would not be detected.
 		return nil, &ReplyError{Reason: NoLength}
 	}
-	body, err := io.ReadAll(io.LimitReader(from, limit+1))
+	return readUpTo(c.reader, limit)
+}
+
+// readUpTo reads a body of at most limit bytes to its end.
+func readUpTo(reader io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(reader, limit+1))
 	if err != nil {
 		return nil, &ReplyError{Reason: Truncated, Err: err}
 	}
@@ -303,6 +300,22 @@
 	return body, nil
 }
 
+// readTrailer reads the fields that follow a chunked body, and the empty line. They are not passed on.
+func (c *connection) readTrailer() error {
+	const empty = "\r\n"
+	start, err := c.reader.Peek(len(empty))
+	if err != nil {
+		return err
+	}
+	if string(start) != empty {
+		if _, err := c.bufferHeader(); err != nil {
+			return err
+		}
+	}
+	_, err = textproto.NewReader(c.reader).ReadMIMEHeader()
+	return err
+}
+
 // bodyBuffered reports whether reading the body would not block.
 func (c *connection) bodyBuffered() bool {
 	n := c.head.length
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -194,9 +194,9 @@
 }
 
 // readFull fills the body. It ends early if another reply starts in it, because the rest may then never come.
-func (c *connection) readFull(from io.Reader, body []byte) error {
+func (c *connection) readFull(body []byte) error {
 	for n := 0; n < len(body); {
-		m, err := from.Read(body[n:])
+		m, err := c.reader.Read(body[n:])
 		n += m
 		switch {
 		case n == len(body):
