Test copies without an identity across methods

On a connection that has carried HEAD and another method, nothing tells whether a copy without an identity has a body; it closes the connection. Without the condition on the methods in sentIDs.several, 4 of the 6 cases of TestAnonymousCopyAcrossMethods fail: the copy is skipped with the wrong end.

--- a/limit/sent_test.go
+++ b/limit/sent_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -169,3 +170,49 @@
 	is.Equal(reply.Reason, Mismatched)
 	is.True(!errors.Is(reply, errLateCopy))
 }
+
+// Guards against a copy without an identity that is read by the method of another request: nothing tells which one it
+// belongs to once the connection has carried HEAD and another method.
+func TestAnonymousCopyAcrossMethods(t *testing.T) {
+	const (
+		copied = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+		own    = "HTTP/1.1 200 OK\r\nId: 3\r\nContent-Length: 4\r\n\r\n"
+	)
+	for _, tt := range []struct {
+		name    string
+		carried []string // the methods, that of the sub-request that waits last
+		text    string
+		skipped bool
+	}{
+		{"GET only", []string{"GET", "GET", "GET"}, copied + "body" + own + "mine", true},
+		{"HEAD only", []string{"HEAD", "HEAD", "HEAD"}, copied + own, true},
+		{"copy of HEAD before GET", []string{"GET", "HEAD", "GET"}, copied + own + "mine", false},
+		{"copy of GET before HEAD", []string{"HEAD", "GET", "HEAD"}, copied + "body" + own, false},
+		{"copy of GET before GET", []string{"HEAD", "GET", "GET"}, copied + "body" + own + "mine", false},
+		{"copy of HEAD before HEAD", []string{"GET", "HEAD", "HEAD"}, copied + own, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := &connection{reader: bufio.NewReaderSize(strings.NewReader(tt.text), readBufferSize)}
+			p := &Pool{ReplyID: func(res *Response) string { return res.Header.Get("Id") }}
+			for i, method := range tt.carried {
+				c.current = xxhash.Sum64String(strconv.Itoa(i + 1))
+				c.sent.add(c.current, method == http.MethodHead)
+			}
+			req, err := http.NewRequest(tt.carried[len(tt.carried)-1], "http://t0/", nil)
+			is.NoErr(err)
+			err = p.readHead(c, req)
+			if !tt.skipped {
+				var reply *ReplyError
+				is.True(errors.As(err, &reply) && reply.Reason == Mismatched)
+				return
+			}
+			is.NoErr(err)
+			is.True(errors.Is(p.read(c, req).err, errLateCopy))
+			r := p.readReply(c, req)
+			is.NoErr(r.err)
+			is.Equal(r.response.Header.Get("Id"), "3")
+			is.Equal(string(r.response.Body) == "mine", req.Method == http.MethodGet)
+		})
+	}
+}
