--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -56,6 +57,9 @@
 	if r.Replacements {
 		kinds = append(slices.Clone(faults), fault{"replace a control host", replacementWeight, (*Run).replaceControl})
 	}
+	if r.Only != "" {
+		kinds = slices.DeleteFunc(slices.Clone(kinds), func(f fault) bool { return !strings.Contains(f.name, r.Only) })
+	}
 	total := 0
 	for _, f := range kinds {
 		total += f.weight
@@ -67,7 +71,7 @@
 	}
 	var active []running
 	for end := time.Now().Add(r.Duration); time.Now().Before(end) && ctx.Err() == nil; {
-		n := r.rand.IntN(total)
+		n := r.rand.IntN(max(1, total))
 		for _, f := range kinds {
 			if n -= f.weight; n >= 0 {
 				continue
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,8 +61,10 @@
 	// the seed determines, and callers leave early, pipeline and send bodies slowly. The other faults
 	// of a seed remain the same.
 	Stutter bool
-	// Quiet is true if there are no other faults. HeadShare is the share of HEAD among idempotent
+	// Only, if set, limits the other faults to those whose names contain it; the order for a seed
+	// differs then. Quiet is true if there are none. HeadShare is the share of HEAD among idempotent
 	// requests that are not merged; it needs Stutter.
+	Only      string
 	Quiet     bool
 	HeadShare float64
 	// CallPause is the pause between the requests of a caller; the default is 5 ms. The retry budget is the
