soak: pass resets of a server on through the links

The proxy in front of a server closed its other side cleanly when the server reset a connection. TestProxyPassesOnResets fails without the change.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -336,3 +336,34 @@
 		c.Close()
 	}
 }
+
+// Guards against a proxy that turns a reset of the server into a clean close, which completes a body
+// that has no length.
+func TestProxyPassesOnResets(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // it returns at once
+		is.NoErr(err)
+		defer l.Close()
+		p, err := NewProxy(anyPort, netip.MustParseAddrPort(l.Addr().String()))
+		is.NoErr(err)
+		defer p.Close()
+		c, err := net.Dial("tcp", p.Address.String()) //nolint:noctx // loopback
+		is.NoErr(err)
+		defer c.Close()
+		server, err := l.Accept()
+		is.NoErr(err)
+		_, err = server.Write([]byte("half"))
+		is.NoErr(err)
+		_, err = io.ReadFull(c, make([]byte, 4))
+		is.NoErr(err)
+		if reset {
+			setReset(server)
+		}
+		server.Close()
+		is.NoErr(c.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err = c.Read(make([]byte, 1))
+		is.Equal(errors.Is(err, syscall.ECONNRESET), reset)
+		is.Equal(errors.Is(err, io.EOF), !reset)
+	}
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -97,13 +98,18 @@
 		if p.alternate.Load() && !even {
 			continue
 		}
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // it fails if the connection is already closed
-		}
+		setReset(c)
 		c.Close()
 	}
 }
 
+// setReset makes the close of a connection reset it.
+func setReset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // it fails if the connection is already closed
+	}
+}
+
 func (p *Proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
@@ -161,8 +167,11 @@
 			}
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && p.modeOf(even) == Blackhole {
+			switch {
+			case errors.Is(err, io.EOF) && p.modeOf(even) == Blackhole:
 				time.Sleep(delayTime) // the close is held back like the data
+			case errors.Is(err, syscall.ECONNRESET):
+				setReset(to) // a clean close would make a body without a length complete
 			}
 			return
 		}
