Let a host with little of the constant part use the share of its requests

Seen: a host whose part of the budget's constant is less than one repeat never repeats anything, whatever its own requests allow: inactive hosts, and hosts of deployments with more hosts than the constant has repeats.

Cause: the budget holds no more than its capacity, so that the share of the requests never adds up to a repeat.

Change: with a window, up to one repeat is saved up from that share.

--- a/route/budget.go
+++ b/route/budget.go
@@ -23,7 +23,8 @@
 // Budget limits the extra sub-requests of a service, hedges and retries together, to a share
 // of the first sub-requests plus a constant, its capacity. The full capacity is available at
 // the start, unless SetCapacity starts it empty. With a window, the limit applies to each span of
-// that length: the capacity that an extra sub-request has used becomes available again after it.
+// that length: the capacity that an extra sub-request has used becomes available again after it. A
+// capacity below 1 allows no extra sub-request by itself, but the share of the first ones still does.
 // It is safe for concurrent use.
 type Budget struct {
 	// configured is the capacity set by SetCapacity. It applies if isConfigured is true.
@@ -33,6 +34,9 @@
 
 	mu    sync.Mutex
 	spent float64 // used part of the capacity
+	// earned is the share of first sub-requests that is saved up for one extra sub-request if the
+	// capacity doesn't allow any. It is used only with a window.
+	earned float64
 	// charges divides spent by time, the oldest first. It is used only with a window.
 	charges []charge
 	early   float64 // used part of earlyCapacity; early hedges count in spent too
@@ -60,11 +64,11 @@
 	defer b.mu.Unlock()
 	b.expire(now)
 	b.credit(share)
-	if share <= 0 || b.spent+1 > b.capacity() {
+	if share <= 0 || b.missing() > b.earned {
 		b.refused++
 		return false
 	}
-	b.charge(now, 1)
+	b.take(now)
 	return true
 }
 
@@ -75,19 +79,29 @@
 	defer b.mu.Unlock()
 	b.expire(now)
 	b.credit(share)
-	if share <= 0 || b.spent+1 > b.capacity() || b.early+1 > earlyCapacity {
+	if share <= 0 || b.missing() > b.earned || b.early+1 > earlyCapacity {
 		b.refused++
 		return false
 	}
-	b.charge(now, 1)
+	b.take(now)
 	b.early++
 	return true
 }
 
+// take takes one extra sub-request: from the capacity, and the rest from what is earned.
+func (b *Budget) take(now time.Time) {
+	missing := b.missing()
+	b.earned -= missing
+	b.charge(now, 1-missing)
+}
+
+// missing returns the part of one extra sub-request that the capacity doesn't allow.
+func (b *Budget) missing() float64 { return max(0, b.spent+1-b.capacity()) }
+
 // charge uses a part of the capacity.
 func (b *Budget) charge(now time.Time, amount float64) {
 	b.spent += amount
-	if b.window <= 0 {
+	if b.window <= 0 || amount <= 0 {
 		return
 	}
 	if last := len(b.charges) - 1; last >= 0 && now.Sub(b.charges[last].at) < b.window/chargeSpans {
@@ -123,7 +137,11 @@
 	if share <= 0 {
 		return
 	}
-	b.release(share * float64(b.sent))
+	amount := share * float64(b.sent)
+	if b.window > 0 {
+		b.earned = min(b.earned+max(0, amount-b.spent), max(0, 1-b.capacity()))
+	}
+	b.release(amount)
 	b.early = max(0, b.early-earlyShare*share*float64(b.sent))
 	b.sent = 0
 }
--- a/route/budget_limit_test.go
+++ b/route/budget_limit_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -118,3 +119,33 @@
 	b.SetCapacity(time.Unix(100, 0), 0, 10*time.Second, false)
 	is.True(!b.Spend(time.Unix(100, 0), 0.2))
 }
+
+// Guards against a host with little or no capacity that can't use the share of its own requests, and
+// against one that uses more.
+func TestBudgetOfSmallCapacity(t *testing.T) {
+	const window, share, length = 10 * time.Second, 0.2, time.Minute
+	for _, capacity := range []float64{0, 0.14, 0.9} {
+		t.Run(fmt.Sprint(capacity), func(t *testing.T) {
+			is := is.New(t)
+			start := time.Unix(100, 0)
+			var b Budget
+			b.SetCapacity(start, capacity, window, false)
+			is.True(!b.Spend(start, share))
+			extras, firsts := 0, 0
+			for at := time.Duration(0); at < length; at += 250 * time.Millisecond {
+				b.CountFirst()
+				firsts++
+				if b.Spend(start.Add(at), share) {
+					extras++
+				}
+			}
+			is.True(float64(extras) > share*float64(firsts)-1)
+			is.True(float64(extras) <= share*float64(firsts)+capacity*(1+length.Seconds()/window.Seconds()))
+			for range 5 {
+				b.CountFirst()
+			}
+			b.Spend(start.Add(length), share)
+			is.True(!b.Spend(start.Add(length+2*window), share)) // nothing is earned in a lull
+		})
+	}
+}
