Keep the sum of all hosts' repeats within the retry budget

There is no record of their runs; this is one way to get there, not shown to be theirs.

Cause: each host used the part of the constant that followed from what it knew at the moment. A host that starts, or that knows only a few others yet, had a large part at once, while the others had used theirs in the same window; a host that control hosts don't reach kept its part for good, while the others divided it among them after 15 s.

Change: a smaller part applies at once, a larger one once it has been known for a window and 5 s (at the first start of the whole system, 5 s), and a host without news for 5 s has none until it has been in touch for that long. Then it repeats what the share of its requests allows. 0.95 of the constant are divided, because a host without a part may be one repeat ahead.

What callers lose: hosts use none of the constant for 15 s after a restart (10 s before), nor while all control hosts are silent for more than 5 s.

No file or message format has changed.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -59,8 +59,8 @@
 	routingState control.RoutingState
 	// fetching is true while the routing document is requested from a control host.
 	fetching bool
-	// synced is true once a control host that has finished starting has responded.
-	synced bool
+	// synced is when a control host that had finished starting last responded.
+	synced time.Time
 	runCtx context.Context
 }
 
@@ -256,7 +256,9 @@
 	}
 	changed := k.unreachable || k.active != response.Active || k.entries != response.Entries || k.host != response.From || len(response.Changes) > 0 || len(response.List)+len(response.Gone) > 0 || response.Complete
 	k.host, k.lastResponse, k.unreachable, k.active, k.entries = response.From, now, false, response.Active, response.Entries
-	c.synced = c.synced || !response.Starting
+	if !response.Starting {
+		c.synced = now
+	}
 	if k.seen.Run != response.From.Start {
 		k.seen, k.published = PollRequest{Run: response.From.Start}, 0
 	}
--- a/exchange/hosts.go
+++ b/exchange/hosts.go
@@ -99,7 +99,10 @@
 
 // Synced reports whether a control host that had finished starting has ever responded. Before
 // that, the lists of hosts may be incomplete.
-func (c *Client) Synced() bool {
+func (c *Client) Synced() bool { return !c.LastSynced().IsZero() }
+
+// LastSynced returns when a control host that had finished starting last responded.
+func (c *Client) LastSynced() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.synced
--- a/node/division.go
+++ b/node/division.go
@@ -79,11 +79,14 @@
 
 // divide computes the division among the hosts that are currently known.
 func (e *Entry) divide() division {
-	active := e.client.Active()
-	synced := e.client.Synced()
+	return e.divideAmong(e.client.Active(), e.client.EntryCount(), e.client.Synced())
+}
+
+// divideAmong computes the division among the active hosts and those that were active recently, of
+// entries hosts. The list of active hosts may be incomplete unless it is synced.
+func (e *Entry) divideAmong(active []exchange.Host, entries int, synced bool) division {
 	names := e.recentlyActive(active, synced)
 	self := slices.Contains(names, e.Settings.Host)
-	entries := e.client.EntryCount()
 	others := max(0, entries-len(active))
 	if !self {
 		names, others = append(names, e.Settings.Host), max(1, others)
--- a/node/entry.go
+++ b/node/entry.go
@@ -72,6 +72,8 @@
 	firstView chan struct{}
 	// lastActive holds the time at which each active or recently active host was last active.
 	lastActive map[string]time.Time
+	// slack computes the shares of the constant part of the retry budget.
+	slack slackShares
 	// viewTime is when the view was last computed.
 	viewTime time.Time
 	// load measures the share of the processor that relaying takes.
@@ -138,6 +140,7 @@
 func (e *Entry) prepare() {
 	e.wake, e.notify, e.firstView = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	e.lastActive = map[string]time.Time{}
+	e.slack.window = e.Settings.RetryWindow
 	e.moves.Store(&control.View{})
 	e.client = exchange.Client{
 		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.requestView, Load: e.load.share,
@@ -248,6 +251,7 @@
 		v.Out[centre] = true
 	}
 	e.divideRequests(v, &d)
+	v.SlackShare = e.slack.update(e.Clock.Now(), e.client.LastSynced(), e.Settings.Bootstrap, d.share, v.ServiceDivisions).share
 	v.Avoid = e.avoidedTargets(v, &d)
 	e.pool.SetShares(e.connectionShares(v, &d))
 	live, incarnations := map[string]bool{}, map[string]string{}
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -86,7 +86,7 @@
 // begin starts the first attempt.
 func (f *fetch) begin(now time.Time) {
 	f.budget = f.Table.Budget(f.service)
-	f.budget.SetCapacity(now, f.RetrySlack*f.j.view.share(f.service), f.RetryWindow, f.j.started.Before(f.BudgetsEmptyUntil))
+	f.budget.SetCapacity(now, f.RetrySlack*f.j.view.slackShare(f.service, now), f.RetryWindow, f.j.started.Before(f.BudgetsEmptyUntil))
 	f.budget.CountFirst()
 	f.last = result{service: f.service, err: errNoTarget}
 	if !f.startNext() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,6 +91,9 @@
 	Division *declaration.Division
 	// ServiceDivisions holds the divisions for the services whose limits only some hosts divide.
 	ServiceDivisions map[string]*declaration.Division
+	// SlackShare, if set, returns the fraction that this host has of Service.RetrySlack for a
+	// service; otherwise it is that of other limits.
+	SlackShare func(service string, now time.Time) float64
 	// Planner divides requests to many shards among hosts; nil if this host asks all shards.
 	Planner *portion.Planner
 	// Helpers holds the names of the other hosts that requests can be passed on to.
@@ -111,6 +114,14 @@
 // share returns the fraction that this host has of the limits of a service.
 func (v *View) share(service string) float64 { return v.division(service).Share }
 
+// slackShare returns the fraction that this host has of the extra requests beyond the share.
+func (v *View) slackShare(service string, now time.Time) float64 {
+	if v.SlackShare == nil {
+		return v.share(service)
+	}
+	return v.SlackShare(service, now)
+}
+
 // Service relays requests. Exported fields are set before use. It is safe for
 // concurrent use.
 type Service struct {
