Look at what has arrived behind a body that may hold another reply

Callers got 200 with a body whose last bytes were the first ones of another reply: a target had broken off a few bytes before the end of a body longer than the read buffer, or of one with which the buffer was full, and had sent a copy.

Cause: the first bytes of a status line in a body are only recognized by what follows, and that was looked for in the buffer alone. Long bodies are read past the buffer.

If a status line may start in a body, what has arrived in the socket is now read into the buffer and looked at as well. It is not waited for. With TLS nothing shows whether something has arrived; targets are reached without.

--- a/limit/splice.go
+++ b/limit/splice.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"strings"
+	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -38,6 +40,8 @@
 	unframed bool
 	// partial is true if only a part of the body is known. Only an identity is then a sign of another reply.
 	partial bool
+	// found is set if a status line may start in the body.
+	found bool
 }
 
 // in reports whether another reply starts in the body. behind is what has been received after the body.
@@ -47,20 +51,19 @@
 		if i < 0 {
 			break
 		}
+		s.found = true
 		if s.at(body, from+i, behind) {
 			return true
 		}
 		from += i + 1
 	}
-	if len(behind) == 0 {
+	tail := max(0, len(body)-len(versionPrefix)+1)
+	i := bytes.LastIndexByte(body[tail:], versionPrefix[0])
+	if i < 0 || !bytes.HasPrefix(versionPrefix, body[tail+i:]) {
 		return false
 	}
-	for i := max(0, len(body)-len(versionPrefix)+1); i < len(body); i++ {
-		if bytes.HasPrefix(versionPrefix, body[i:]) && s.at(body, i, behind) {
-			return true
-		}
-	}
-	return false
+	s.found = true
+	return len(behind) > 0 && s.at(body, tail+i, behind)
 }
 
 // at reports whether another reply starts at the index of the body.
@@ -174,6 +177,21 @@
 	return false
 }
 
+// hasPending reports whether bytes have arrived that are not in the buffer yet. It can't tell with TLS.
+func (c *connection) hasPending() bool {
+	if c.socket == nil || c.conn != net.Conn(c.raw) {
+		return false
+	}
+	pending := false
+	err := c.socket.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		pending = n > 0
+		return true
+	})
+	return err == nil && pending
+}
+
 // errSplicedBody reports that a body that is being read holds the start of another reply.
 var errSplicedBody = errors.New("another reply starts in the body")
 
@@ -190,6 +208,14 @@
 	if c.head.length >= 0 && !partial {
 		behind, _ = c.reader.Peek(c.reader.Buffered())
 	}
+	if s.in(body, behind) {
+		return true
+	}
+	if !s.found || partial || c.head.length < 0 || !c.hasPending() {
+		return false
+	}
+	_, _ = c.reader.Peek(len(behind) + 1) // an error shows when the connection is used again
+	behind, _ = c.reader.Peek(c.reader.Buffered())
 	return s.in(body, behind)
 }
 
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -326,3 +326,36 @@
 		is.Equal(body == testBody(id), status == http.StatusOK)
 	}
 }
+
+// Guards against a success whose long body ends with the first bytes of another reply: they can't be told from a body
+// without what follows, which the buffer may not hold yet.
+func TestReplyInsideEndOfLongBody(t *testing.T) {
+	const buffer = 8 << 10 // of a connection
+	for _, size := range []int{buffer - 200, buffer, 5 * buffer} {
+		for _, status := range []string{"200 OK", "503 Busy"} {
+			t.Run(fmt.Sprint(size, " ", status), func(t *testing.T) {
+				is := is.New(t)
+				text := strings.Repeat("x", size)
+				var missing atomic.Int64
+				h := newRawHarness(t, 1, serveReplies(func(id, _ string) (string, bool) {
+					reply := framedReply(id, text)
+					return reply[:len(reply)-int(missing.Load())] + strings.Replace(reply, "200 OK", status, 1), false
+				}))
+				for i := range 120 {
+					missing.Store(int64(1 + i/2))
+					res, _ := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
+					is.Equal(res.StatusCode, http.StatusBadGateway)
+				}
+			})
+		}
+	}
+	for size := buffer - 110; size < buffer; size++ { // the buffer ends a few bytes behind the body
+		is := is.New(t)
+		h := newRawHarness(t, 1, serveReplies(func(id, _ string) (string, bool) {
+			reply := framedReply(id, strings.Repeat("x", size))
+			return reply[:len(reply)-1] + reply, false
+		}))
+		res, _ := h.get(t, nil)
+		is.Equal(res.StatusCode, http.StatusBadGateway)
+	}
+}
