Count a repeat from the time at which it is sent

Seen: targets can get more repeats in a window than the retry budget allows, and callers get failures because repeats that were never sent have used it up.

Cause: a repeat used the budget when it was allowed. It may wait for room at its target until the request's deadline, and so arrive in the window of the repeats that follow a window later; without room it is never sent.

Change: the budget reserves a repeat and counts it directly before the first byte is sent. What was reserved for an attempt of which nothing was sent goes to the attempt that replaces it, or returns with the end of the request.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -41,6 +41,9 @@
 	state  atomic.Int32
 	// sent is the age of the request at which the first byte was about to be sent; 0 before.
 	sent atomic.Int64
+	// extra is the reserved part of the budget; nil for the first attempt and those that replace it
+	// because nothing was sent.
+	extra *route.Extra
 	// ended is true once the fetch has handled the result.
 	ended bool
 }
@@ -70,10 +73,26 @@
 	if !a.state.CompareAndSwap(waiting, committed) {
 		return errWithdrawn
 	}
+	a.extra.Sent(a.fetch.Clock.Now())
 	a.sent.Store(a.fetch.recordProgress())
 	return nil
 }
 
+// passExtra returns the reserved part of the budget for the attempt that replaces this one, of which
+// nothing has been sent and nothing will be.
+func (a *attempt) passExtra() *route.Extra {
+	extra := a.extra
+	a.extra = nil
+	return extra
+}
+
+// returnExtra returns the reserved part of the budget unless something was sent or still will be.
+func (a *attempt) returnExtra() {
+	if a.withdraw() || a.state.Load() == withdrawn {
+		a.extra.Return()
+	}
+}
+
 // sinceSent returns the time since the first byte was about to be sent, or since the attempt was
 // started if nothing was sent.
 func (a *attempt) sinceSent(now, started time.Time) time.Duration {
@@ -89,7 +108,7 @@
 	f.budget.SetCapacity(now, f.RetrySlack*f.j.view.slackShare(f.service, now), f.RetryWindow, f.j.started.Before(f.BudgetsEmptyUntil))
 	f.budget.CountFirst()
 	f.last = result{service: f.service, err: errNoTarget}
-	if !f.startNext() {
+	if !f.startNext(nil) {
 		f.finish()
 		return
 	}
@@ -118,8 +137,8 @@
 		f.omit()
 	case newest.state.Load() == waiting:
 		f.hedgeAt = now.Add(f.hedge) // another target may have room by then
-	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts && f.takeBudget(causeHedge):
-		f.startNext()
+	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts:
+		f.startExtra(causeHedge)
 	}
 }
 
@@ -140,7 +159,7 @@
 			f.sent--
 			f.unsent++
 		}
-		if f.mayRetry(r) && (!reached(r) || f.takeBudget(causeRetry)) && f.startNext() {
+		if f.mayRetry(r) && f.startAfter(r) {
 			return
 		}
 		if refusedUnrun(r) && f.inFlight == 0 && f.declaredWait(f.j.view)(r.target) < f.hedge && f.resend.schedule(r.target) {
@@ -184,18 +203,49 @@
 
 func (f *fetch) newest() *attempt { return f.attempts[len(f.attempts)-1] }
 
-// takeBudget takes one extra request from the budget. It reports whether the budget allows it.
-func (f *fetch) takeBudget(c repeatCause) bool {
-	allowed := f.budget.Spend(f.Clock.Now(), f.RetryShare)
-	f.Metrics.repeat(c, allowed)
-	return allowed
+// reserveExtra takes one extra request from the budget, or returns nil if that doesn't allow it.
+func (f *fetch) reserveExtra(c repeatCause) *route.Extra {
+	extra := f.budget.Reserve(f.Clock.Now(), f.RetryShare)
+	f.Metrics.repeat(c, extra != nil)
+	return extra
+}
+
+// startExtra starts an attempt at another target within the budget. It reports whether it did.
+func (f *fetch) startExtra(c repeatCause) bool {
+	extra := f.reserveExtra(c)
+	if extra == nil {
+		return false
+	}
+	if f.startNext(extra) {
+		return true
+	}
+	extra.Return()
+	return false
+}
+
+// startAfter starts an attempt at another target after a result. It reports whether it did. An attempt
+// that replaces one of which nothing was sent takes nothing more from the budget.
+func (f *fetch) startAfter(r *result) bool {
+	if reached(r) {
+		return f.startExtra(causeRetry)
+	}
+	t, ok := f.pick()
+	if !ok {
+		return false
+	}
+	var extra *route.Extra
+	if r.attempt.withdraw() {
+		extra = r.attempt.passExtra()
+	}
+	f.start(t, extra)
+	return true
 }
 
 // startNext starts an attempt at another target. It reports whether there is one.
-func (f *fetch) startNext() bool {
+func (f *fetch) startNext(extra *route.Extra) bool {
 	t, ok := f.pick()
 	if ok {
-		f.start(t)
+		f.start(t, extra)
 	}
 	return ok
 }
@@ -214,13 +264,13 @@
 	}
 	f.sent--
 	f.unsent++
-	f.start(t)
+	f.start(t, newest.passExtra())
 	return true
 }
 
 // start starts an attempt at a target.
-func (f *fetch) start(t *control.Target) {
-	a := &attempt{fetch: f, target: t}
+func (f *fetch) start(t *control.Target, extra *route.Extra) {
+	a := &attempt{fetch: f, target: t, extra: extra}
 	a.parent = f.ctx
 	f.attempts = append(f.attempts, a)
 	f.sent++
@@ -231,13 +281,18 @@
 // startResend sends the request again to a target that has refused it. The refused attempt does not
 // count any more, so that the request is sent to no more targets than its route allows.
 func (f *fetch) startResend(now time.Time, t *control.Target) {
-	if f.ctx.Err() != nil || f.refusedFor(f.j, f.service) > 0 || !f.Declared.Take(now, t, f.j.view.division(f.service)) || !f.takeBudget(causeResend) {
+	if f.ctx.Err() != nil || f.refusedFor(f.j, f.service) > 0 || !f.Declared.Take(now, t, f.j.view.division(f.service)) {
+		f.finish()
+		return
+	}
+	extra := f.reserveExtra(causeResend)
+	if extra == nil {
 		f.finish()
 		return
 	}
 	f.sent--
 	f.resend.count++
-	f.start(t)
+	f.start(t, extra)
 	f.hedgeAt = now.Add(f.hedge)
 }
 
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -104,13 +104,15 @@
 	return g.pending == 0 && g.delegated == 0 && len(g.unreturned) == 0
 }
 
-// stop cancels the attempts that are still in flight; the pool waits for their replies.
+// stop cancels the attempts that are still in flight; the pool waits for their replies. It returns
+// what attempts have reserved of the budget and have not used.
 func (g *fetchGroup) stop() {
 	g.timer.Stop()
 	g.cancelDelegations()
 	for i := range g.fetches {
 		for _, a := range g.fetches[i].attempts {
 			a.end()
+			a.returnExtra()
 		}
 	}
 }
--- a/route/budget.go
+++ b/route/budget.go
@@ -34,6 +34,9 @@
 
 	mu    sync.Mutex
 	spent float64 // used part of the capacity
+	// reserved is the number of extra sub-requests that are allowed but not sent yet. Each occupies the
+	// capacity for a whole one, also if it was earned: it counts in the window in which it is sent.
+	reserved int
 	// earned is the share of first sub-requests that is saved up for one extra sub-request if the
 	// capacity doesn't allow any. It is used only with a window.
 	earned float64
@@ -68,7 +71,61 @@
 		b.refused++
 		return false
 	}
-	b.take(now)
+	b.charge(now, b.take())
+	return true
+}
+
+// Extra is an extra sub-request that the budget allows and that is not sent yet. Its first method
+// call ends it. A nil Extra stands for a sub-request that needs no budget.
+type Extra struct {
+	budget *Budget
+	amount float64
+	ended  bool
+}
+
+// Reserve is Spend for an extra sub-request that may be sent later or not at all. It returns nil if
+// the budget doesn't allow it. The caller must end the result.
+func (b *Budget) Reserve(now time.Time, share float64) *Extra {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(now)
+	b.credit(share)
+	if share <= 0 || b.missing() > b.earned {
+		b.refused++
+		return nil
+	}
+	e := &Extra{budget: b, amount: b.take()}
+	b.reserved++
+	return e
+}
+
+// Sent records that the sub-request is about to be sent.
+func (e *Extra) Sent(now time.Time) {
+	if e.end() {
+		e.budget.charge(now, e.amount)
+		e.budget.mu.Unlock()
+	}
+}
+
+// Return makes the capacity available again: the sub-request was not and will not be sent.
+func (e *Extra) Return() {
+	if e.end() {
+		e.budget.mu.Unlock()
+	}
+}
+
+// end reports whether the reservation ends now. It holds the lock of the budget then.
+func (e *Extra) end() bool {
+	if e == nil {
+		return false
+	}
+	e.budget.mu.Lock()
+	if e.ended {
+		e.budget.mu.Unlock()
+		return false
+	}
+	e.ended = true
+	e.budget.reserved--
 	return true
 }
 
@@ -83,20 +140,21 @@
 		b.refused++
 		return false
 	}
-	b.take(now)
+	b.charge(now, b.take())
 	b.early++
 	return true
 }
 
-// take takes one extra sub-request: from the capacity, and the rest from what is earned.
-func (b *Budget) take(now time.Time) {
+// take takes one extra sub-request. It uses what is earned for the part that the capacity doesn't allow,
+// and returns the other part.
+func (b *Budget) take() (ofCapacity float64) {
 	missing := b.missing()
 	b.earned -= missing
-	b.charge(now, 1-missing)
+	return 1 - missing
 }
 
 // missing returns the part of one extra sub-request that the capacity doesn't allow.
-func (b *Budget) missing() float64 { return max(0, b.spent+1-b.capacity()) }
+func (b *Budget) missing() float64 { return max(0, b.spent+float64(b.reserved)+1-b.capacity()) }
 
 // charge uses a part of the capacity.
 func (b *Budget) charge(now time.Time, amount float64) {
--- a/route/budget_limit_test.go
+++ b/route/budget_limit_test.go
@@ -149,3 +149,48 @@
 		})
 	}
 }
+
+// Guards against reservations that count before they are sent, twice, or for ever.
+func TestReservedExtras(t *testing.T) {
+	const window, share = 10 * time.Second, 1e-9
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	var b Budget
+	b.SetCapacity(start, 2, window, false)
+	first, second := b.Reserve(start, share), b.Reserve(start, share)
+	is.True(first != nil && second != nil)
+	is.True(b.Reserve(start.Add(2*window), share) == nil) // neither has been sent or returned
+	first.Return()
+	first.Return()
+	first.Sent(start)
+	third := b.Reserve(start.Add(2*window), share)
+	is.True(third != nil)
+	is.True(b.Reserve(start.Add(2*window), share) == nil)
+	second.Sent(start.Add(2 * window))
+	third.Sent(start.Add(2 * window))
+	is.True(b.Reserve(start.Add(3*window), share) == nil)
+	is.True(b.Reserve(start.Add(3*window+window/chargeSpans), share) != nil)
+	var none *Extra
+	none.Sent(start)
+	none.Return()
+}
+
+// Guards against more than one repeat that a host without capacity has earned and not sent yet: they
+// would all arrive in a later window.
+func TestEarnedExtrasWaitForEachOther(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var b Budget
+	b.SetCapacity(now, 0, 10*time.Second, false)
+	var waiting *Extra
+	for range 100 {
+		b.CountFirst()
+		if extra := b.Reserve(now, 0.2); extra != nil {
+			is.True(waiting == nil)
+			waiting = extra
+		}
+	}
+	is.True(waiting != nil)
+	waiting.Sent(now)
+	is.True(b.Reserve(now, 0.2) != nil)
+}
