Test that a budget without capacity doesn't loop without end after a start

Seen: on a restarted host whose settings allow no repeats beyond the share of its requests (slack 0), the first repeat after the window never returned, and with it all requests to the service hung: the budget's lock is held.

Cause: a budget that starts empty charged its capacity of 0, and a charge without an amount was never removed once it expired.

--- a/route/budget.go
+++ b/route/budget.go
@@ -159,7 +159,7 @@
 // charge uses a part of the capacity.
 func (b *Budget) charge(now time.Time, amount float64) {
 	b.spent += amount
-	if b.window <= 0 || amount <= 0 {
+	if b.window <= 0 || amount <= 0 { // expire releases positive amounts only
 		return
 	}
 	if last := len(b.charges) - 1; last >= 0 && now.Sub(b.charges[last].at) < b.window/chargeSpans {
--- a/route/budget_limit_test.go
+++ b/route/budget_limit_test.go
@@ -194,3 +194,20 @@
 	waiting.Sent(now)
 	is.True(b.Reserve(now, 0.2) != nil)
 }
+
+// Guards against a restarted host without a constant part of the budget whose requests all hang once the window has passed.
+func TestBudgetWithoutCapacityAfterStart(t *testing.T) {
+	const window, share = 10 * time.Second, 0.2
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	var b Budget
+	b.SetCapacity(start, 0, window, true)
+	done := make(chan bool, 1)
+	go func() { done <- b.Spend(start.Add(2*window), share) }()
+	select {
+	case spent := <-done:
+		is.True(!spent)
+	case <-time.After(5 * time.Second):
+		is.Fail() // Spend does not return
+	}
+}
