Keep a budget empty after a restart when the host's share rises

Seen: targets can get more repeats than the retry budget allows after a host has started again: while its list of hosts is not synced, or as long as it is not active, its share of the budget's constant part is small. Only that share counted as used; the rest was available at once when the share rose, within the window in which the previous process may have used all of it.

Cause: SetCapacity charged the capacity of the first call only.

Change: within the window after a start, a risen capacity counts as used too.

--- a/route/budget.go
+++ b/route/budget.go
@@ -205,15 +205,15 @@
 }
 
 // SetCapacity sets the number of extra sub-requests that the budget allows beyond its share in
-// any span of the length of the window, or for good if the window is 0. If empty is true, the first
-// call leaves no capacity available, because the previous process may have just used it.
+// any span of the length of the window, or for good if the window is 0. If empty is true, a first or
+// risen capacity is not available yet, because the previous process may have just used it.
 func (b *Budget) SetCapacity(now time.Time, capacity float64, window time.Duration, empty bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	first := !b.isConfigured
+	risen := capacity > b.configured
 	b.configured, b.isConfigured, b.window = capacity, true, window
-	if first && empty {
-		b.charge(now, capacity)
+	if risen && empty {
+		b.charge(now, max(0, capacity-b.spent))
 	}
 	if window <= 0 { // with a window, what was used before a reduction becomes available after it
 		b.release(max(0, b.spent-capacity))
--- a/route/budget_limit_test.go
+++ b/route/budget_limit_test.go
@@ -211,3 +211,23 @@
 		is.Fail() // Spend does not return
 	}
 }
+
+// Guards against a restarted host that uses again what its previous process has just used, because its share rises
+// after its start.
+func TestBudgetOfRisingShareAfterStart(t *testing.T) {
+	const window, share = 10 * time.Second, 0.2
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	var b Budget
+	for i, capacity := range []float64{1, 8, 2, 8} {
+		now := start.Add(time.Duration(i) * time.Second)
+		b.SetCapacity(now, capacity, window, true)
+		is.True(!b.Spend(now, share))
+	}
+	later := start.Add(2 * window)
+	b.SetCapacity(later, 8, window, false)
+	for range 8 {
+		is.True(b.Spend(later, share))
+	}
+	is.True(!b.Spend(later, share))
+}
