--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -104,3 +104,30 @@
 	h.get(t, nil)
 	is.Equal(a.requests.Load()+b.requests.Load(), int64(5)) // with a repeat
 }
+
+// Guards against repeats beyond the share of the requests by a host whose view gives it no part of the
+// constant.
+func TestSlackShareOfView(t *testing.T) {
+	is := is.New(t)
+	a, b := newTarget("a", "s1").status(500, true), newTarget("b", "s1").status(500, true)
+	h := newHarness(t, singleRoute(true, 2), a, b)
+	h.service.Table = &route.Table{Centre: "c"}
+	h.service.RetryShare, h.service.RetrySlack, h.service.RetryWindow = 0.2, 100, time.Minute
+	part := 0.0
+	h.view.SlackShare = func(service string, _ time.Time) float64 {
+		is.Equal(service, "s1")
+		return part
+	}
+	const requests = 20
+	repeats := func() int64 {
+		before := a.requests.Load() + b.requests.Load()
+		for range requests {
+			h.get(t, nil)
+		}
+		return a.requests.Load() + b.requests.Load() - before - requests
+	}
+	n := repeats()
+	is.True(n > 0 && n <= requests/5)
+	part = 0.1
+	is.True(repeats() > requests/5+1) // one of them may be earned before
+}
