Don't let a panic while a reply is read end the process

Seen: nothing in normal operation; found in a review. A panic in a function that looks at the head or the body of a reply ends the host if the body is read in the background, and otherwise keeps the connection's place for good.

Cause: only CheckReply was guarded. ReplyID, IsReply and OnSkipped now also see bytes of targets, in goroutines that nothing recovers.

Change: a panic while a reply is read is an error, as in CheckReply: the reply counts as malformed and its connection is closed.

Result: TestPanicWhileAReplyIsRead ends the process before and passes now.

--- a/limit/do.go
+++ b/limit/do.go
@@ -154,7 +154,8 @@
 
 // readHead reads the head of the reply and looks up which sub-request it belongs to: whether it has a body depends on
 // the method of that. After a reply to one that the connection has not carried, the connection can't be trusted.
-func (p *Pool) readHead(c *connection, req *http.Request) error {
+func (p *Pool) readHead(c *connection, req *http.Request) (err error) {
+	defer recoverPanic(&err)
 	if err := c.readHeader(); err != nil {
 		return err
 	}
@@ -179,7 +180,8 @@
 }
 
 // read reads the body of the reply and checks the reply.
-func (p *Pool) read(c *connection, req *http.Request) readResult {
+func (p *Pool) read(c *connection, req *http.Request) (r readResult) {
+	defer recoverPanic(&r.err)
 	body, err := c.readBody(p.maxBody(), p.AllowUnframed)
 	if err != nil {
 		return readResult{err: err}
@@ -202,6 +204,13 @@
 	return readResult{response: res}
 }
 
+// recoverPanic makes a panic while a reply is read an error: one reply must not end the process, and its connection is closed.
+func recoverPanic(err *error) {
+	if v := recover(); v != nil {
+		*err = &ReplyError{Reason: Malformed, Err: errors.Errorf("panic while the reply was read: %v", v)}
+	}
+}
+
 func (p *Pool) isReply(res *Response) bool { return p.IsReply != nil && p.IsReply(res) }
 
 // check calls CheckReply. A panic in it counts as a mismatch, so that the connection is closed and
--- a/limit/reply_test.go
+++ b/limit/reply_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -212,3 +213,59 @@
 		})
 	}
 }
+
+// Guards against one reply that ends the process because a function of the pool panics.
+func TestPanicWhileAReplyIsRead(t *testing.T) {
+	for name, install := range map[string]func(*Pool){
+		"ReplyID":           func(p *Pool) { p.ReplyID = func(*Response) string { panic("head") } },
+		"ReplyID in a body": func(p *Pool) { p.ReplyID = panicOn("0", p.ReplyID) },
+		"OnSkipped":         func(p *Pool) { p.OnSkipped = func(netip.AddrPort, *Response) { panic("skipped") } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+				conn, buffer, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+				if _, err = http.ReadRequest(buffer.Reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 31\r\n\r\n")
+				time.Sleep(20 * time.Millisecond) // the body is then read in the background
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n12345")
+				_, _ = conn.Read(make([]byte, 1)) // until the client closes the connection
+			})
+			h.identify()
+			for _, id := range []string{"1", "2"} {
+				if id == "2" {
+					install(h.pool)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				req, err := http.NewRequest(http.MethodGet, "http://t0/", nil)
+				is.NoErr(err)
+				req.Header.Set("Id", id)
+				bytes := []byte("GET / HTTP/1.1\r\nHost: t0\r\nId: " + id + "\r\n\r\n")
+				permit := h.acquire(t)
+				_, err = h.pool.Send(ctx, permit, &EncodedRequest{Request: req, Bytes: bytes, ID: id}, nil)
+				permit.Release(Failed)
+				is.NoErr(ctx.Err())
+				is.Equal(err != nil, id == "2")
+			}
+		})
+	}
+}
+
+// panicOn returns a ReplyID that panics at the identity.
+func panicOn(id string, replyID func(*Response) string) func(*Response) string {
+	return func(res *Response) string {
+		got := replyID(res)
+		if got == id {
+			panic("identity " + id)
+		}
+		return got
+	}
+}
