Reject bodies without a length that end with the start of any reply

Callers got 200 with a body that ended with the first bytes of another reply of another status: a target had sent a reply without a length, begun a second one and closed the connection. FuzzReplySequence found it after a late copy without a length, which names the request that is sent again.

Cause: a head that the end of a body cuts before its identity counted only if its status line was the reply's own. Nothing that arrives behind a body without a length can show more.

Such a body is now also rejected if its end cuts any status line, with its usual reason, or the fields behind one. Fewer than 10 bytes, and a reason that is not the usual one, are still taken for a part of the body.

The input is added to the corpus. Breaks within the first 10 bytes behind a copy without a length are left out of the sequences, because nothing shows them.

--- a/limit/sequence_test.go
+++ b/limit/sequence_test.go
@@ -135,7 +135,7 @@
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	var served []*run
-	late := ""
+	late, open := "", false // open is true if the late copy has no length
 	for {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
@@ -145,22 +145,28 @@
 		served = append(served, r)
 		own := form(f.next()) % forms
 		reply := r.reply(own)
-		copied := served[int(f.next())%len(served)].reply(form(f.next()) % forms)
+		copied, other := served[int(f.next())%len(served)], form(f.next())%forms
+		copiedReply := copied.reply(other)
 		at := int(f.next())
 		text, closing := late+reply, own == withoutLength
+		afterOpen := late != "" && open
 		late = ""
 		switch b := behaviour(f.next()) % behaviours; {
 		case b == sendTwice:
-			text += copied
+			text += copiedReply
 		case b == sendLate:
-			late = copied
+			late, open = copiedReply, other == withoutLength
 		case b == breakAndCopy:
-			text = text[:len(text)-len(reply)+at*len(reply)/256] + copied
+			text = text[:len(text)-len(reply)+at*len(reply)/256] + copiedReply
 		case b == breakAndClose && own != withoutLength: // nothing tells the end of a connection from a break
-			text, closing = text[:len(text)-len(reply)+at*len(reply)/256], true
+			sent := at * len(reply) / 256
+			if afterOpen && sent < minCutStatus {
+				sent = 0 // nothing tells fewer bytes from the end of the copy
+			}
+			text, closing = text[:len(text)-len(reply)+sent], true
 		case b == cutCopy:
-			copied = r.reply(form(at) % forms)
-			text, closing = text+copied[:minCutStatus+at*(len(copied)-minCutStatus)/256], true
+			copiedReply = r.reply(form(at) % forms)
+			text, closing = text+copiedReply[:minCutStatus+at*(len(copiedReply)-minCutStatus)/256], true
 		}
 		if _, err := io.WriteString(conn, text); err != nil || closing {
 			return
@@ -183,6 +189,7 @@
 			}
 		}
 	}
+	f.Add([]byte("000002020020000X")) // a late copy without a length, then the start of a failure
 	f.Fuzz(func(t *testing.T, script []byte) {
 		const requests = 6
 		is := is.New(t)
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 
@@ -36,10 +38,11 @@
 	known func(id string) bool
 	// isReply is Pool.IsReply.
 	isReply func(*Response) bool
-	// unframed is true if the body has no length, so that it may well hold more than one reply.
-	unframed bool
 	// partial is true if only a part of the body is known. Only an identity is then a sign of another reply.
 	partial bool
+	// unframed is true if the body ends with the connection. Nothing behind it can show another reply then, so
+	// that one with any status line may be cut by its end.
+	unframed bool
 	// found is set if a status line may start in the body.
 	found bool
 }
@@ -77,11 +80,11 @@
 	doubtful := !s.partial && (s.unframed || len(behind) > 0)
 	text = text[:min(len(text), readBufferSize)]
 	if !isStatus(text) {
-		return whole && len(text) >= minCutStatus && strings.HasPrefix(s.own, string(text))
+		return whole && len(text) >= minCutStatus && s.isCutLine(text)
 	}
 	line, rest, ended := bytes.Cut(text, lineEnd)
 	if !ended {
-		return whole && strings.HasPrefix(s.own+"\r", string(line))
+		return whole && s.isCutLine(line)
 	}
 	fields, rest, state := cutFields(rest)
 	header := Header{text: string(fields)}
@@ -99,6 +102,22 @@
 	return false
 }
 
+// isCutLine reports whether the end of the body cuts the status line of another reply there.
+func (s *splicing) isCutLine(text []byte) bool {
+	if strings.HasPrefix(s.own+"\r", string(text)) {
+		return true
+	}
+	n := min(len(text), len(statusForm))
+	if !s.unframed || !hasStatusForm(text[:n]) {
+		return false
+	}
+	if n < len(statusForm) {
+		return true
+	}
+	status, _ := strconv.Atoi(string(text[n-3 : n])) // can't fail: these are digits
+	return strings.HasPrefix(" "+http.StatusText(status)+"\r", string(text[n:]))
+}
+
 // repeats reports whether the text after a head begins like the one before it.
 func repeats(before, after []byte) bool {
 	n := min(len(before), len(after))
@@ -151,15 +170,20 @@
 
 // isStatus reports whether the text begins with a status line, complete up to its status.
 func isStatus(text []byte) bool {
-	if len(text) < len(statusForm) {
+	if len(text) < len(statusForm) || !hasStatusForm(text[:len(statusForm)]) {
 		return false
 	}
-	for i := range len(statusForm) {
-		if c := text[i]; c != statusForm[i] && (statusForm[i] != '0' || c < '0' || c > '9') {
+	return len(text) == len(statusForm) || text[len(statusForm)] == ' ' || text[len(statusForm)] == '\r'
+}
+
+// hasStatusForm reports whether the text, which is not longer than statusForm, has its form as far as it goes.
+func hasStatusForm(text []byte) bool {
+	for i, c := range text {
+		if c != statusForm[i] && (statusForm[i] != '0' || c < '0' || c > '9') {
 			return false
 		}
 	}
-	return len(text) == len(statusForm) || text[len(statusForm)] == ' ' || text[len(statusForm)] == '\r'
+	return true
 }
 
 // isHeadSpliced reports whether a head holds the status line of another reply: it has broken off there.
--- a/limit/splice_test.go
+++ b/limit/splice_test.go
@@ -84,7 +84,7 @@
 		{"bytes behind", "1234" + anonymous[:40], anonymous[40:], false, true},
 		{"no length, cut in a value", "1234" + anonymous[:30], "", true, true},
 		{"no length, cut in the line break", "1234" + anonymous[:24], "", true, true},
-		{"no length, cut in the reason", "1234" + anonymous[:16], "", true, false}, // a text may end so
+		{"no length, cut in the reason", "1234" + anonymous[:16], "", true, true},
 		{"no length, no reply of a target", "1234HTTP/1.1 200 OK\r\nServer: x\r\n\r\n5678", "", true, false},
 		{"no length, mention", "they speak HTTP/1.1 200 times a day", "", true, false},
 	} {
@@ -96,6 +96,31 @@
 	}
 }
 
+// Guards against a body without a length whose end cuts another reply, and against rejecting one that ends with a mention
+// of a status.
+func TestSplicingWithoutLength(t *testing.T) {
+	for _, tt := range []struct {
+		body string
+		want bool
+	}{
+		{"it speaks HTTP/1.1", false},
+		{"it speaks HTTP/1.1 and 1.0", false},
+		{"it speaks HTTP/1.1 200 times a day", false},
+		{"123HTTP/1.1 5", true},
+		{"123HTTP/1.1 503", true},
+		{"123HTTP/1.1 503 S", true},
+		{"123HTTP/1.1 503 Service Unavailable\r", true},
+		{"123HTTP/1.1 503 Busy\r\nX: y", true},
+		{"123HTTP/1.1 503 Busy\r\nand no more", false},
+	} {
+		t.Run(tt.body, func(t *testing.T) {
+			s := testSplicing()
+			s.unframed = true
+			is.New(t).Equal(s.in([]byte(tt.body), nil), tt.want)
+		})
+	}
+}
+
 // Guards against a part of a body that is rejected although the rest may show that it only mentions a reply, and against
 // waiting for the rest of one that holds another reply.
 func TestSplicingOfPart(t *testing.T) {
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -359,3 +359,20 @@
 		is.Equal(res.StatusCode, http.StatusBadGateway)
 	}
 }
+
+// Guards against a success whose body ends with the start of another reply: the target breaks off in the head of the
+// second one.
+func TestCutReplyBehindBodyWithoutLength(t *testing.T) {
+	is := is.New(t)
+	const least = len("HTTP/1.1 5") // fewer bytes may belong to the body
+	head := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX: y\r\n%s: r\r\n", headers.Request)
+	var length atomic.Int64
+	h := newRawHarness(t, 1, serveReplies(func(id, _ string) (string, bool) {
+		return unframedReply(id, testBody(id)) + head[:length.Load()], true
+	}))
+	for n := least; n <= len(head); n++ {
+		length.Store(int64(n))
+		res, _ := h.get(t, nil)
+		is.Equal(res.StatusCode, http.StatusBadGateway)
+	}
+}
