Refuse a request whose body doesn't come within its time

Seen: a caller whose body stalls gets no answer, and its request holds memory, a goroutine and a connection for as long as it keeps the connection open.

Cause: only the head of a request had a time limit.

Change: the body has to be complete at the deadline of the request, by its own timeout and that of its route. Otherwise the caller gets 408: nothing has run.

Result: relay TestStalledBody gets no answer within 5 s on; now 408 at the deadline, and a connection whose body was read in time is used again after it.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,8 +22,8 @@
 	route string
 }
 
-// accept reads the request and selects its route.
-func (s *Service) accept(r *http.Request) (*job, *refusal) {
+// accept reads the request and selects its route. setReadDeadline bounds the reads from the caller.
+func (s *Service) accept(r *http.Request, setReadDeadline func(time.Time) error) (*job, *refusal) {
 	started := s.Clock.Now()
 	view := s.awaitView(r)
 	if view == nil {
@@ -40,14 +41,14 @@
 	if id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no identity", route: rt.Name}
 	}
-	body, refused := readBody(r, view.Routing.Document.Limits.BodyBytes)
-	if refused != nil {
+	j := &job{Request: r, id: id, view: view, route: rt, started: started, spare: spareShards(rt)}
+	j.partialAfter = started.Add(rt.Objective - margin(r))
+	j.deadline = started.Add(s.timeout(r, rt) - endMargin)
+	var refused *refusal
+	if j.body, refused = readBody(r, view.Routing.Document.Limits.BodyBytes, j.deadline, setReadDeadline); refused != nil {
 		refused.route = rt.Name
 		return nil, refused
 	}
-	j := &job{Request: r, body: body, id: id, view: view, route: rt, started: started, spare: spareShards(rt)}
-	j.partialAfter = started.Add(rt.Objective - margin(r))
-	j.deadline = started.Add(s.timeout(r, rt) - endMargin)
 	return j, nil
 }
 
@@ -113,10 +114,14 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-func readBody(r *http.Request, bound int) ([]byte, *refusal) {
+// readBody reads the body of a request, which must be complete at the deadline.
+func readBody(r *http.Request, bound int, deadline time.Time, setReadDeadline func(time.Time) error) ([]byte, *refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
+	if err := setReadDeadline(deadline); err != nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "not run: the time to read the body can't be bounded: " + err.Error(), retry: retryAfter}
+	}
 	reader := io.Reader(r.Body)
 	if bound > 0 {
 		reader = http.MaxBytesReader(nil, r.Body, int64(bound))
@@ -126,9 +131,14 @@
 	switch {
 	case errors.As(err, &large):
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &refusal{status: http.StatusRequestTimeout, reason: "not run: the body was not complete in time"}
 	case err != nil:
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the body can't be read: " + err.Error()}
 	}
+	if err := setReadDeadline(time.Time{}); err != nil { // otherwise the request would end as if its caller had left
+		return nil, &refusal{status: http.StatusBadRequest, reason: "the connection of the caller is lost: " + err.Error()}
+	}
 	return body, nil
 }
 
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -231,3 +231,46 @@
 		})
 	}
 }
+
+// Guards against a caller whose body stalls and that gets no answer, while its request holds memory and a connection; and
+// against a later request on a connection whose first body was read within a bound.
+func TestStalledBody(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	head := func(id string, length int) string {
+		return fmt.Sprintf("POST /q/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
+			headers.Request, id, headers.Timeout, timeout.Milliseconds(), length)
+	}
+	is := is.New(t)
+	f := newTarget("a", "s1").records("x")
+	h := newHarness(t, singleRoute(false, 1), f)
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { conn.Close() })
+		is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+		return conn, bufio.NewReader(conn)
+	}
+	status := func(reader *bufio.Reader) int {
+		res, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, res.Body)
+		is.NoErr(err)
+		return res.StatusCode
+	}
+
+	stalled, reader := dial()
+	started := time.Now()
+	_, err := io.WriteString(stalled, head("r1", 10)+"half")
+	is.NoErr(err)
+	is.Equal(status(reader), http.StatusRequestTimeout)
+	is.True(time.Since(started) < 2*timeout)
+	is.Equal(f.requests.Load(), int64(0))
+
+	kept, reader := dial()
+	for i := range 2 {
+		_, err = io.WriteString(kept, head(fmt.Sprint("k", i), 4)+"body")
+		is.NoErr(err)
+		is.Equal(status(reader), http.StatusOK)
+		time.Sleep(timeout + timeout/2) // longer than the body had
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -223,7 +223,7 @@
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	j, refusal := s.accept(r)
+	j, refusal := s.accept(r, http.NewResponseController(w).SetReadDeadline)
 	if refusal != nil {
 		s.refuse(w, r, refusal)
 		return
--- a/relay/resend_test.go
+++ b/relay/resend_test.go
@@ -134,7 +134,7 @@
 	req := httptest.NewRequest(http.MethodGet, "/q/x", nil)
 	req.Host = "h"
 	req.Header.Set(headers.Request, "r1")
-	j, refusal := h.service.accept(req)
+	j, refusal := h.service.accept(req, func(time.Time) error { return nil })
 	is.True(refusal == nil)
 	ctx, cancel := context.WithDeadline(t.Context(), j.deadline)
 	defer cancel()
