Accept bodies that show replies of another status between like lines

Seen: nothing yet; found in a review. A transcript whose last line begins like its first (a prompt, say) around a reply without an identity, such as a 404, is taken for a reply and its copy: each target's reply is rejected, and the request fails.

Cause: a head without an identity behind which the body begins again counted as a copy whatever its status line. A copy has that of the reply itself.

Change: the status line must be the reply's own.

Result: TestSplicing "no identity, another status, a transcript" fails before and passes now. A transcript with the reply's own status line is still rejected.

--- a/limit/splice.go
+++ b/limit/splice.go
@@ -107,7 +107,7 @@
 		return true
 	case state == fieldsEnded && reply:
 		return true
-	case state == fieldsEnded && !s.partial && id == "" && repeats(body[:start], rest):
+	case state == fieldsEnded && !s.partial && id == "" && string(line) == s.own && repeats(body[:start], rest):
 		return true
 	}
 	return false
--- a/limit/splice_test.go
+++ b/limit/splice_test.go
@@ -39,6 +39,7 @@
 		{"an unknown identity", "1234HTTP/1.1 200 OK\r\nId: theirs\r\n\r\n5678", "", false},
 		{"no identity", "1234HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n5678", "", false},
 		{"no identity, the body again", "1234HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n1234", "", true},
+		{"no identity, another status, a transcript", "$ curl -i a\r\nHTTP/1.1 404 Not Found\r\nServer: x\r\n\r\n$ ", "", false},
 		{"identity after the fields", "1234HTTP/1.1 200 OK\r\n\r\nId: mine\r\n\r\n", "", false},
 		{"identity after a line that is no field", "1234HTTP/1.1 200 OK\r\nsome text\r\nId: mine\r\n\r\n", "", false},
 		{"a part of the identity", "1234HTTP/1.1 200 OK\r\nX: y\r\nId: mine2\r\n\r\n", "", false},
