--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -253,6 +253,7 @@
 	status := func(reader *bufio.Reader) int {
 		res, err := http.ReadResponse(reader, nil)
 		is.NoErr(err)
+		defer res.Body.Close()
 		_, err = io.Copy(io.Discard, res.Body)
 		is.NoErr(err)
 		return res.StatusCode
