Match refusals of targets with sub-requests

Answers were not wrong, because their bodies name the sub-request; refusals don't, so that replicas seemed to refuse that did not.

Cause: nothing in a refusal was compared with the sub-request.

Change: a reply whose header names another sub-request is dropped under the reason "request", and its connection closed. Stand-in targets send that header in all replies.

Formats: replies of targets may repeat Wasabi-Request in their header. Hosts of earlier versions skip it; replies without it are taken as before.

--- a/answer/connect.go
+++ b/answer/connect.go
@@ -14,7 +14,7 @@
 )
 
 // Connect sets the dependencies to this host's replica selection, connection pool and admission
-// control. It is called after Clock is set and before Register or Answer.
+// control. It is called after Clock is set and before Register or Answer, and before the pool is used.
 func (s *Service) Connect(table *route.Table, pool *limit.Pool, admission *limit.Admission) {
 	s.Pick, s.Start, s.Done = table.Pick, table.Start, table.Done
 	s.SuspectCold, s.ClearSuspicion, s.HedgeAfter = table.SuspectCold, table.ClearSuspicion, table.HedgeAfter
@@ -27,6 +27,7 @@
 	if s.Clock == nil {
 		s.Clock = clockwork.NewRealClock()
 	}
+	pool.CheckReply = checkIdentity
 	p := &poolSender{pool: pool, clock: s.Clock}
 	s.Send, s.Cancel, s.Health = p.send, p.cancel, p.health
 }
@@ -69,6 +70,16 @@
 	return reply, failure
 }
 
+// checkIdentity returns an error if the reply names another sub-request in its header. A refusal has no
+// other identity. Targets need not send one.
+func checkIdentity(req *http.Request, res *limit.Response) error {
+	want, got := req.Header.Get(target.HeaderRequest), res.Header.Get(target.HeaderRequest)
+	if want != "" && got != "" && got != want {
+		return errors.Errorf("the reply is for sub-request %q", got)
+	}
+	return nil
+}
+
 // classifyPoolError returns the outcome of a sub-request that failed in the pool.
 func classifyPoolError(err error) *SendError {
 	var refused *limit.RefusedError
@@ -85,8 +96,11 @@
 	var reply *limit.ReplyError
 	if errors.As(err, &reply) {
 		reason := reasonLength
-		if reply.Reason == limit.Malformed {
+		switch reply.Reason {
+		case limit.Malformed:
 			reason = reasonForm
+		case limit.Mismatched:
+			reason = reasonRequest
 		}
 		return &SendError{Outcome: BadReply, Sent: sent, Err: &ReplyError{Reason: reason}}
 	}
--- a/answer/reply.go
+++ b/answer/reply.go
@@ -23,6 +23,8 @@
 	reasonLength = "length"
 	// reasonForm is the reason of a reply that is not one JSON document.
 	reasonForm = "form"
+	// reasonRequest is the reason of a reply to another sub-request.
+	reasonRequest = "request"
 )
 
 // ReadReply decodes the reply of a target from its HTTP response. The cause of the error is a
@@ -72,7 +74,7 @@
 	case !reply.End || len(reply.Result) == 0:
 		return &ReplyError{Reason: "end"}
 	case reply.Request != sub.Request:
-		return &ReplyError{Reason: fieldRequest}
+		return &ReplyError{Reason: reasonRequest}
 	case reply.Shard != sub.Shard:
 		return &ReplyError{Reason: "shard"}
 	case reply.Snapshot != sub.Snapshot:
--- a/searcher/serve.go
+++ b/searcher/serve.go
@@ -41,6 +41,7 @@
 }
 
 func (s *Searcher) postQuery(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(target.HeaderRequest, r.Header.Get(target.HeaderRequest))
 	sub, bad := s.decode(w, r)
 	if bad != nil {
 		bad.Write(w)
