Let hosts use a part of the retry budget in the first seconds of a deployment

Traced: a host that had just started for the first time had no part of the budget for 5 s, so that nothing was repeated.

Cause: "Keep the sum of all hosts' repeats within the retry budget" waits until hosts know each other, also when nothing has been used before.

Change: until then, a host has an eighth at most, or its share if that is less.

--- a/node/slack.go
+++ b/node/slack.go
@@ -12,6 +12,10 @@
 // budget, it has to stay within inactiveHostTTL: until then the others leave the shares to it.
 const maxSilence = 5 * time.Second
 
+// startShare is the most that a host uses in the first seconds of a deployment, when it may not know
+// all others yet.
+const startShare = 1.0 / 8
+
 // dividedSlack is the fraction of the constant part that is divided. The rest is for hosts without a
 // share, each of which may be one repeat ahead of the share of its requests.
 const dividedSlack = 0.95
@@ -25,14 +29,18 @@
 	// contact is when a control host last sent news, since the time from which such news never
 	// failed to come for maxSilence.
 	contact, since time.Time
-	general        shareHistory
+	// starting is true if since is the first start of all hosts, before which none has used any share.
+	starting bool
+	general  shareHistory
 	// services holds the shares of services that only some hosts ask.
 	services map[string]*shareHistory
 }
 
 // slackView holds the shares that apply until a time, which only news from a control host moves.
 type slackView struct {
-	until    time.Time
+	until time.Time
+	// most bounds the shares.
+	most     float64
 	general  float64
 	services map[string]float64
 }
@@ -47,9 +55,9 @@
 	case contact.IsZero():
 		return &slackView{}
 	case s.contact.IsZero() && first:
-		s.since = contact.Add(-s.window)
+		s.since, s.starting = contact.Add(-s.window), true
 	case contact.Sub(s.contact) > maxSilence:
-		s.since = contact
+		s.since, s.starting = contact, false
 	}
 	s.contact = contact
 	if s.services == nil {
@@ -61,7 +69,7 @@
 		}
 	}
 	oldest := now.Add(-s.settled())
-	v := &slackView{general: s.general.add(now, oldest, share), services: map[string]float64{}}
+	v := &slackView{most: 1, general: s.general.add(now, oldest, share), services: map[string]float64{}}
 	for service, h := range s.services {
 		if d := divisions[service]; d != nil {
 			v.services[service] = h.add(now, oldest, d.Share)
@@ -71,8 +79,11 @@
 			delete(s.services, service) // all hosts have asked it for long enough
 		}
 	}
-	if now.Sub(s.since) >= s.settled() {
+	switch {
+	case now.Sub(s.since) >= s.settled():
 		v.until = contact.Add(maxSilence)
+	case s.starting:
+		v.until, v.most = contact.Add(maxSilence), startShare
 	}
 	return v
 }
@@ -82,10 +93,11 @@
 	if !now.Before(v.until) {
 		return 0
 	}
-	if share, ok := v.services[service]; ok {
-		return dividedSlack * share
+	share, ok := v.services[service]
+	if !ok {
+		share = v.general
 	}
-	return dividedSlack * v.general
+	return dividedSlack * min(share, v.most)
 }
 
 // shareHistory finds the smallest share within a time.
