soak: judge leaving targets that stutter by the answers that hosts pass on

Traced in the log of the host: the only earlier reply with that was rejected, because another reply had been spliced into it. The users' rule counts a host from the first such answer that it has passed on.

Without it nothing changes. TestLeavingByAnswersPassedOn plants a violation and two lookalikes.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -287,6 +287,28 @@
 	is.True(strings.Contains(c.forbiddenArrivals["t"], "r5@0 arrived at t"))
 }
 
+// Guards against a missed violation where hosts can't use all replies: a request of a host that has passed an answer of
+// the target on; and against false ones: of a host that has had no answer that it could pass on.
+func TestLeavingByAnswersPassedOn(t *testing.T) {
+	is := is.New(t)
+	c := traffic{stuttering: true}
+	c.init()
+	c.declare("", "t")
+	now := time.Now()
+	answerFrom := func(target string, leaving bool) *standin.Answer {
+		return &standin.Answer{Leaving: leaving, Signature: standin.Signature("s", "r2@0", target+"-7")}
+	}
+	c.recordLeaving("t", "r1@0", "0", now)
+	c.recordPassedOn("r2@0", answerFrom("t", false), now)
+	c.recordPassedOn("r2@0", answerFrom("u", true), now)
+	c.recordLeaving("t", "r3@0", "0", now.Add(2*drainTime))
+	c.recordPassedOn("r2@0", answerFrom("t", true), now.Add(2*drainTime))
+	c.recordLeaving("t", "r4@0", "0", now.Add(2*drainTime))
+	is.Equal(len(c.forbiddenArrivals), 0)
+	c.recordLeaving("t", "r5@0", "0", now.Add(4*drainTime))
+	is.True(strings.Contains(c.forbiddenArrivals["t"], "r5@0 arrived at t"))
+}
+
 // Guards against a proxy whose modes don't have the documented effect on the link.
 func TestProxy(t *testing.T) {
 	is := is.New(t)
--- a/soak/declared.go
+++ b/soak/declared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"wasabirelay/platform/standin"
@@ -53,12 +54,27 @@
 	}
 	told, known := c.told[host]
 	if !known {
-		c.told[host] = now
+		if !c.stuttering {
+			c.told[host] = now
+		}
 	} else if now.Sub(told) > drainTime {
 		c.forbiddenArrivals[target] = "request " + request + " arrived at " + target + ", which has said in its replies that it leaves"
 	}
 }
 
+// recordPassedOn records the answer of a host.
+func (c *traffic) recordPassedOn(request string, a *standin.Answer, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving == "" || !a.Leaving || !strings.Contains(a.Signature, "."+c.leaving+"-") {
+		return
+	}
+	_, host := parseID(request)
+	if _, known := c.told[host]; !known {
+		c.told[host] = now
+	}
+}
+
 // reportLimited checks the requests that arrived at the target with a declared limit. The caller
 // holds c.mu.
 func (c *traffic) reportLimited(to *checker) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -130,6 +130,7 @@
 	r.crashed = map[int]bool{}
 	r.check.init()
 	r.traffic.init()
+	r.traffic.stuttering = r.Stutter
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return nil, err
--- a/soak/stutter.go
+++ b/soak/stutter.go
@@ -74,6 +74,7 @@
 		answers, err := c.Send(ctx, patience, queries...)
 		for k, a := range answers {
 			r.check.checkAnswer(queries[k].ID, to[k], a)
+			r.traffic.recordPassedOn(queries[k].ID, a, time.Now())
 		}
 		if err != nil && c == direct[host] {
 			r.check.checkError(queries[min(len(answers), n-1)].ID, err)
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -38,6 +38,9 @@
 	// first of them.
 	leaving string
 	told    map[string]time.Time
+	// stuttering is true if hosts can't use all replies. A host then counts as told from the first
+	// one that it has passed on.
+	stuttering bool
 }
 
 func (c *traffic) init() {
