route: decide once what a budget allows

Spend, SpendEarly and Reserve repeated the same expiry, credit and comparison. No change of behaviour: the tests of route and node pass with the race detector.

--- a/route/budget.go
+++ b/route/budget.go
@@ -65,10 +65,7 @@
 func (b *Budget) Spend(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.expire(now)
-	b.credit(share)
-	if share <= 0 || b.missing() > b.earned {
-		b.refused++
+	if !b.allows(now, share) {
 		return false
 	}
 	b.charge(now, b.take())
@@ -88,10 +85,7 @@
 func (b *Budget) Reserve(now time.Time, share float64) *Extra {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.expire(now)
-	b.credit(share)
-	if share <= 0 || b.missing() > b.earned {
-		b.refused++
+	if !b.allows(now, share) {
 		return nil
 	}
 	e := &Extra{budget: b, amount: b.take()}
@@ -134,9 +128,10 @@
 func (b *Budget) SpendEarly(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.expire(now)
-	b.credit(share)
-	if share <= 0 || b.missing() > b.earned || b.early+1 > earlyCapacity {
+	if !b.allows(now, share) {
+		return false
+	}
+	if b.early+1 > earlyCapacity {
 		b.refused++
 		return false
 	}
@@ -145,6 +140,17 @@
 	return true
 }
 
+// allows reports whether the budget allows one extra sub-request now, and counts it as refused otherwise.
+func (b *Budget) allows(now time.Time, share float64) bool {
+	b.expire(now)
+	b.credit(share)
+	if share <= 0 || b.missing() > b.earned {
+		b.refused++
+		return false
+	}
+	return true
+}
+
 // take takes one extra sub-request. It uses what is earned for the part that the capacity doesn't allow,
 // and returns the other part.
 func (b *Budget) take() (ofCapacity float64) {
