relay: share what tests of callers and of spliced replies repeat

The connection of a caller, the serving loop and the check that every other request fails at once were written several times. All assertions stay.

--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -212,11 +212,8 @@
 			is := is.New(t)
 			target := newTarget("a", "s1").records("x")
 			h := newHarness(t, singleRoute(false, 1), target)
-			conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
-			is.NoErr(err)
-			defer conn.Close()
-			is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
-			_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: r1\r\n%s: 1500\r\n\r\n", tt.sent, tt.host, headers.Request, headers.Timeout)
+			conn := h.dial(t)
+			_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: r1\r\n%s: 1500\r\n\r\n", tt.sent, tt.host, headers.Request, headers.Timeout)
 			is.NoErr(err)
 			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			is.NoErr(err)
@@ -244,10 +241,7 @@
 	f := newTarget("a", "s1").records("x")
 	h := newHarness(t, singleRoute(false, 1), f)
 	dial := func() (net.Conn, *bufio.Reader) {
-		conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
-		is.NoErr(err)
-		t.Cleanup(func() { conn.Close() })
-		is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+		conn := h.dial(t)
 		return conn, bufio.NewReader(conn)
 	}
 	status := func(reader *bufio.Reader) int {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -167,6 +167,20 @@
 	}
 }
 
+// dial opens a connection of a caller, with a deadline of 5 s for everything on it.
+func (h *harness) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
 // response is the status and the headers of a response.
 type response struct {
 	StatusCode int
--- a/relay/left_test.go
+++ b/relay/left_test.go
@@ -19,11 +19,8 @@
 		t.Run(fmt.Sprint(r.Name, " ", r.Idempotent), func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(t, r, newTarget("a", "s1").hang())
-			conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
-			is.NoErr(err)
-			defer conn.Close()
-			is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
-			_, err = fmt.Fprintf(conn, "GET /q/x HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: 1500\r\n\r\n", headers.Request, headers.Timeout)
+			conn := h.dial(t)
+			_, err := fmt.Fprintf(conn, "GET /q/x HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: 1500\r\n\r\n", headers.Request, headers.Timeout)
 			is.NoErr(err)
 			time.Sleep(50 * time.Millisecond)
 			is.NoErr(conn.(*net.TCPConn).CloseWrite())
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -235,34 +235,29 @@
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			h := newRawHarness(t, 1, func(conn net.Conn) {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for last := ""; ; {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					id := r.Header.Get(headers.Request)
-					if last == "" {
-						_, _ = io.WriteString(conn, framedReply(id, testBody(id)))
-					} else {
-						_, _ = io.WriteString(conn, tt.first(last))
-					}
-					last = id
+			h := newRawHarness(t, 1, serveReplies(func(id, last string) (string, bool) {
+				if last == "" {
+					return framedReply(id, testBody(id)), false
 				}
-			})
-			for i := range 4 {
-				started := time.Now()
-				res, _ := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
-				is.Equal(res.StatusCode, []int{http.StatusOK, http.StatusBadGateway}[i%2])
-				is.True(time.Since(started) < 750*time.Millisecond) // half of the deadline
-			}
+				return tt.first(last), false
+			}))
+			h.checkOthersFailAtOnce(t)
 		})
 	}
 }
 
+// checkOthersFailAtOnce checks that every other request fails, long before its deadline.
+func (h *harness) checkOthersFailAtOnce(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	for i := range 4 {
+		started := time.Now()
+		res, _ := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
+		is.Equal(res.StatusCode, []int{http.StatusOK, http.StatusBadGateway}[i%2])
+		is.True(time.Since(started) < 750*time.Millisecond) // half of the deadline
+	}
+}
+
 // Guards against a request that waits until its deadline although its reply has arrived inside the body of another one
 // that has broken off.
 func TestReplyInsideLongerBody(t *testing.T) {
@@ -276,7 +271,6 @@
 		{"own reply", func(id, _ string) string { return framedReply(id, strings.Repeat("x", 2*missing)) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
 			h := newRawHarness(t, 1, func(conn net.Conn) {
 				defer conn.Close()
 				reader := bufio.NewReader(conn)
@@ -298,12 +292,7 @@
 					last = id
 				}
 			})
-			for i := range 4 {
-				started := time.Now()
-				res, _ := h.get(t, func(r *http.Request) { r.Header.Set(headers.Request, fmt.Sprint("r", i)) })
-				is.Equal(res.StatusCode, []int{http.StatusOK, http.StatusBadGateway}[i%2])
-				is.True(time.Since(started) < 750*time.Millisecond) // half of the deadline
-			}
+			h.checkOthersFailAtOnce(t)
 		})
 	}
 }
