Add the fields that organisations, ranks and contended deployments share

Several parts that are built side by side need them: the organisations of the routing document, the organisation and rank of a request, and the setting that callers compete for room at targets. Nothing reads them yet.

--- a/node/settings.go
+++ b/node/settings.go
@@ -52,6 +52,9 @@
 	RetryShare, RetrySlack float64
 	// RetryWindow is the time window in which this bound holds.
 	RetryWindow time.Duration
+	// Contended is true if callers compete for the room at targets: requests are ranked and placed by
+	// their predicted cost.
+	Contended bool
 	// AddressTTL is how long callers may use a list of addresses.
 	AddressTTL time.Duration
 	// ShutdownTimeout is the maximum duration of a graceful shutdown.
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -41,7 +41,7 @@
 	if id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no identity", route: rt.Name}
 	}
-	j := &job{Request: r, id: id, view: view, route: rt, started: started, spare: spareShards(rt)}
+	j := &job{Request: r, id: id, view: view, route: rt, started: started, spare: spareShards(rt), rank: rt.Priority}
 	j.partialAfter = started.Add(rt.Objective - margin(r))
 	j.deadline = started.Add(s.timeout(r, rt) - endMargin)
 	var refused *refusal
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -155,7 +155,7 @@
 	request := (&http.Request{Method: r.Method, URL: &url.URL{Path: pathOf(r.URI)}, RequestURI: r.URI, Host: r.Host, Header: r.Header}).WithContext(ctx)
 	return &job{
 		Request: request, body: r.Body, id: r.Header.Get(s.Headers.Request), view: view, route: part, spare: spare,
-		started: now, partialAfter: now.Add(r.Cutoff), deadline: now.Add(r.Timeout),
+		started: now, partialAfter: now.Add(r.Cutoff), deadline: now.Add(r.Timeout), rank: part.Priority,
 	}, ""
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -193,6 +193,11 @@
 	partialAfter time.Time
 	// spare is the number of shards that this host may leave out of the response.
 	spare int
+	// organisation is the name of the organisation that the request belongs to; empty if it needs no key.
+	organisation string
+	// rank is the rank of the request under shortage; 0 is the highest. That of its organisation takes
+	// precedence over that of its route.
+	rank int
 
 	fingerprintOnce  sync.Once
 	fingerprintValue uint64
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -17,6 +17,17 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations are the customers whose keys callers present. If there are none, callers need
+	// no key.
+	Organisations []Organisation
+}
+
+// Organisation is a customer whose callers present one of its keys.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Rank, if set, takes precedence over Route.Priority for the requests of the organisation.
+	Rank *int
 }
 
 // Route defines how requests for a host and a path prefix are handled. Either Shards or
@@ -44,6 +55,8 @@
 	MinShardFraction float64
 	// Backends are the services among which requests are divided by weight.
 	Backends []Backend
+	// Public is true if requests need no key of an organisation.
+	Public bool
 }
 
 // Backend is a service with its weight in a route.
