limit: find late copies that end where a broken body does

Cause: a reply that breaks off is filled up by a late copy of an earlier refusal on its connection. If a piece of the copy, or the whole of one without identity and body, ends just where the body does, nothing was behind the body that showed it. That is the form that TestStutter met once.

Change: if the end of a body may cut the head of another reply, the bytes behind it are waited for up to 30 ms; a body that ends with the whole head of a target's reply is rejected if the connection has carried a reply with its status line.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"net/netip"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -26,6 +27,9 @@
 // would keep the sub-request busy without end.
 const maxInterim = 8
 
+// maxStatusLines is the number of different status lines that a connection remembers.
+const maxStatusLines = 4
+
 var (
 	headerEnd = []byte("\r\n\r\n")
 	// interruptDeadline is a deadline in the past, which interrupts blocked reads and writes.
@@ -69,6 +73,9 @@
 	current uint64
 	// repeatable holds the contents of those that it may carry again.
 	repeatable sentIDs
+	// lines holds the latest different status lines of replies, next the place of the next one.
+	lines [maxStatusLines]string
+	next  int
 	// replyID is Pool.ReplyID, isReply is Pool.IsReply.
 	replyID func(*Response) string
 	isReply func(*Response) bool
@@ -185,6 +192,7 @@
 		case c.head.status == http.StatusSwitchingProtocols:
 			return &ReplyError{Reason: Malformed, Err: errors.New("the protocol was switched without a request to do so")}
 		case c.head.status >= http.StatusOK:
+			c.noteStatusLine()
 			c.closing = c.head.close
 			c.noteKeepAlive()
 			return nil
@@ -193,6 +201,14 @@
 	return &ReplyError{Reason: Malformed, Err: errors.New("too many interim replies")}
 }
 
+// noteStatusLine remembers the status line of the reply.
+func (c *connection) noteStatusLine() {
+	if !slices.Contains(c.lines[:], c.head.line) {
+		c.lines[c.next] = c.head.line
+		c.next = (c.next + 1) % len(c.lines)
+	}
+}
+
 // parseBuffered waits for the next complete head and consumes it.
 func (c *connection) parseBuffered() error {
 	text, err := c.bufferHeader()
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -25,6 +27,14 @@
 // another reply although nothing follows: a text may well end with "HTTP/1.1".
 const minCutStatus = len("HTTP/1.0 0")
 
+// minCutVersion is the least number of bytes of a version at the end of a body for which the bytes behind it are waited
+// for. Fewer end too many binary bodies.
+const minCutVersion = len("HTTP/")
+
+// cutWait bounds how long the bytes behind a body are waited for if its end may cut the head of another reply: the
+// rest of a late copy may arrive in further pieces.
+const cutWait = 30 * time.Millisecond
+
 // splicing finds the start of another reply inside a body. It gets there if a reply without a length is followed
 // by a copy, or if a reply breaks off and a copy follows on the same connection. A body that only mentions
 // status lines or contains replies to other requests is no such case.
@@ -37,6 +47,8 @@
 	known func(id string) bool
 	// isReply is Pool.IsReply.
 	isReply func(*Response) bool
+	// earlier, if set, reports whether the connection has carried a reply with the status line.
+	earlier func(line string) bool
 	// partial is true if only a part of the body is known. Only an identity is then a sign of another reply.
 	partial bool
 	// unframed is true if the body ends with the connection. Nothing behind it can show another reply then, so
@@ -44,6 +56,8 @@
 	unframed bool
 	// found is set if a status line may start in the body.
 	found bool
+	// cut is set if the end of the body may cut the head of another reply. Only the bytes behind it can tell.
+	cut bool
 	// plainFrom and plainTo bound the fields of the last head in the body that hold nothing that tells whose they are: the
 	// heads that start among them begin with the rest of these.
 	plainFrom, plainTo int
@@ -69,6 +83,7 @@
 		return false
 	}
 	s.found = true
+	s.cut = s.cut || len(body)-tail-i >= minCutVersion
 	return len(behind) > 0 && s.at(body, tail+i, behind)
 }
 
@@ -83,10 +98,12 @@
 	doubtful := !s.partial && (s.unframed || len(behind) > 0)
 	text = text[:min(len(text), readBufferSize)]
 	if !isStatus(text) {
+		s.cut = s.cut || whole && hasStatusForm(text[:min(len(text), len(statusForm))])
 		return whole && len(text) >= minCutStatus && s.isCutLine(text)
 	}
 	line, rest, ended := bytes.Cut(text, lineEnd)
 	if !ended {
+		s.cut = s.cut || whole
 		return whole && s.isCutLine(line)
 	}
 	from := start + len(line) + len(lineEnd)
@@ -95,10 +112,12 @@
 	}
 	fields, rest, state := cutFields(rest[s.plainTo-from:])
 	header := Header{text: string(fields)}
-	id, reply := s.replyID(&Response{Header: header}), doubtful && s.isReply(&Response{Header: header})
+	copied := whole && state == fieldsEnded && len(rest) == 0 && s.earlier != nil && s.earlier(string(line))
+	id, reply := s.replyID(&Response{Header: header}), (doubtful || copied) && s.isReply(&Response{Header: header})
 	if id == "" && !reply {
 		s.plainTo += len(fields)
 	}
+	s.cut = s.cut || whole && state == fieldsCut
 	switch {
 	case id != "" && s.known(id):
 		return true
@@ -230,7 +249,8 @@
 	}
 	s := splicing{
 		own: c.head.line, replyID: c.replyID, isReply: c.isReply, unframed: c.head.length < 0 && !c.head.chunked, partial: partial,
-		known: func(id string) bool { return c.sent.has(xxhash.Sum64String(id)) },
+		known:   func(id string) bool { return c.sent.has(xxhash.Sum64String(id)) },
+		earlier: func(line string) bool { return slices.Contains(c.lines[:], line) },
 	}
 	var behind []byte
 	if c.head.length >= 0 && !partial {
@@ -239,9 +259,17 @@
 	if s.in(body, behind) {
 		return true
 	}
-	if !s.found || partial || c.head.length < 0 || !c.hasPending() {
+	if !s.found || partial || c.head.length < 0 {
 		return false
 	}
+	pending := c.hasPending()
+	if !pending && !s.cut {
+		return false
+	}
+	if !pending {
+		_ = c.conn.SetReadDeadline(time.Now().Add(cutWait)) // fails only if the connection is closed
+		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	}
 	_, _ = c.reader.Peek(len(behind) + 1) // an error shows when the connection is used again
 	behind, _ = c.reader.Peek(c.reader.Buffered())
 	return s.in(body, behind)
--- a/limit/splice_test.go
+++ b/limit/splice_test.go
@@ -97,6 +97,31 @@
 	}
 }
 
+// Guards against a body that broke off and was filled up by the whole copy of an earlier refusal, which has neither an
+// identity nor a body, and against rejecting one that only mentions a refusal.
+func TestSplicingOfBodilessCopy(t *testing.T) {
+	const (
+		line    = "HTTP/1.1 503 Service Unavailable"
+		refusal = line + "\r\nContent-Length: 0\r\nSign: 3e1b\r\n\r\n"
+	)
+	for _, tt := range []struct {
+		name, body string
+		refused    bool
+		want       bool
+	}{
+		{"a refusal was carried", "1234" + refusal, true, true},
+		{"none was carried", "1234" + refusal, false, false},
+		{"text behind it", "1234" + refusal + "$ ", true, false},
+		{"no reply of a target", "1234" + line + "\r\nServer: x\r\n\r\n", true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testSplicing()
+			s.earlier = func(text string) bool { return tt.refused && text == line }
+			is.New(t).Equal(s.in([]byte(tt.body), nil), tt.want)
+		})
+	}
+}
+
 // Guards against a body without a length whose end cuts another reply, and against rejecting one that ends with a mention
 // of a status.
 func TestSplicingWithoutLength(t *testing.T) {
