Add duties that one control host at a time has

Some work has to be done by one host for all, for example the reports of usage that a provider takes. The leader of the replicated log claims a duty by a command in the log; its index is the fencing token. The lease follows from a confirmed leadership, so that keeping it writes nothing. What is done is fixed in the log before it is done for the first time.

--- a/control/command.go
+++ b/control/command.go
@@ -28,6 +28,7 @@
 	Routing  *ApplyRouting    `json:"routing,omitempty"`
 	Evacuate *Evacuate        `json:"evacuate,omitempty"`
 	Begin    *BeginMove       `json:"begin,omitempty"`
+	Duty     *DutyStep        `json:"duty,omitempty"`
 }
 
 // ApplyInventory replaces the inventory if its version is still Base.
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -38,6 +38,8 @@
 	// ClaimClock and Claims are absent from the snapshots that entry hosts get.
 	ClaimClock time.Time    `json:"claimclock,omitzero"`
 	Claims     []keyedClaim `json:"claims,omitempty"`
+	// Duties is absent from the snapshots that entry hosts get and from those of earlier versions.
+	Duties map[string]Duty `json:"duties,omitempty"`
 }
 
 type keyedClaim struct {
@@ -46,7 +48,7 @@
 }
 
 // Digest returns an xxhash of the shared state. It is equal on all replicas and entry hosts
-// that applied the same commands. It does not cover the index and the claims.
+// that applied the same commands. It does not cover the index, the claims and the duties.
 func (s *State) Digest() uint64 {
 	var clock uint64
 	if !s.clock.IsZero() {
@@ -66,7 +68,7 @@
 // Snapshot returns the complete state as JSON.
 func (s *State) Snapshot() ([]byte, error) {
 	m := s.sharedDocument()
-	m.ClaimClock = s.claimClock
+	m.ClaimClock, m.Duties = s.claimClock, s.duties
 	for _, key := range s.claimOrder {
 		m.Claims = append(m.Claims, keyedClaim{key, s.claims[key]})
 	}
@@ -140,6 +142,7 @@
 	}
 	s.revision = m.Revision
 	s.conditionSince.setAll(m.ConditionSince)
+	s.duties = m.Duties
 	for name, live := range m.Grants {
 		s.setGrants(name, live)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -46,6 +46,8 @@
 	revision       uint64
 	conditionSince table[time.Time]
 
+	duties map[string]Duty
+
 	claims     map[string]claim
 	claimOrder []string
 
@@ -113,6 +115,8 @@
 		r.Refusal = s.evacuate(c.Evacuate)
 	case c.Begin != nil:
 		r.Refusal = s.beginMove(c.Begin)
+	case c.Duty != nil:
+		r.Refusal = s.stepDuty(c.Duty)
 	}
 }
 
@@ -124,11 +128,13 @@
 func (s *State) Index() uint64 { return s.index }
 
 // Feed returns the command that entry hosts apply. The result is false for commands about
-// claims, for which entry hosts only advance the index.
+// claims, for which entry hosts only advance the index. Of a step of a duty, whose state entry hosts
+// don't have, only the time is left.
 func Feed(c Command) (Command, bool) {
 	if c.Claim != nil || c.Finish != nil {
 		return Command{}, false
 	}
+	c.Duty = nil
 	return c, true
 }
 
@@ -138,7 +144,7 @@
 	for _, set := range []bool{
 		c.Inventory != nil, c.Announce != nil, c.Leave != nil, c.Claim != nil, c.Finish != nil,
 		c.Grant != nil, c.Release != nil, c.Suspect != nil, len(c.Suspects) > 0, c.Move != nil,
-		c.Routing != nil, c.Evacuate != nil, c.Begin != nil,
+		c.Routing != nil, c.Evacuate != nil, c.Begin != nil, c.Duty != nil,
 	} {
 		if set {
 			n++
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -63,9 +63,11 @@
 	MoveInput func(v *control.View, service string) *move.Input
 	// Changed, if set, is called on the control goroutine after commands are applied.
 	Changed func(control.RoutingState)
-	Clock   clockwork.Clock
-	Rand    *rand.Rand
-	Log     zerolog.Logger
+	// DutiesChanged, if set, is called like Changed with the duties, which must not be modified.
+	DutiesChanged func(map[string]control.Duty)
+	Clock         clockwork.Clock
+	Rand          *rand.Rand
+	Log           zerolog.Logger
 	// Election is the election timeout and Heartbeat the heartbeat interval. They
 	// default to DefaultElectionTimeout and DefaultHeartbeatInterval.
 	Election, Heartbeat time.Duration
@@ -300,11 +302,14 @@
 	r.rejoin.tick(r, now)
 }
 
-// notifyChanged passes the routing state to Changed.
+// notifyChanged passes the routing state to Changed and the duties to DutiesChanged.
 func (r *Replica) notifyChanged() {
 	if r.Changed != nil {
 		r.Changed(r.state.RoutingState())
 	}
+	if r.DutiesChanged != nil {
+		r.DutiesChanged(r.state.Duties())
+	}
 }
 
 // post queues f for the control goroutine. It reports whether f was queued before ctx was
