Count the requests of organisations and report them to the provider

Entry hosts count each request of an organisation once, in the window of true time in which it was first sent, and send cumulative counts each second to the holder of the duty, which poll responses name. The holder fixes a window in the log and reports it. All of it is off unless the settings name the duty: poll messages then have no new field.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -50,6 +50,9 @@
 	OwnCrashes func(after uint64) ([]poison.Record, uint64)
 	// MergeCrashes, if set, is called with the records that control hosts send.
 	MergeCrashes func([]poison.Record)
+	// ObserveTime, if set, is called with the time of day that control hosts send. Only then the client requests
+	// it, and the holder of the duty.
+	ObserveTime func(control string, timeOfDay time.Time)
 	// Changed, if set, is called after a change of targets, hosts or the routing state.
 	Changed func()
 
@@ -61,6 +64,8 @@
 	fetching bool
 	// synced is when a control host that had finished starting last responded.
 	synced time.Time
+	// duty is the latest holder of the duty.
+	duty   DutyHolder
 	runCtx context.Context
 }
 
@@ -218,6 +223,9 @@
 	if c.MergeCrashes != nil {
 		request.Known = max(k.seen.Known, 1)
 	}
+	if c.ObserveTime != nil {
+		request.Duty = c.duty.Token + 1
+	}
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, request.Wait+responseTimeout)
 	defer cancel()
@@ -228,11 +236,33 @@
 	if err := response.decompress(); err != nil {
 		return err
 	}
+	c.mergeDuty(&response)
 	c.merge(k, &response)
 	c.mergeCrashes(k, &response, request.Run, published)
 	return nil
 }
 
+// mergeDuty merges the time of day and the holder of the duty of a response.
+func (c *Client) mergeDuty(response *PollResponse) {
+	if c.ObserveTime != nil && response.UnixMicro > 0 {
+		c.ObserveTime(response.From.Name, time.UnixMicro(response.UnixMicro))
+	}
+	if d := response.Duty; d != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if d.Token > c.duty.Token {
+			c.duty = *d
+		}
+	}
+}
+
+// DutyHolder returns the latest holder of the duty that control hosts have told of. Its token is 0 if there is none.
+func (c *Client) DutyHolder() DutyHolder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.duty
+}
+
 // mergeCrashes merges the records of a response to a request that named a run of the control host and
 // published records up to a revision.
 func (c *Client) mergeCrashes(k *contact, response *PollResponse, run int64, published uint64) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -84,6 +84,16 @@
 	// Known is one more than the revision of the records that the polling host has from the control
 	// host. It is 0 if the host is of an earlier version, which takes none.
 	Known uint64 `json:"known,omitempty"`
+	// Duty is one more than the fencing token of the holder of the duty that the polling host knows. It is 0 if the
+	// host takes neither the holder nor the time, for example because it is of an earlier version.
+	Duty uint64 `json:"duty,omitempty"`
+}
+
+// DutyHolder is the host that has the duty of all hosts, which collects and reports usage.
+type DutyHolder struct {
+	// Token is the fencing token; a later holder has a larger one.
+	Token   uint64         `json:"token"`
+	Address netip.AddrPort `json:"peer"`
 }
 
 // PollResponse is the response of a control host.
@@ -116,6 +126,10 @@
 	// the request, Known is their revision.
 	Crashes []poison.Record `json:"crashes,omitempty"`
 	Known   uint64          `json:"known,omitempty"`
+	// Duty is set if the polling host knows no holder with as large a token.
+	Duty *DutyHolder `json:"duty,omitempty"`
+	// UnixMicro is the time of day of the control host in microseconds after 1970; 0 if it was not requested.
+	UnixMicro int64 `json:"now,omitempty"`
 	// Compressed, if set, is the complete response, compressed with gzip. Only From is set
 	// besides it.
 	Compressed []byte `json:"packed,omitempty"`
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -38,6 +38,7 @@
 	entries       int
 	routingState  control.RoutingState
 	sizer         sizer
+	duty          DutyHolder
 	// crashes holds the requests that may crash targets, as entry hosts have published them.
 	crashes poison.Ledger
 	// allResponses and selectedResponses cache the encoded responses with these lists.
@@ -136,6 +137,16 @@
 	}
 }
 
+// SetDutyHolder publishes the holder of the duty if it is later than the current one.
+func (h *Hub) SetDutyHolder(d DutyHolder) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d.Token > h.duty.Token {
+		h.duty = d
+		h.wake()
+	}
+}
+
 // MergeCrashes merges records of requests that may crash targets, and sends what is new to all hosts.
 func (h *Hub) MergeCrashes(records []poison.Record) {
 	if !h.crashes.Merge(h.Clock.Now(), records) {
--- a/exchange/response_cache.go
+++ b/exchange/response_cache.go
@@ -26,7 +26,7 @@
 type responseKey struct {
 	document                              bool
 	targets, hosts, routingState, routing uint64
-	known                                 uint64
+	known, duty                           uint64
 }
 
 // responseCache caches encoded responses for hosts that receive the same list: after a change,
@@ -40,7 +40,7 @@
 // responseState identifies the state of the hub that responses are built from.
 type responseState struct {
 	targets, hosts, routingState uint64
-	crashes                      uint64
+	crashes, duty                uint64
 	active, entries              int
 	draining, starting           bool
 }
--- a/exchange/serve.go
+++ b/exchange/serve.go
@@ -73,18 +73,24 @@
 	}
 	crashes := h.crashes.Revision()
 	news := request.Known > 0 && request.Known <= crashes
-	if request.Run == h.Self.Start && request.Wait > 0 && request.Targets >= h.targets.Revision() && request.Hosts == list.revision && request.RoutingState >= h.routingState.Revision && !news {
+	if request.Run == h.Self.Start && request.Wait > 0 && request.Targets >= h.targets.Revision() && request.Hosts == list.revision && request.RoutingState >= h.routingState.Revision && !news && !h.isNewHolder(request) {
 		return nil, changed, nil
 	}
 	state := responseState{
 		targets: h.targets.Revision(), hosts: list.revision, routingState: h.routingState.Revision, active: h.sizer.count,
-		entries: h.entries, draining: h.Self.Draining, starting: h.starting, crashes: crashes,
+		entries: h.entries, draining: h.Self.Draining, starting: h.starting, crashes: crashes, duty: h.duty.Token,
 	}
-	key := responseKey{document: request.Document, targets: request.Targets, hosts: request.Hosts, routingState: request.RoutingState, routing: request.Routing, known: request.Known}
+	key := responseKey{document: request.Document, targets: request.Targets, hosts: request.Hosts, routingState: request.RoutingState, routing: request.Routing, known: request.Known, duty: request.Duty}
 	encoded, err := cache.get(now, state, key, func() *PollResponse { return h.build(now, request, list) })
 	return encoded, nil, err
 }
 
+// isNewHolder reports whether the polling host knows no holder of the duty as late as the one here. The caller
+// holds h.mu.
+func (h *Hub) isNewHolder(request *PollRequest) bool {
+	return request.Duty > 0 && request.Duty <= h.duty.Token
+}
+
 // build computes a poll response. The caller holds h.mu.
 func (h *Hub) build(now time.Time, request *PollRequest, list *hostList) *PollResponse {
 	response := &PollResponse{
@@ -103,6 +109,13 @@
 		}
 		response.RoutingState = &state
 	}
+	if request.Duty > 0 {
+		response.UnixMicro = now.UnixMicro()
+	}
+	if h.isNewHolder(request) {
+		holder := h.duty
+		response.Duty = &holder
+	}
 	if request.Known > 0 {
 		response.Crashes, response.Known = h.crashes.Since(now, request.Known-1)
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -17,6 +17,7 @@
 	"wasabirelay/move"
 	"wasabirelay/quorum"
 	"wasabirelay/registry"
+	"wasabirelay/usage"
 )
 
 const (
@@ -50,6 +51,8 @@
 	saves chan saveRequest
 	// lastDiscovery is the age of this process when it last discovered a new control host.
 	lastDiscovery atomic.Int64
+	// usage is nil unless usage is reported.
+	usage *reporter
 }
 
 // Run serves until stop is done, then shuts down gracefully. It returns at once when ctx is
@@ -64,6 +67,10 @@
 	g, ctx := errgroup.WithContext(ctx)
 	handlers := c.replica.Handlers()
 	handlers[exchange.Method] = c.hub.Serve
+	if c.usage != nil {
+		handlers[usage.Method] = c.usage.record
+		g.Go(func() error { return c.usage.run(ctx) })
+	}
 	if err := c.servePeers(ctx, g, handlers); err != nil {
 		return err
 	}
@@ -114,6 +121,7 @@
 		LeaveTimeout: max(shutdownDelay, c.Settings.ShutdownTimeout-shutdownDelay),
 	}
 	c.registerMetrics()
+	c.prepareUsage()
 	return c.open()
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -86,6 +86,8 @@
 	rejectedVersion uint64
 	// shardLists holds the different lists of shards in the routes of routingTable.
 	shardLists [][]string
+	// usage is nil unless usage is reported.
+	usage *recorder
 }
 
 // Run serves until stop is done, then shuts down gracefully. It returns at once when ctx is
@@ -125,6 +127,7 @@
 	g.Go(func() error { return e.reportEvidence(ctx) })
 	g.Go(func() error { return e.relay.RunProbes(ctx) })
 	g.Go(func() error { return e.notifyChanges(ctx) })
+	g.Go(func() error { return e.recordUsage(ctx) })
 	e.Log.Info().Stringer("callers", e.Settings.Caller).Int64("start", e.start()).Int("seeds", len(e.Settings.Seeds)).Msg("entry host started")
 	go func() {
 		select {
@@ -168,6 +171,7 @@
 		e.relay.Delegate, e.relay.HelpersEpoch = e.helpers.Collect, e.helpers.Epoch
 		e.relay.UsableHelper = e.helpers.Usable
 	}
+	e.prepareUsage()
 	if !e.Settings.Bootstrap {
 		e.relay.BudgetsEmptyUntil = e.Clock.Now().Add(e.Settings.RetryWindow)
 	}
@@ -399,5 +403,10 @@
 	}
 	e.portions.Drain(shutdownCtx)
 	e.pool.Close()
+	if e.usage != nil {
+		if err := e.usage.send(ctx); err != nil {
+			e.Log.Warn().Err(err).Msg("graceful shutdown: usage of the last second is lost")
+		}
+	}
 	e.Log.Info().Msg("graceful shutdown: done")
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -55,6 +55,8 @@
 	// Contended is true if callers compete for the room at targets: requests are ranked and placed by
 	// their predicted cost.
 	Contended bool
+	// Usage is set if the requests of organisations are reported to the provider.
+	Usage *Usage
 	// AddressTTL is how long callers may use a list of addresses.
 	AddressTTL time.Duration
 	// ShutdownTimeout is the maximum duration of a graceful shutdown.
@@ -71,6 +73,9 @@
 	DecodeDeclaration func(now time.Time, status int, h *limit.Header) (declaration.Declaration, bool)
 	// DecodeRouting decodes a routing document in the format that operators use.
 	DecodeRouting func(source []byte) (*routing.Document, error)
+	// ReportUsage sends a report of usage to the provider. The error is a *RefusedError if the provider has seen a
+	// higher fencing token. After any other error the report may still be accepted.
+	ReportUsage func(ctx context.Context, r UsageReport) error
 	// Operator serves targets and operators, Addresses serves callers that look up addresses,
 	// and Ready serves health checks.
 	Operator  func(ControlService) http.Handler
--- /dev/null
+++ b/node/usage.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wasabirelay/exchange"
+	"wasabirelay/peer"
+	"wasabirelay/trueclock"
+	"wasabirelay/usage"
+)
+
+const (
+	// recordInterval is how often an entry host sends new counts; a host that crashes loses those of this
+	// time.
+	recordInterval = time.Second
+	// recordTimeout bounds a call to the host that collects usage.
+	recordTimeout = 700 * time.Millisecond
+)
+
+// Usage are the settings of the duty to report the requests of organisations to the provider.
+type Usage struct {
+	// Provider is the address that reports are sent to.
+	Provider netip.AddrPort
+	// Window is the length of a window, Delay the time after its end at which its report is due.
+	Window, Delay time.Duration
+	// Lease is the time after which another host may take the duty. Tolerance is for how long a host may be
+	// suspended between its last check and a report.
+	Lease, Tolerance time.Duration
+	// Rate is the permitted number of reports per second.
+	Rate float64
+}
+
+// UsageReport is a report to the provider.
+type UsageReport struct {
+	Provider netip.AddrPort
+	// Holder is the name of this host, Token its fencing token.
+	Holder string
+	Token  uint64
+	Window uint64
+	Counts usage.Counts
+}
+
+// newTrueClock returns the clock by which windows begin and end.
+func (p *Process) newTrueClock() *trueclock.Clock {
+	return &trueclock.Clock{Uptime: trueclock.Uptime, TimeOfDay: p.Clock.Now}
+}
+
+// recorder sends the counts of an entry host to the host that collects them.
+type recorder struct {
+	counter usage.Counter
+	clock   *trueclock.Clock
+	call    func(ctx context.Context, holder netip.AddrPort, r *usage.Record) (usage.Receipt, error)
+	holder  func() exchange.DutyHolder
+	// host and start identify this run.
+	host  string
+	start int64
+}
+
+// prepareUsage makes the relay count requests if the settings name the duty to report them.
+func (e *Entry) prepareUsage() {
+	if e.Settings.Usage == nil {
+		return
+	}
+	clock := e.newTrueClock()
+	e.client.ObserveTime = clock.Observe
+	e.usage = &recorder{
+		counter: usage.Counter{Length: e.Settings.Usage.Window}, clock: clock, holder: e.client.DutyHolder,
+		host: e.Settings.Host, start: e.start(),
+	}
+	var client *peer.Client
+	e.usage.call = func(ctx context.Context, holder netip.AddrPort, r *usage.Record) (receipt usage.Receipt, err error) {
+		if client == nil || client.Address != holder {
+			if client != nil {
+				client.Close()
+			}
+			client = &peer.Client{Address: holder, DialTimeout: exchange.DialTimeout, Log: e.Log}
+		}
+		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		if err = client.Call(ctx, usage.Method, r, &receipt); err != nil {
+			client.Close() // a connection to a host that is gone would make each call wait
+		}
+		return receipt, err
+	}
+	e.relay.CountRun = func(organisation string, sent time.Time) {
+		e.usage.counter.Count(organisation, clock.Now().Add(-e.Clock.Since(sent)))
+	}
+	e.Registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "wasabirelay_usage_windows", Help: "Windows of usage that are not known to be closed."},
+			func() float64 { return float64(e.usage.counter.Statistics().Windows) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "wasabirelay_usage_late_total", Help: "Requests that may be missing in the reports: their window was closed before the host that collects usage confirmed them."},
+			func() float64 { return float64(e.usage.counter.Statistics().Late) }),
+	)
+}
+
+// recordUsage sends the counts of this host until ctx ends.
+func (e *Entry) recordUsage(ctx context.Context) error {
+	if e.usage == nil {
+		return nil
+	}
+	delay := rand.N(recordInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.Clock.After(delay):
+		}
+		delay = recordInterval
+		if err := e.usage.send(ctx); err != nil && ctx.Err() == nil {
+			if omitted, ok := e.events.Allow("usage", 1); ok {
+				e.Log.Warn().Err(err).Int("omitted", omitted).Msg("failed to send usage to the host that collects it; sending it again")
+			}
+		}
+	}
+}
+
+// send sends the counts that the holder of the duty does not have.
+func (r *recorder) send(ctx context.Context) error {
+	holder := r.holder()
+	if holder.Token == 0 {
+		return nil
+	}
+	sending := r.counter.Pending(holder.Token)
+	if len(sending.Windows) == 0 {
+		return nil
+	}
+	receipt, err := r.call(ctx, holder.Address, &usage.Record{Host: r.host, Start: r.start, Token: holder.Token, Windows: sending.Windows})
+	if err == nil {
+		r.counter.Received(&sending, receipt.Next)
+	}
+	return err
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -130,6 +130,7 @@
 	g := a.fetch.fetchGroup
 	r := g.send(a, g.message, a)
 	a.end()
+	g.countRun(g.j, r.ran)
 	select {
 	case g.results <- r:
 	case <-g.ctx.Done(): // the request has ended
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -153,10 +153,12 @@
 		part = &divided
 	}
 	request := (&http.Request{Method: r.Method, URL: &url.URL{Path: pathOf(r.URI)}, RequestURI: r.URI, Host: r.Host, Header: r.Header}).WithContext(ctx)
-	return &job{
+	j = &job{
 		Request: request, body: r.Body, id: r.Header.Get(s.Headers.Request), view: view, route: part, spare: spare,
 		started: now, partialAfter: now.Add(r.Cutoff), deadline: now.Add(r.Timeout), rank: part.Priority,
-	}, ""
+	}
+	j.usage.counted.Store(true) // by the host that the caller is connected to
+	return j, ""
 }
 
 // portionOutput selects what the next frame of a portion carries.
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -173,6 +173,7 @@
 			left = append(left, p.Shards...)
 			continue
 		}
+		g.j.usage.recordSent(now.Sub(g.j.started))
 		d.collection = collection
 		g.delegations = append(g.delegations, d)
 		g.delegated += len(p.Shards)
@@ -228,6 +229,7 @@
 		g.delegated--
 		g.received.signatures = append(g.received.signatures, p.Signature)
 	}
+	g.countRun(g.j, len(f.Parts) > 0)
 	if len(f.Parts) > 0 {
 		g.received.bodies = append(g.received.bodies, f.Records)
 	}
@@ -246,6 +248,7 @@
 	delete(d.pending, service)
 	g.delegated--
 	g.received.fail(service, ran, err)
+	g.countRun(g.j, ran)
 	if d.spare > 0 {
 		d.spare--
 	} else {
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -74,7 +74,9 @@
 		return errWithdrawn
 	}
 	a.extra.Sent(a.fetch.Clock.Now())
-	a.sent.Store(a.fetch.recordProgress())
+	age := a.fetch.recordProgress()
+	a.sent.Store(age)
+	a.fetch.j.usage.recordSent(time.Duration(age))
 	return nil
 }
 
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return "", false
 	}
+	j.usage.recordSent(now.Sub(j.started))
 	silent := s.Clock.NewTimer(time.Duration(suspectShare * float64(j.route.Objective)))
 	defer silent.Stop()
 	for {
@@ -124,6 +125,7 @@
 	if e.err == nil {
 		e.err = s.checkPassed(j, e.frame.Reply)
 	}
+	s.countRun(j, e.err != nil || !s.refusesUnrun(e.frame.Reply))
 	switch {
 	case j.Context().Err() != nil:
 		s.Metrics.pass("left")
@@ -152,6 +154,14 @@
 	}
 }
 
+// refusesUnrun reports whether the reply is a refusal of another host that says that no target has run the request.
+func (s *Service) refusesUnrun(reply *portion.Reply) bool {
+	if reply.Header.Get(s.Headers.Signature) != "" {
+		return false
+	}
+	return reply.Status == http.StatusServiceUnavailable || reply.Status >= 400 && reply.Status < 500
+}
+
 // checkPassed returns an error unless the response of another host can be sent: the host may run an earlier version,
 // which checks less, and its route may require fewer shards. Only its own refusals name no request.
 func (s *Service) checkPassed(j *job, reply *portion.Reply) error {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -145,6 +145,9 @@
 	// Observe, if set, is called with the outcome of each request to a target and the time since it
 	// was sent.
 	Observe func(t *control.Target, route string, latency time.Duration, o route.Outcome)
+	// CountRun, if set, is called once for each request of an organisation that a target began to run, or may
+	// have, with the time at which the first attempt was sent.
+	CountRun func(organisation string, sent time.Time)
 	// Draining reports whether callers are notified to close their connections.
 	Draining func() bool
 	Metrics  *Metrics
@@ -198,6 +201,8 @@
 	// rank is the rank of the request under shortage; 0 is the highest. That of its organisation takes
 	// precedence over that of its route.
 	rank int
+	// usage decides whether and when the request is counted.
+	usage usage
 
 	fingerprintOnce  sync.Once
 	fingerprintValue uint64
