relay: admit requests by the key of an organisation

Routing documents may now hold organisations with keys and ranks. Their callers' keys reached targets, and unknown keys ran. A request is now admitted before its body is read: by a public route, or by a known key, which sets the organisation and the rank of the job. The key is removed there, so that neither targets nor other hosts receive it, and the header of the organisation is set whatever the caller sent. Other hosts get the organisation in a new field of portion.Request; a host that names none is judged by the key in the headers that it forwards, as at the door.

The index of the keys is kept over documents with the same organisations. Documents with a shared, empty or repeated key or name are refused. Without organisations nothing changes.

--- a/node/entry.go
+++ b/node/entry.go
@@ -354,8 +354,8 @@
 		e.Log.Error().Err(err).Uint64("version", r.Version).Msg("failed to decode the routing document; the previous one stays in force")
 		return e.routingTable
 	}
-	e.routingTable, e.shardLists = routing.NewTable(d), d.ShardLists()
-	e.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Msg("routing document in force")
+	e.routingTable, e.shardLists = e.routingTable.Next(d), d.ShardLists()
+	e.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Int("organisations", len(d.Organisations)).Msg("routing document in force")
 	return e.routingTable
 }
 
--- a/portion/message.go
+++ b/portion/message.go
@@ -42,7 +42,11 @@
 	Host   string      `json:"host"`
 	Header http.Header `json:"header"`
 	Body   []byte      `json:"body,omitempty"`
-	Shards []string    `json:"shards,omitempty"`
+	// Organisation is the name of the organisation that the request belongs to, as the sending host has found
+	// by the key, which it does not pass on. It is empty if the request needs no key, or if the host runs a
+	// build that knows no organisations.
+	Organisation string   `json:"organisation,omitempty"`
+	Shards       []string `json:"shards,omitempty"`
 	// Whole asks for the response to the whole request instead of the replies of shards.
 	Whole bool `json:"whole,omitempty"`
 	// Spare is the number of these shards that the response can do without.
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -20,6 +20,10 @@
 	// retry is the delay after which the caller may retry; 0 if a retry is pointless.
 	retry time.Duration
 	route string
+	// key is why the key of the caller is refused; empty if it isn't. challenge is the scheme of the
+	// credentials that the caller needs.
+	key       refusalReason
+	challenge string
 }
 
 // accept reads the request and selects its route. setReadDeadline bounds the reads from the caller.
@@ -34,6 +38,10 @@
 	if rt == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route matches"}
 	}
+	a := admit(view.Routing, rt, r.Header.Values(s.Headers.Credentials), s.Headers.Scheme, s.keysStale())
+	if refused := a.refusal(rt, s.Headers.Scheme); refused != nil {
+		return nil, refused
+	}
 	if late := s.refuseLate(started, rt); late != nil {
 		return nil, late
 	}
@@ -41,7 +49,13 @@
 	if id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no identity", route: rt.Name}
 	}
-	j := &job{Request: r, id: id, view: view, route: rt, started: started, spare: spareShards(rt), rank: rt.Priority}
+	j := &job{
+		Request: r, id: id, view: view, route: rt, started: started, spare: spareShards(rt), organisation: a.name(), rank: a.rank(rt),
+	}
+	if view.Routing.RequiresKeys() {
+		j.Request = r.WithContext(r.Context())
+		j.Header = s.Headers.withoutKey(r.Header, j.organisation)
+	}
 	j.partialAfter = started.Add(rt.Objective - margin(r))
 	j.deadline = started.Add(s.timeout(r, rt) - endMargin)
 	var refused *refusal
@@ -52,6 +66,9 @@
 	return j, nil
 }
 
+// keysStale reports whether this host may lack the withdrawal of a key for too long.
+func (s *Service) keysStale() bool { return s.KeysStale != nil && s.KeysStale() }
+
 // originForm returns the request URI without the scheme and the host that its absolute form begins with.
 func originForm(uri string) string {
 	scheme, rest, ok := strings.Cut(uri, "://")
@@ -147,6 +164,9 @@
 	if refused.retry > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refused.retry.Seconds(), 'f', 3, 64))
 	}
+	if refused.challenge != "" {
+		w.Header().Set("WWW-Authenticate", refused.challenge)
+	}
 	s.Metrics.request(refused.route, refused.status)
 	if omitted, ok := s.Events.Allow("refused", failedLines); ok {
 		s.Log.Warn().Str("request", r.Header.Get(s.Headers.Request)).Str("route", refused.route).Str("host", r.Host).Str("path", r.URL.Path).
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -11,6 +11,7 @@
 
 	"wasabirelay/portion"
 	"wasabirelay/route"
+	"wasabirelay/routing"
 )
 
 // gathered holds the replies to a request to all shards.
@@ -144,6 +145,14 @@
 	if slices.ContainsFunc(r.Shards, func(service string) bool { return !slices.Contains(rt.Shards, service) }) {
 		return nil, "the route lacks a shard of the portion"
 	}
+	a, reason := s.admitPortion(view.Routing, rt, r)
+	if reason != "" {
+		return nil, reason
+	}
+	header := r.Header
+	if view.Routing.RequiresKeys() {
+		header = s.Headers.withoutKey(r.Header, a.name())
+	}
 	part, spare, now := rt, r.Spare, s.Clock.Now()
 	if r.Whole {
 		spare = spareShards(rt)
@@ -152,13 +161,28 @@
 		divided.Shards = r.Shards
 		part = &divided
 	}
-	request := (&http.Request{Method: r.Method, URL: &url.URL{Path: pathOf(r.URI)}, RequestURI: r.URI, Host: r.Host, Header: r.Header}).WithContext(ctx)
+	request := (&http.Request{Method: r.Method, URL: &url.URL{Path: pathOf(r.URI)}, RequestURI: r.URI, Host: r.Host, Header: header}).WithContext(ctx)
 	return &job{
 		Request: request, body: r.Body, id: r.Header.Get(s.Headers.Request), view: view, route: part, spare: spare,
-		started: now, partialAfter: now.Add(r.Cutoff), deadline: now.Add(r.Timeout), rank: part.Priority,
+		started: now, partialAfter: now.Add(r.Cutoff), deadline: now.Add(r.Timeout),
+		organisation: a.name(), rank: a.rank(part),
 	}, ""
 }
 
+// admitPortion decides on a request of another host, or returns the reason why this host doesn't work on it.
+// A host that names no organisation may run a build that knows none, or have a routing document without any:
+// it has not judged the key, so that this host does.
+func (s *Service) admitPortion(table *routing.Table, rt *routing.Route, r *portion.Request) (a admission, reason string) {
+	if r.Organisation == "" || !table.RequiresKeys() {
+		a = admit(table, rt, r.Header.Values(s.Headers.Credentials), s.Headers.Scheme, s.keysStale())
+		return a, keyTexts[a.refused]
+	}
+	if a.organisation = table.Organisation(r.Organisation); a.organisation == nil {
+		return a, "the organisation is not in the routing document in force here"
+	}
+	return a, ""
+}
+
 // portionOutput selects what the next frame of a portion carries.
 type portionOutput struct {
 	limit               int
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -161,7 +161,7 @@
 		}
 		request := &portion.Request{
 			Method: g.j.Method, URI: g.j.RequestURI, Host: g.j.Host, Header: header, Body: g.j.body, Shards: p.Shards, Spare: d.spare, Route: hash,
-			Cutoff: g.j.partialAfter.Sub(now) - returnMargin, Timeout: max(g.j.deadline.Sub(now), time.Millisecond),
+			Organisation: g.j.organisation, Cutoff: g.j.partialAfter.Sub(now) - returnMargin, Timeout: max(g.j.deadline.Sub(now), time.Millisecond),
 		}
 		collection, err := g.Delegate(p.Hosts, request, func(f *portion.Frame, err error) {
 			select {
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -72,7 +72,7 @@
 	}
 	request := &portion.Request{
 		Method: j.Method, URI: j.RequestURI, Host: j.Host, Header: s.Headers.endToEnd(j.Header), Body: j.body, Whole: true,
-		Route: routeHash(j.route), Cutoff: j.partialAfter.Sub(now) - returnMargin, Timeout: left,
+		Organisation: j.organisation, Route: routeHash(j.route), Cutoff: j.partialAfter.Sub(now) - returnMargin, Timeout: left,
 	}
 	working, ended := make(chan struct{}, 1), make(chan passEnd, 1)
 	collection, err := s.Delegate(hosts, request, func(f *portion.Frame, err error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,12 @@
 	// Parts lists the signatures of the parts of a merged response, Missing is the number of
 	// shards that have no part in it.
 	Parts, Missing string
+	// Credentials carries the key of a caller, after the word Scheme and a space. It is never sent to
+	// targets or other hosts while the routing document has organisations.
+	Credentials, Scheme string
+	// Organisation is the name of the organisation that a request belongs to. If the routing document has
+	// organisations, only hosts set it.
+	Organisation string
 }
 
 const (
@@ -151,6 +157,9 @@
 	// DecodeDeclaration, if set, returns what a target declares of itself in a reply. It reports
 	// false if the reply says nothing usable, so that the last declaration still holds.
 	DecodeDeclaration func(now time.Time, status int, h *limit.Header) (declaration.Declaration, bool)
+	// KeysStale, if set, reports whether this host has had no contact with control hosts for so long that it
+	// refuses requests with keys: it may lack the withdrawal of one.
+	KeysStale func() bool
 	// Declared holds what the targets have declared.
 	Declared declaration.Table
 	// HelpersEpoch, if set, returns a number that changes with the hosts that take portions.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -22,14 +22,6 @@
 	Organisations []Organisation
 }
 
-// Organisation is a customer whose callers present one of its keys.
-type Organisation struct {
-	Name string
-	Keys []string
-	// Rank, if set, takes precedence over Route.Priority for the requests of the organisation.
-	Rank *int
-}
-
 // Route defines how requests for a host and a path prefix are handled. Either Shards or
 // Backends is set.
 type Route struct {
@@ -86,15 +78,20 @@
 // InvalidError reports why a document can't be put in force.
 type InvalidError struct {
 	// Route is the name of the invalid route; empty if the fault is not in a route.
-	Route  string
-	Reason string
+	Route string
+	// Organisation is the name of the invalid organisation; empty if the fault is not in one.
+	Organisation string
+	Reason       string
 }
 
 func (e *InvalidError) Error() string {
-	if e.Route == "" {
-		return "routing document: " + e.Reason
+	switch {
+	case e.Route != "":
+		return fmt.Sprintf("routing document: route %s: %s", e.Route, e.Reason)
+	case e.Organisation != "":
+		return fmt.Sprintf("routing document: organisation %q: %s", e.Organisation, e.Reason)
 	}
-	return fmt.Sprintf("routing document: route %s: %s", e.Route, e.Reason)
+	return "routing document: " + e.Reason
 }
 
 // Check returns an *InvalidError if the document can't be put in force.
@@ -107,15 +104,15 @@
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		if reason := r.invalidReason(services); reason != "" {
-			return &InvalidError{r.Name, reason}
+			return &InvalidError{Route: r.Name, Reason: reason}
 		}
 		key := strings.ToLower(r.Host) + "\x00" + r.Prefix
 		if seen[key] {
-			return &InvalidError{r.Name, "another route has the same host and prefix"}
+			return &InvalidError{Route: r.Name, Reason: "another route has the same host and prefix"}
 		}
 		seen[key] = true
 	}
-	return nil
+	return d.checkOrganisations()
 }
 
 func (r *Route) invalidReason(services map[string]bool) string {
@@ -178,16 +175,29 @@
 	return lists
 }
 
-// Table looks up the route of a request.
+// Table looks up the route and the organisation of a request.
 type Table struct {
 	Document *Document
 	hosts    map[string][]*Route
 	services map[string]*Service
+	keys     *keyIndex
 }
 
 // NewTable returns the table of a document.
-func NewTable(d *Document) *Table {
-	t := &Table{Document: d, hosts: map[string][]*Route{}, services: map[string]*Service{}}
+func NewTable(d *Document) *Table { return newTable(d, newKeyIndex(d.Organisations)) }
+
+// Next returns the table of a document that replaces the one of this table. If both have the same
+// organisations, the tables share the index of their keys. t may be nil.
+func (t *Table) Next(d *Document) *Table {
+	same := func(a, b Organisation) bool { return a.equal(&b) }
+	if t != nil && slices.EqualFunc(t.Document.Organisations, d.Organisations, same) {
+		return newTable(d, t.keys)
+	}
+	return NewTable(d)
+}
+
+func newTable(d *Document, keys *keyIndex) *Table {
+	t := &Table{Document: d, hosts: map[string][]*Route{}, services: map[string]*Service{}, keys: keys}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
