--- a/node/entry.go
+++ b/node/entry.go
@@ -403,10 +403,6 @@
 	}
 	e.portions.Drain(shutdownCtx)
 	e.pool.Close()
-	if e.usage != nil {
-		if err := e.usage.send(ctx); err != nil {
-			e.Log.Warn().Err(err).Msg("graceful shutdown: usage of the last second is lost")
-		}
-	}
+	e.sendLast(ctx)
 	e.Log.Info().Msg("graceful shutdown: done")
 }
--- a/node/usage.go
+++ b/node/usage.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"wasabirelay/exchange"
 	"wasabirelay/peer"
@@ -20,6 +22,9 @@
 	recordInterval = time.Second
 	// recordTimeout bounds a call to the host that collects usage.
 	recordTimeout = 700 * time.Millisecond
+	// lastRecordTimeout bounds the last call of a host that shuts down. It is within the part of the permitted time that a
+	// graceful shutdown leaves unused.
+	lastRecordTimeout = 250 * time.Millisecond
 )
 
 // Usage are the settings of the duty to report the requests of organisations to the provider.
@@ -61,6 +66,26 @@
 	start int64
 }
 
+// holderClient is the connection to the holder of the duty.
+type holderClient struct {
+	log    zerolog.Logger
+	mu     sync.Mutex
+	client *peer.Client
+}
+
+// at returns a client for the host at an address.
+func (h *holderClient) at(address netip.AddrPort) *peer.Client {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.client == nil || h.client.Address != address {
+		if h.client != nil {
+			h.client.Close()
+		}
+		h.client = &peer.Client{Address: address, DialTimeout: exchange.DialTimeout, Log: h.log}
+	}
+	return h.client
+}
+
 // prepareUsage makes the relay count requests if the settings name the duty to report them.
 func (e *Entry) prepareUsage() {
 	if e.Settings.Usage == nil {
@@ -72,18 +97,13 @@
 		counter: usage.Counter{Length: e.Settings.Usage.Window}, clock: clock, holder: e.client.DutyHolder,
 		host: e.Settings.Host, start: e.start(),
 	}
-	var client *peer.Client
+	client := holderClient{log: e.Log}
 	e.usage.call = func(ctx context.Context, holder netip.AddrPort, r *usage.Record) (receipt usage.Receipt, err error) {
-		if client == nil || client.Address != holder {
-			if client != nil {
-				client.Close()
-			}
-			client = &peer.Client{Address: holder, DialTimeout: exchange.DialTimeout, Log: e.Log}
-		}
 		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 		defer cancel()
-		if err = client.Call(ctx, usage.Method, r, &receipt); err != nil {
-			client.Close() // a connection to a host that is gone would make each call wait
+		c := client.at(holder)
+		if err = c.Call(ctx, usage.Method, r, &receipt); err != nil {
+			c.Close() // a connection to a host that is gone would make each call wait
 		}
 		return receipt, err
 	}
@@ -119,6 +139,18 @@
 	}
 }
 
+// sendLast sends the last counts of a host that shuts down.
+func (e *Entry) sendLast(ctx context.Context) {
+	if e.usage == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, lastRecordTimeout)
+	defer cancel()
+	if err := e.usage.send(ctx); err != nil {
+		e.Log.Warn().Err(err).Msg("graceful shutdown: usage of the last second is lost")
+	}
+}
+
 // send sends the counts that the holder of the duty does not have.
 func (r *recorder) send(ctx context.Context) error {
 	holder := r.holder()
