Leave more time for a second report after a lost answer

Entry hosts now send their counts at once to a new holder, which closes windows 1 s after its claim, and the first try of a report ends after 1 s.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -14,7 +14,7 @@
 const (
 	// minBackoff is the delay after a failed call; it doubles up to maxBackoff. Each call costs the
 	// provider something, also one that fails.
-	minBackoff, maxBackoff = 500 * time.Millisecond, 5 * time.Second
+	minBackoff, maxBackoff = 250 * time.Millisecond, 5 * time.Second
 	// confirmShare is the fraction of a lease after which leadership is confirmed again before a call.
 	confirmShare = 0.5
 )
@@ -78,6 +78,7 @@
 	claimAfter time.Duration
 	callAfter  time.Duration
 	backoff    time.Duration
+	failures   int
 	unfinished bool
 	doneNumber uint64
 }
@@ -96,7 +97,7 @@
 func (h *Holder) reset(term uint64, now time.Duration) {
 	h.term, h.since = term, now
 	h.known, h.state, h.token, h.refused, h.unfinished = false, control.Duty{}, 0, false, false
-	h.claimAfter, h.callAfter, h.backoff = 0, 0, 0
+	h.claimAfter, h.callAfter, h.backoff, h.failures = 0, 0, 0, 0
 }
 
 // Confirmed records that leadership was confirmed in a round that began at a time, and the state of the
@@ -194,8 +195,9 @@
 	switch o {
 	case Done:
 		h.unfinished, h.doneNumber = true, h.state.Work[0].Number
-		h.callAfter, h.backoff = began+h.Interval, 0
+		h.callAfter, h.backoff, h.failures = began+h.Interval, 0, 0
 	case Failed:
+		h.failures++
 		h.backoff = min(max(minBackoff, 2*h.backoff), maxBackoff)
 		h.callAfter = max(now, began) + max(h.backoff, h.Interval)
 	case Refused:
@@ -203,6 +205,9 @@
 	}
 }
 
+// Failures returns how many calls have failed since the last one that did not.
+func (h *Holder) Failures() int { return h.failures }
+
 // Done returns the number of the work that is to be recorded as done.
 func (h *Holder) Done() uint64 { return h.doneNumber }
 
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -338,7 +338,7 @@
 	is.Equal(h.Next(0), Call)
 	is.Equal(h.Next(2*time.Second), Confirm)
 	now := time.Duration(0)
-	for _, wait := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 5 * time.Second, 5 * time.Second} {
+	for _, wait := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 5 * time.Second, 5 * time.Second} {
 		h.Confirmed(now, 1, state)
 		is.Equal(h.Next(now), Call)
 		h.Called(now, now, Failed)
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -53,6 +53,8 @@
 	// ObserveTime, if set, is called with the time of day that control hosts send. Only then the client requests
 	// it, and the holder of the duty.
 	ObserveTime func(control string, timeOfDay time.Time)
+	// DutyHolderChanged, if set, is called after a later holder of the duty is known.
+	DutyHolderChanged func()
 	// Changed, if set, is called after a change of targets, hosts or the routing state.
 	Changed func()
 
@@ -247,12 +249,18 @@
 	if c.ObserveTime != nil && response.UnixMicro > 0 {
 		c.ObserveTime(response.From.Name, time.UnixMicro(response.UnixMicro))
 	}
-	if d := response.Duty; d != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if d.Token > c.duty.Token {
-			c.duty = *d
-		}
+	d := response.Duty
+	if d == nil {
+		return
+	}
+	c.mu.Lock()
+	later := d.Token > c.duty.Token
+	if later {
+		c.duty = *d
+	}
+	c.mu.Unlock()
+	if later && c.DutyHolderChanged != nil {
+		c.DutyHolderChanged()
 	}
 }
 
--- a/node/reporter.go
+++ b/node/reporter.go
@@ -27,8 +27,9 @@
 	closeShare = 0.35
 	// rateShare is the fraction of the permitted rate of reports that is used.
 	rateShare = 0.8
-	// reportTimeout bounds a report. One that takes longer is sent again.
-	reportTimeout = 2 * time.Second
+	// reportTimeout bounds the first try of a report, which doubles up to maxReportTimeout. A try whose answer is lost
+	// must leave time for others before the report is due.
+	reportTimeout, maxReportTimeout = time.Second, 2 * time.Second
 )
 
 // RefusedError reports that the provider refused a call because it has seen a higher fencing token.
@@ -215,7 +216,7 @@
 	report := UsageReport{Provider: r.c.Settings.Usage.Provider, Holder: r.c.Settings.Host, Token: r.holder.Token(), Window: work.Number}
 	err := json.Unmarshal(work.Content, &report.Counts)
 	if err == nil {
-		callCtx, cancel := context.WithTimeout(ctx, min(reportTimeout, until-began))
+		callCtx, cancel := context.WithTimeout(ctx, min(reportTimeout<<min(r.holder.Failures(), 8), maxReportTimeout, until-began))
 		err = r.c.Interfaces.ReportUsage(callCtx, report)
 		cancel()
 	}
--- a/node/usage.go
+++ b/node/usage.go
@@ -61,6 +61,8 @@
 	clock   *trueclock.Clock
 	call    func(ctx context.Context, holder netip.AddrPort, r *usage.Record) (usage.Receipt, error)
 	holder  func() exchange.DutyHolder
+	// changed receives a signal when there is a new holder.
+	changed chan struct{}
 	// host and start identify this run.
 	host  string
 	start int64
@@ -95,8 +97,9 @@
 	e.client.ObserveTime = clock.Observe
 	e.usage = &recorder{
 		counter: usage.Counter{Length: e.Settings.Usage.Window}, clock: clock, holder: e.client.DutyHolder,
-		host: e.Settings.Host, start: e.start(),
+		host: e.Settings.Host, start: e.start(), changed: make(chan struct{}, 1),
 	}
+	e.client.DutyHolderChanged = func() { signal(e.usage.changed) }
 	client := holderClient{log: e.Log}
 	e.usage.call = func(ctx context.Context, holder netip.AddrPort, r *usage.Record) (receipt usage.Receipt, err error) {
 		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
@@ -129,6 +132,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-e.Clock.After(delay):
+		case <-e.usage.changed:
 		}
 		delay = recordInterval
 		if err := e.usage.send(ctx); err != nil && ctx.Err() == nil {
--- a/usage/collector.go
+++ b/usage/collector.go
@@ -10,8 +10,8 @@
 )
 
 // ResendTime is how long after its claim the holder waits before it closes a window: by then all entry hosts
-// have learnt of the claim and sent their counts again.
-const ResendTime = 1700 * time.Millisecond
+// have learnt of the claim and sent their counts again, which they do at once.
+const ResendTime = time.Second
 
 // maxAhead is the number of windows beyond the present one that counts are taken for. Clocks of hosts differ.
 const maxAhead = 2
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -75,6 +75,9 @@
 				collector = &Collector{Length: testWindow, Delay: 3 * time.Second}
 				collector.Begin(token)
 				collector.Close(next)
+				for i := range sent { // hosts learn of it within half a second and send at once
+					sent[i] = now - 1.2 + rnd.Float64()/2
+				}
 			}
 			if w, ok, err := collector.Due(at(now), time.Duration((now-claimed)*float64(time.Second))); ok {
 				is.NoErr(err)
