platform: check the lease again once a report has a connection

A host that is suspended while it connects to the provider would send its report after its lease has ended, and time-outs of the runtime don't count suspended time. The lease is now checked after the connection is open, directly before the report is written.

--- a/node/reporter.go
+++ b/node/reporter.go
@@ -213,7 +213,10 @@
 	if began >= until { // suspended since the last check
 		return 0
 	}
-	report := UsageReport{Provider: r.c.Settings.Usage.Provider, Holder: r.c.Settings.Host, Token: r.holder.Token(), Window: work.Number}
+	report := UsageReport{
+		Provider: r.c.Settings.Usage.Provider, Holder: r.c.Settings.Host, Token: r.holder.Token(), Window: work.Number,
+		Allowed: func() bool { return trueclock.Uptime() < until },
+	}
 	err := json.Unmarshal(work.Content, &report.Counts)
 	if err == nil {
 		callCtx, cancel := context.WithTimeout(ctx, min(reportTimeout<<min(r.holder.Failures(), 8), maxReportTimeout, until-began))
--- a/node/usage.go
+++ b/node/usage.go
@@ -48,6 +48,9 @@
 	Token  uint64
 	Window uint64
 	Counts usage.Counts
+	// Allowed reports whether this host may still send the report. It is called once there is a connection, directly
+	// before the report is sent: the process may have been suspended while it connected.
+	Allowed func() bool
 }
 
 // newTrueClock returns the clock by which windows begin and end.
