relay: refuse keys that may have been withdrawn, and count requests by organisation

A host that loses its links to the control hosts keeps its last routing document. With the new settings FailClosed and Revocation it refuses requests with keys by 503 once no control host has confirmed that document for that long. A control host without a leader says so in its poll responses (detached) and confirms nothing.

Log lines of refused keys name the caller, have a rate of their own and never hold a key.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -61,7 +61,10 @@
 	fetching bool
 	// synced is when a control host that had finished starting last responded.
 	synced time.Time
-	runCtx context.Context
+	// confirmed is when a control host last confirmed that routingState is the newest; superseded is when
+	// one confirmed that for the last time of the state before it.
+	confirmed, superseded time.Time
+	runCtx                context.Context
 }
 
 // contact is a control host that is polled.
@@ -273,6 +276,10 @@
 		k.stateRevision = response.RoutingState.Revision
 		changed = c.adoptRoutingState(response.RoutingState) || changed
 	}
+	announced := response.RoutingState
+	if !response.Detached && (announced == nil || announced.Revision <= c.routingState.Revision) {
+		c.confirmed = now
+	}
 	c.mu.Unlock()
 	if c.OnControlHost != nil {
 		c.OnControlHost(response.From)
@@ -292,6 +299,7 @@
 	case len(routing.Source) == 0:
 		return false
 	}
+	c.superseded = c.confirmed
 	c.routingState = *s
 	c.routingState.Routing = routing
 	c.Log.Info().Uint64("revision", s.Revision).Uint64("routing", routing.Version).Strs("out", s.Out).Int("moves", len(s.Moves)).
@@ -325,6 +333,17 @@
 	return c.routingState
 }
 
+// Confirmed returns when a control host last confirmed that the routing state of a revision is the newest;
+// the zero time if none has.
+func (c *Client) Confirmed(revision uint64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision < c.routingState.Revision {
+		return c.superseded
+	}
+	return c.confirmed
+}
+
 // Targets returns the targets that may receive requests; see registry.MergedTable.Targets.
 func (c *Client) Targets() (map[string][]*control.Target, time.Time) {
 	c.mu.Lock()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -109,6 +109,9 @@
 	// Starting is true if the control host has just started: the list lacks hosts that have
 	// not polled it yet.
 	Starting bool `json:"young,omitempty"`
+	// Detached is true if the control host is out of touch with the group of control hosts, so that it may
+	// lack the newest routing state.
+	Detached bool `json:"detached,omitempty"`
 	// RoutingState is set if the polling host has an older revision. Its routing document has a
 	// source only if the request has Document set.
 	RoutingState *control.RoutingState `json:"shared,omitempty"`
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -25,6 +25,8 @@
 	Log   zerolog.Logger
 	// Silence is the time without a heartbeat after which a target counts as silent.
 	Silence time.Duration
+	// Detached, if set, reports whether this host may lack the newest routing state.
+	Detached func() bool
 	// OnControlHost, if set, is called with each control host that polls.
 	OnControlHost func(Host)
 
--- a/exchange/response_cache.go
+++ b/exchange/response_cache.go
@@ -42,7 +42,7 @@
 	targets, hosts, routingState uint64
 	crashes                      uint64
 	active, entries              int
-	draining, starting           bool
+	draining, starting, detached bool
 }
 
 // get returns the encoded response. If it is not cached, build computes it.
--- a/exchange/serve.go
+++ b/exchange/serve.go
@@ -79,9 +79,14 @@
 	state := responseState{
 		targets: h.targets.Revision(), hosts: list.revision, routingState: h.routingState.Revision, active: h.sizer.count,
 		entries: h.entries, draining: h.Self.Draining, starting: h.starting, crashes: crashes,
+		detached: h.Detached != nil && h.Detached(),
 	}
 	key := responseKey{document: request.Document, targets: request.Targets, hosts: request.Hosts, routingState: request.RoutingState, routing: request.Routing, known: request.Known}
-	encoded, err := cache.get(now, state, key, func() *PollResponse { return h.build(now, request, list) })
+	encoded, err := cache.get(now, state, key, func() *PollResponse {
+		response := h.build(now, request, list)
+		response.Detached = state.detached
+		return response
+	})
 	return encoded, nil, err
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -99,6 +99,7 @@
 	c.peers.Set(c.Settings.Host, c.Settings.Peer)
 	c.hub = exchange.Hub{
 		Self: self, Clock: c.Clock, Log: c.Log, Silence: maxMissedHeartbeats * c.Settings.HeartbeatInterval, OnControlHost: c.addControlHost,
+		Detached: func() bool { return !c.replica.HasLeader() },
 	}
 	c.hub.Init()
 	c.saves = make(chan saveRequest, maxSaveRequests)
--- a/node/entry.go
+++ b/node/entry.go
@@ -76,6 +76,8 @@
 	slack slackShares
 	// viewTime is when the view was last computed.
 	viewTime time.Time
+	// revision is the revision of the routing state in force.
+	revision atomic.Uint64
 	// load measures the share of the processor that relaying takes.
 	load loadMeter
 	// viewTargets holds the names of the targets in the view.
@@ -168,11 +170,21 @@
 		e.relay.Delegate, e.relay.HelpersEpoch = e.helpers.Collect, e.helpers.Epoch
 		e.relay.UsableHelper = e.helpers.Usable
 	}
+	if e.Settings.FailClosed {
+		e.relay.KeysStale = e.keysStale
+	}
 	if !e.Settings.Bootstrap {
 		e.relay.BudgetsEmptyUntil = e.Clock.Now().Add(e.Settings.RetryWindow)
 	}
 }
 
+// keysStale reports whether no control host has confirmed the routing state in force for so long that it may
+// lack the withdrawal of a key.
+func (e *Entry) keysStale() bool {
+	confirmed := e.client.Confirmed(e.revision.Load())
+	return confirmed.IsZero() || e.Clock.Since(confirmed) > e.Settings.Revocation
+}
+
 // self returns what this host reports about itself to the control hosts.
 func (e *Entry) self() exchange.Host {
 	return exchange.Host{
@@ -264,6 +276,7 @@
 	e.relay.Declared.Forget(incarnations)
 	e.logTargets(live)
 	e.moves.Store(&control.View{Moves: state.Moves})
+	e.revision.Store(state.Revision)
 	if e.view.Swap(v) == nil {
 		close(e.firstView)
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -52,6 +52,10 @@
 	RetryShare, RetrySlack float64
 	// RetryWindow is the time window in which this bound holds.
 	RetryWindow time.Duration
+	// FailClosed is true if requests with keys are refused while this host may lack the withdrawal of a key
+	// for longer than Revocation. Otherwise it serves them by the last routing document that it knows.
+	FailClosed bool
+	Revocation time.Duration
 	// Contended is true if callers compete for the room at targets: requests are ranked and placed by
 	// their predicted cost.
 	Contended bool
--- a/quorum/local.go
+++ b/quorum/local.go
@@ -25,6 +25,10 @@
 // DiskFailing reports whether the disk refuses writes, so that the replica takes no part in its group.
 func (r *Replica) DiskFailing() bool { return r.diskFailing.Load() }
 
+// HasLeader reports whether this replica leads its group or hears from the leader. Otherwise it may lack
+// changes that the group has accepted.
+func (r *Replica) HasLeader() bool { return r.hasLeader.Load() }
+
 // LocalStatus returns the status of this replica. It is zero while the replica is in no group.
 func (r *Replica) LocalStatus(ctx context.Context) (LocalStatus, error) {
 	status := LocalStatus{DiskFailing: r.DiskFailing()}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -81,6 +81,7 @@
 	identity journal.Identity
 	// diskFailing is true while the disk refuses writes.
 	diskFailing atomic.Bool
+	hasLeader   atomic.Bool
 	memory
 }
 
@@ -289,10 +290,12 @@
 
 func (r *Replica) tick() {
 	if r.node == nil {
+		r.hasLeader.Store(false)
 		return
 	}
 	now := r.Clock.Now()
 	r.handle(r.node.Tick(now))
+	r.hasLeader.Store(r.node.Status().Leader != "")
 	r.leases.tick(r, now)
 	r.moves.tick(r, now)
 	r.repair.tick(r, now)
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -53,7 +53,7 @@
 		Request: r, id: id, view: view, route: rt, started: started, spare: spareShards(rt), organisation: a.name(), rank: a.rank(rt),
 	}
 	if view.Routing.RequiresKeys() {
-		j.Request = r.WithContext(r.Context())
+		j.Request = r.WithContext(withOrganisation(r.Context(), j.organisation))
 		j.Header = s.Headers.withoutKey(r.Header, j.organisation)
 	}
 	j.partialAfter = started.Add(rt.Objective - margin(r))
@@ -167,10 +167,20 @@
 	if refused.challenge != "" {
 		w.Header().Set("WWW-Authenticate", refused.challenge)
 	}
+	organisation := organisationOf(r.Context())
 	s.Metrics.request(refused.route, refused.status)
-	if omitted, ok := s.Events.Allow("refused", failedLines); ok {
-		s.Log.Warn().Str("request", r.Header.Get(s.Headers.Request)).Str("route", refused.route).Str("host", r.Host).Str("path", r.URL.Path).
-			Int("status", refused.status).Str("reason", refused.reason).Int("omitted", omitted).Msg("request refused")
+	s.Metrics.refusedKey(refused.key)
+	s.Metrics.organisation(organisation, organisationRefused)
+	kind, lines := "refused", failedLines
+	if refused.key != "" { // anyone can cause these
+		kind, lines = "key", degradedLines
+	}
+	if omitted, ok := s.Events.Allow(kind, lines); ok {
+		e := s.Log.Warn().Str("request", r.Header.Get(s.Headers.Request)).Str("route", refused.route).Str("host", r.Host).Str("path", r.URL.Path)
+		if refused.key != "" {
+			e = e.Str("caller", r.RemoteAddr)
+		}
+		logOrganisation(e, organisation).Int("status", refused.status).Str("reason", refused.reason).Int("omitted", omitted).Msg("request refused")
 	}
 	http.Error(w, refused.reason, refused.status)
 }
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -171,6 +171,7 @@
 // sending direction still reads: without a response, net/http would send it an empty success.
 func (s *Service) endLeft(w http.ResponseWriter, j *job) {
 	s.Metrics.request(j.route.Name, 0)
+	s.Metrics.organisation(organisationOf(j.Context()), organisationLeft)
 	if omitted, ok := s.Events.Allow("gone", degradedLines); ok {
 		s.Log.Info().Str("request", j.id).Str("route", j.route.Name).Dur("after", s.Clock.Since(j.started)).
 			Int("omitted", omitted).Msg("caller left")
@@ -183,6 +184,7 @@
 func (s *Service) recordResponse(j *job, status, missing, repeated int, failed []result) {
 	took := s.Clock.Since(j.started)
 	s.Metrics.request(j.route.Name, status)
+	s.Metrics.organisation(organisationOf(j.Context()), organisationServed)
 	s.Metrics.response(j.route.Name, took, missing)
 	kind, lines := "answered", answeredLines
 	if missing > 0 || status >= http.StatusInternalServerError || took > j.route.Objective {
@@ -192,7 +194,8 @@
 	if !ok {
 		return
 	}
-	e := s.Log.Info().Str("request", j.id).Str("route", j.route.Name).Uint64("routing", j.view.Routing.Document.Version).
+	e := s.Log.Info().Str("request", j.id).Str("route", j.route.Name).Uint64("routing", j.view.Routing.Document.Version)
+	e = logOrganisation(e, j.organisation).
 		Int("status", status).Int("missing", missing).Int("extra", repeated).Dur("took", took).Dur("objective", j.route.Objective).Int("omitted", omitted)
 	if len(failed) > 0 {
 		e = e.Str("failed", describeFailures(failed))
--- a/relay/organisation_test.go
+++ b/relay/organisation_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 
 	"wasabirelay/routing"
 )
@@ -89,3 +96,124 @@
 	is.Equal(target.last.Header.Values("Authorization"), []string{"Basic a", "Key b"})
 	is.Equal(target.last.Header.Values("Org"), []string{"north"})
 }
+
+// Guards against a key in a refusal, in the log or in a metric, against a refused request that reaches a target, and
+// against an operator who can't see who is refused and why.
+func TestRefusedKeyIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	target := newTarget("t1", "s1").records("ccc")
+	h := newHarness(t, singleRoute(true, 1), target)
+	var log bytes.Buffer
+	registry := prometheus.NewRegistry()
+	h.service.Log, h.service.Metrics = zerolog.New(zerolog.SyncWriter(&log)), NewMetrics(registry)
+	h.require(nil)
+	for _, credentials := range []string{"Key k-secret", "Key k-secret k-secret", "Basic k-secret", "k-secret", "Key k-south\r\nAuthorization: Key k-secret", ""} {
+		conn := h.dial(t)
+		_, err := io.WriteString(conn, "POST /q/x HTTP/1.1\r\nHost: h\r\nReq: r1\r\nAuthorization: "+credentials+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		is.NoErr(err)
+		text, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.True(strings.HasPrefix(string(text), "HTTP/1.1 401 "))
+		is.True(strings.Contains(string(text), "\r\nWww-Authenticate: Key\r\n"))
+		is.True(strings.Contains(string(text), "\r\n\r\nnot run: "))
+		is.True(!strings.Contains(string(text), "k-s"))
+	}
+	is.Equal(h.exchange(t, "GET /q/x HTTP/1.1\r\nHost: h\r\nReq: r2\r\nAuthorization: Key k-south\r\n\r\n"), http.StatusOK)
+	is.Equal(target.requests.Load(), int64(1))
+	metrics := httptest.NewRecorder()
+	promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(metrics, httptest.NewRequest(http.MethodGet, "/", nil))
+	is.True(strings.Contains(metrics.Body.String(), `wasabirelay_relay_refused_keys_total{reason="unknown"} 1`))
+	is.True(strings.Contains(metrics.Body.String(), `wasabirelay_relay_organisation_requests_total{organisation="south",outcome="served"} 1`))
+	h.server.Close()
+	is.True(strings.Contains(log.String(), `"caller":"127.0.0.1:`))
+	is.True(strings.Contains(log.String(), `"organisation":"south"`))
+	for _, text := range []string{log.String(), metrics.Body.String()} {
+		is.True(!strings.Contains(text, "k-s"))
+	}
+}
+
+// Guards against counters that grow with the names in routing documents.
+func TestOrganisationLabels(t *testing.T) {
+	is := is.New(t)
+	m := newOrganisationMetrics(prometheus.NewRegistry())
+	for i := range maxCountedOrganisations {
+		is.Equal(m.label(fmt.Sprint(i)), fmt.Sprint(i))
+	}
+	is.Equal(m.label("next"), otherOrganisations)
+	is.Equal(m.label("0"), "0")
+}
+
+// Guards against a kept connection on which a withdrawn key still works, or a new one doesn't yet, and against 401 from
+// a host that knows no document or may not judge keys.
+func TestKeysOnKeptConnection(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 1), newTarget("t1", "s1").records("ccc"))
+	h.require(nil)
+	conn := h.dial(t)
+	in := bufio.NewReader(conn)
+	send := func(key string) int {
+		_, err := io.WriteString(conn, "GET /q/x HTTP/1.1\r\nHost: h\r\nReq: r1\r\nAuthorization: Key "+key+"\r\n\r\n")
+		is.NoErr(err)
+		res, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		defer res.Body.Close()
+		_, err = io.Copy(io.Discard, res.Body)
+		is.NoErr(err)
+		return res.StatusCode
+	}
+	is.Equal(send("k-south"), http.StatusOK)
+	is.Equal(send("k-new"), http.StatusUnauthorized)
+	h.require(func(d *routing.Document) { d.Organisations[1].Keys = []string{"k-new"} })
+	is.Equal(send("k-south"), http.StatusUnauthorized)
+	is.Equal(send("k-new"), http.StatusOK)
+	stale := true
+	h.service.KeysStale = func() bool { return stale }
+	is.Equal(send("k-new"), http.StatusServiceUnavailable)
+	is.Equal(send("k-south"), http.StatusServiceUnavailable)
+	stale = false
+	is.Equal(send("k-new"), http.StatusOK)
+	h.service.View = func() *View { return nil }
+	is.Equal(send("k-south"), http.StatusServiceUnavailable)
+}
+
+// Guards against a request whose fingerprint changes with the key, which hosts publish and log.
+func TestFingerprintWithoutKey(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 1), newTarget("t1", "s1").records("ccc"))
+	h.require(nil)
+	seen := map[string]uint64{}
+	for _, key := range []string{"k-north-1", "k-north-2", "k-south"} {
+		r := httptest.NewRequest(http.MethodGet, "/q/x", nil)
+		r.Host = "h"
+		r.Header = http.Header{"Req": {key}, "Authorization": {"Key " + key}}
+		j, refused := h.service.accept(r, func(time.Time) error { return nil })
+		is.Equal(refused, nil)
+		seen[key] = h.service.fingerprint(j)
+	}
+	is.Equal(seen["k-north-1"], seen["k-north-2"])
+	is.True(seen["k-north-1"] != seen["k-south"]) // targets receive another organisation
+}
+
+// FuzzCredentials guards against keys that are cut, joined or empty.
+func FuzzCredentials(f *testing.F) {
+	for _, value := range []string{"Key k", "key  k ", "Key", "Key ", "Basic k", "Key a b", "Key a\tb", "", " ", "Key \x00", "Key é"} {
+		f.Add(value, "")
+	}
+	f.Add("Key a", "Key b")
+	f.Fuzz(func(t *testing.T, value, second string) {
+		values := []string{value}
+		if second != "" {
+			values = append(values, second)
+		}
+		form, key := parseCredentials(values, "Key")
+		if (form == keyCredentials) != (key != "") {
+			t.Fatalf("form %d with a key of %d bytes", form, len(key))
+		}
+		if form != keyCredentials {
+			return
+		}
+		if len(values) > 1 || strings.ContainsAny(key, " \t\r\n\x00") || !strings.EqualFold(strings.ReplaceAll(value, " ", ""), "Key"+key) {
+			t.Fatalf("%q has the key %q", values, key)
+		}
+	})
+}
