relay: send the refusal of a key without waiting for its body

net/http reads the body of a refused request before it sends the response, without a bound on the time: a caller without a key could keep its 401 and the connection waiting for as long as it liked. The rest of the body now has 250 ms, after which the refusal is sent and the connection closed. Entry hosts also export the version of the routing document in force, by which an operator sees when a new key may be given out.

--- a/node/entry.go
+++ b/node/entry.go
@@ -158,6 +158,7 @@
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
 	}
+	e.registerMetrics()
 	e.relay.Crashes.OnVerdict = e.logCrashVerdict
 	e.client.OwnCrashes = func(after uint64) ([]poison.Record, uint64) { return e.relay.Crashes.Own(e.Clock.Now(), after) }
 	e.client.MergeCrashes = func(records []poison.Record) { e.relay.Crashes.Merge(e.Clock.Now(), records) }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -41,6 +41,18 @@
 	gauge("targets", "Targets that were heard here lately.", func() float64 { return float64(c.hub.Targets()) })
 }
 
+// registerMetrics registers the metrics of an entry host.
+func (e *Entry) registerMetrics() {
+	e.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "wasabirelay_entry_routing", Help: "Version of the routing document in force; 0 if there is none.",
+	}, func() float64 {
+		if v := e.view.Load(); v != nil {
+			return float64(v.Routing.Document.Version)
+		}
+		return 0
+	}))
+}
+
 func boolToFloat(b bool) float64 {
 	if b {
 		return 1
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -174,6 +174,7 @@
 	kind, lines := "refused", failedLines
 	if refused.key != "" { // anyone can cause these
 		kind, lines = "key", degradedLines
+		_ = http.NewResponseController(w).SetReadDeadline(s.Clock.Now().Add(unreadBodyTime)) // fails on a lost connection only
 	}
 	if omitted, ok := s.Events.Allow(kind, lines); ok {
 		e := s.Log.Warn().Str("request", r.Header.Get(s.Headers.Request)).Str("route", refused.route).Str("host", r.Host).Str("path", r.URL.Path)
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -67,6 +67,10 @@
 // that time it reaches another host, or this one has polled a control host again.
 const unconfirmedRetry = 500 * time.Millisecond
 
+// unreadBodyTime bounds how long the refusal of a key waits for the rest of the body. net/http reads it before it sends a
+// response, without a bound of its own, and closes the connection if the body doesn't come in time.
+const unreadBodyTime = 250 * time.Millisecond
+
 // admission is the decision whose request one is and whether it may run.
 type admission struct {
 	// organisation is the organisation that the request belongs to; nil if it needs none.
--- a/relay/organisation_test.go
+++ b/relay/organisation_test.go
@@ -132,6 +132,46 @@
 	}
 }
 
+// Guards against a refusal that waits for a body that never comes, against what is left of a body being read as another
+// request, and against a connection that is closed although the body was complete.
+func TestRefusedKeyBeforeBody(t *testing.T) {
+	const start = "POST /q/x HTTP/1.1\r\nHost: h\r\nReq: r1\r\nAuthorization: Key x\r\n"
+	const next = "GET /q/x HTTP/1.1\r\nHost: h\r\nReq: r2\r\nAuthorization: Key k-south\r\n\r\n"
+	for name, tt := range map[string]struct {
+		request string
+		last    int // the status of the last response on the connection
+	}{
+		"no body":         {start + "Content-Length: 1000\r\n\r\n", http.StatusUnauthorized},
+		"part of a body":  {start + "Content-Length: 1000\r\n\r\n" + next, http.StatusUnauthorized},
+		"no chunk":        {start + "Transfer-Encoding: chunked\r\n\r\n", http.StatusUnauthorized},
+		"complete body":   {start + "Content-Length: 4\r\n\r\nxxxx" + next, http.StatusOK},
+		"complete chunks": {start + "Transfer-Encoding: chunked\r\n\r\n4\r\nxxxx\r\n0\r\n\r\n" + next, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := newTarget("t1", "s1").records("ccc")
+			h := newHarness(t, singleRoute(true, 1), target)
+			h.require(nil)
+			conn := h.dial(t)
+			_, err := io.WriteString(conn, tt.request)
+			is.NoErr(err)
+			in := bufio.NewReader(conn)
+			var statuses []int
+			for len(statuses) == 0 || statuses[len(statuses)-1] != tt.last {
+				res, err := http.ReadResponse(in, nil)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, res.Body)
+				is.NoErr(err)
+				is.NoErr(res.Body.Close())
+				statuses = append(statuses, res.StatusCode)
+				is.Equal(res.Close, tt.last == http.StatusUnauthorized)
+			}
+			is.Equal(statuses[0], http.StatusUnauthorized)
+			is.Equal(int(target.requests.Load()), len(statuses)-1)
+		})
+	}
+}
+
 // Guards against counters that grow with the names in routing documents.
 func TestOrganisationLabels(t *testing.T) {
 	is := is.New(t)
