--- a/duty/duty.go
+++ b/duty/duty.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// minBackoff is the delay after a failed call; it doubles up to maxBackoff. Each call costs the
-	// provider something, also one that fails.
-	minBackoff, maxBackoff = 250 * time.Millisecond, 5 * time.Second
+	// minBackoff is the delay after a failed call; it grows by growth up to maxBackoff. Each call costs the
+	// provider something, also one that fails, but work is due within seconds.
+	minBackoff, maxBackoff, growth = 250 * time.Millisecond, 5 * time.Second, 1.5
 	// confirmShare is the fraction of a lease after which leadership is confirmed again before a call.
 	confirmShare = 0.5
 )
@@ -198,7 +198,7 @@
 		h.callAfter, h.backoff, h.failures = began+h.Interval, 0, 0
 	case Failed:
 		h.failures++
-		h.backoff = min(max(minBackoff, 2*h.backoff), maxBackoff)
+		h.backoff = min(max(minBackoff, time.Duration(growth*float64(h.backoff))), maxBackoff)
 		h.callAfter = max(now, began) + max(h.backoff, h.Interval)
 	case Refused:
 		h.token, h.refused, h.claimAfter = 0, true, now+h.Lease
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -261,7 +261,7 @@
 		}
 		h.busy = m.now + 2*time.Second
 		h.Called(m.now, h.busy, Failed)
-	case m.chance(0.4): // the provider has no time
+	case m.now/(10*time.Second)%2 == 1 && m.chance(0.9): // the provider has no time
 		h.Called(m.now, m.now, Failed)
 	case m.fenced && c.token < m.fence:
 		h.Called(m.now, m.now, Refused)
@@ -338,7 +338,8 @@
 	is.Equal(h.Next(0), Call)
 	is.Equal(h.Next(2*time.Second), Confirm)
 	now := time.Duration(0)
-	for _, wait := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 5 * time.Second, 5 * time.Second} {
+	for _, ms := range []float64{250, 375, 562.5, 843.75, 1265.625, 1898.4375, 2847.65625, 4271.484375, 5000, 5000} {
+		wait := time.Duration(ms * float64(time.Millisecond))
 		h.Confirmed(now, 1, state)
 		is.Equal(h.Next(now), Call)
 		h.Called(now, now, Failed)
--- a/node/reporter.go
+++ b/node/reporter.go
@@ -27,9 +27,10 @@
 	closeShare = 0.35
 	// rateShare is the fraction of the permitted rate of reports that is used.
 	rateShare = 0.8
-	// reportTimeout bounds the first try of a report, which doubles up to maxReportTimeout. A try whose answer is lost
-	// must leave time for others before the report is due.
-	reportTimeout, maxReportTimeout = time.Second, 2 * time.Second
+	// reportTimeout bounds a try of a report. A try whose answer is lost must leave time for others before the report
+	// is due. After quickTries, slowReportTimeout applies: the provider may be slow.
+	reportTimeout, slowReportTimeout = time.Second, 2 * time.Second
+	quickTries                       = 5
 )
 
 // RefusedError reports that the provider refused a call because it has seen a higher fencing token.
@@ -219,7 +220,11 @@
 	}
 	err := json.Unmarshal(work.Content, &report.Counts)
 	if err == nil {
-		callCtx, cancel := context.WithTimeout(ctx, min(reportTimeout<<min(r.holder.Failures(), 8), maxReportTimeout, until-began))
+		timeout := reportTimeout
+		if r.holder.Failures() >= quickTries {
+			timeout = slowReportTimeout
+		}
+		callCtx, cancel := context.WithTimeout(ctx, min(timeout, until-began))
 		err = r.c.Interfaces.ReportUsage(callCtx, report)
 		cancel()
 	}
