--- a/exchange/client.go
+++ b/exchange/client.go
@@ -50,6 +50,11 @@
 	OwnCrashes func(after uint64) ([]poison.Record, uint64)
 	// MergeCrashes, if set, is called with the records that control hosts send.
 	MergeCrashes func([]poison.Record)
+	// ObserveTime, if set, is called with the time of day that control hosts send. Only then the client requests
+	// it, and the holder of the duty.
+	ObserveTime func(control string, timeOfDay time.Time)
+	// DutyHolderChanged, if set, is called after a later holder of the duty is known.
+	DutyHolderChanged func()
 	// Changed, if set, is called after a change of targets, hosts or the routing state.
 	Changed func()
 
@@ -61,7 +66,12 @@
 	fetching bool
 	// synced is when a control host that had finished starting last responded.
 	synced time.Time
-	runCtx context.Context
+	// duty is the latest holder of the duty.
+	duty DutyHolder
+	// confirmed is when a control host last confirmed that routingState is the newest; superseded is when
+	// one confirmed that for the last time of the state before it.
+	confirmed, superseded time.Time
+	runCtx                context.Context
 }
 
 // contact is a control host that is polled.
@@ -218,6 +228,9 @@
 	if c.MergeCrashes != nil {
 		request.Known = max(k.seen.Known, 1)
 	}
+	if c.ObserveTime != nil {
+		request.Duty = c.duty.Token + 1
+	}
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, request.Wait+responseTimeout)
 	defer cancel()
@@ -228,11 +241,39 @@
 	if err := response.decompress(); err != nil {
 		return err
 	}
+	c.mergeDuty(&response)
 	c.merge(k, &response)
 	c.mergeCrashes(k, &response, request.Run, published)
 	return nil
 }
 
+// mergeDuty merges the time of day and the holder of the duty of a response.
+func (c *Client) mergeDuty(response *PollResponse) {
+	if c.ObserveTime != nil && response.UnixMicro > 0 {
+		c.ObserveTime(response.From.Name, time.UnixMicro(response.UnixMicro))
+	}
+	d := response.Duty
+	if d == nil {
+		return
+	}
+	c.mu.Lock()
+	later := d.Token > c.duty.Token
+	if later {
+		c.duty = *d
+	}
+	c.mu.Unlock()
+	if later && c.DutyHolderChanged != nil {
+		c.DutyHolderChanged()
+	}
+}
+
+// DutyHolder returns the latest holder of the duty that control hosts have told of. Its token is 0 if there is none.
+func (c *Client) DutyHolder() DutyHolder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.duty
+}
+
 // mergeCrashes merges the records of a response to a request that named a run of the control host and
 // published records up to a revision.
 func (c *Client) mergeCrashes(k *contact, response *PollResponse, run int64, published uint64) {
@@ -273,6 +314,10 @@
 		k.stateRevision = response.RoutingState.Revision
 		changed = c.adoptRoutingState(response.RoutingState) || changed
 	}
+	announced := response.RoutingState
+	if !response.Detached && (announced == nil || announced.Revision <= c.routingState.Revision) {
+		c.confirmed = now
+	}
 	c.mu.Unlock()
 	if c.OnControlHost != nil {
 		c.OnControlHost(response.From)
@@ -292,6 +337,7 @@
 	case len(routing.Source) == 0:
 		return false
 	}
+	c.superseded = c.confirmed
 	c.routingState = *s
 	c.routingState.Routing = routing
 	c.Log.Info().Uint64("revision", s.Revision).Uint64("routing", routing.Version).Strs("out", s.Out).Int("moves", len(s.Moves)).
@@ -325,6 +371,17 @@
 	return c.routingState
 }
 
+// Confirmed returns when a control host last confirmed that the routing state of a revision is the newest;
+// the zero time if none has.
+func (c *Client) Confirmed(revision uint64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision < c.routingState.Revision {
+		return c.superseded
+	}
+	return c.confirmed
+}
+
 // Targets returns the targets that may receive requests; see registry.MergedTable.Targets.
 func (c *Client) Targets() (map[string][]*control.Target, time.Time) {
 	c.mu.Lock()
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -25,6 +25,8 @@
 	Log   zerolog.Logger
 	// Silence is the time without a heartbeat after which a target counts as silent.
 	Silence time.Duration
+	// Detached, if set, reports whether this host may lack the newest routing state.
+	Detached func() bool
 	// OnControlHost, if set, is called with each control host that polls.
 	OnControlHost func(Host)
 
@@ -38,6 +40,7 @@
 	entries       int
 	routingState  control.RoutingState
 	sizer         sizer
+	duty          DutyHolder
 	// crashes holds the requests that may crash targets, as entry hosts have published them.
 	crashes poison.Ledger
 	// allResponses and selectedResponses cache the encoded responses with these lists.
@@ -136,6 +139,16 @@
 	}
 }
 
+// SetDutyHolder publishes the holder of the duty if it is later than the current one.
+func (h *Hub) SetDutyHolder(d DutyHolder) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d.Token > h.duty.Token {
+		h.duty = d
+		h.wake()
+	}
+}
+
 // MergeCrashes merges records of requests that may crash targets, and sends what is new to all hosts.
 func (h *Hub) MergeCrashes(records []poison.Record) {
 	if !h.crashes.Merge(h.Clock.Now(), records) {
--- a/node/control.go
+++ b/node/control.go
@@ -17,6 +17,7 @@
 	"wasabirelay/move"
 	"wasabirelay/quorum"
 	"wasabirelay/registry"
+	"wasabirelay/usage"
 )
 
 const (
@@ -50,6 +51,8 @@
 	saves chan saveRequest
 	// lastDiscovery is the age of this process when it last discovered a new control host.
 	lastDiscovery atomic.Int64
+	// usage is nil unless usage is reported.
+	usage *reporter
 }
 
 // Run serves until stop is done, then shuts down gracefully. It returns at once when ctx is
@@ -64,6 +67,10 @@
 	g, ctx := errgroup.WithContext(ctx)
 	handlers := c.replica.Handlers()
 	handlers[exchange.Method] = c.hub.Serve
+	if c.usage != nil {
+		handlers[usage.Method] = c.usage.record
+		g.Go(func() error { return c.usage.run(ctx) })
+	}
 	if err := c.servePeers(ctx, g, handlers); err != nil {
 		return err
 	}
@@ -99,6 +106,7 @@
 	c.peers.Set(c.Settings.Host, c.Settings.Peer)
 	c.hub = exchange.Hub{
 		Self: self, Clock: c.Clock, Log: c.Log, Silence: maxMissedHeartbeats * c.Settings.HeartbeatInterval, OnControlHost: c.addControlHost,
+		Detached: func() bool { return !c.replica.HasLeader() },
 	}
 	c.hub.Init()
 	c.saves = make(chan saveRequest, maxSaveRequests)
@@ -114,6 +122,7 @@
 		LeaveTimeout: max(shutdownDelay, c.Settings.ShutdownTimeout-shutdownDelay),
 	}
 	c.registerMetrics()
+	c.prepareUsage()
 	return c.open()
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -76,6 +76,8 @@
 	slack slackShares
 	// viewTime is when the view was last computed.
 	viewTime time.Time
+	// revision is the revision of the routing state in force.
+	revision atomic.Uint64
 	// load measures the share of the processor that relaying takes.
 	load loadMeter
 	// viewTargets holds the names of the targets in the view.
@@ -86,6 +88,8 @@
 	rejectedVersion uint64
 	// shardLists holds the different lists of shards in the routes of routingTable.
 	shardLists [][]string
+	// usage is nil unless usage is reported.
+	usage *recorder
 }
 
 // Run serves until stop is done, then shuts down gracefully. It returns at once when ctx is
@@ -125,6 +129,7 @@
 	g.Go(func() error { return e.reportEvidence(ctx) })
 	g.Go(func() error { return e.relay.RunProbes(ctx) })
 	g.Go(func() error { return e.notifyChanges(ctx) })
+	g.Go(func() error { return e.recordUsage(ctx) })
 	e.Log.Info().Stringer("callers", e.Settings.Caller).Int64("start", e.start()).Int("seeds", len(e.Settings.Seeds)).Msg("entry host started")
 	go func() {
 		select {
@@ -156,6 +161,7 @@
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
 	}
+	e.registerMetrics()
 	e.relay.Crashes.OnVerdict = e.logCrashVerdict
 	e.client.OwnCrashes = func(after uint64) ([]poison.Record, uint64) { return e.relay.Crashes.Own(e.Clock.Now(), after) }
 	e.client.MergeCrashes = func(records []poison.Record) { e.relay.Crashes.Merge(e.Clock.Now(), records) }
@@ -168,11 +174,22 @@
 		e.relay.Delegate, e.relay.HelpersEpoch = e.helpers.Collect, e.helpers.Epoch
 		e.relay.UsableHelper = e.helpers.Usable
 	}
+	e.prepareUsage()
+	if e.Settings.FailClosed {
+		e.relay.KeysStale = e.keysStale
+	}
 	if !e.Settings.Bootstrap {
 		e.relay.BudgetsEmptyUntil = e.Clock.Now().Add(e.Settings.RetryWindow)
 	}
 }
 
+// keysStale reports whether no control host has confirmed the routing state in force for so long that it may
+// lack the withdrawal of a key.
+func (e *Entry) keysStale() bool {
+	confirmed := e.client.Confirmed(e.revision.Load())
+	return confirmed.IsZero() || e.Clock.Since(confirmed) > e.Settings.Revocation
+}
+
 // self returns what this host reports about itself to the control hosts.
 func (e *Entry) self() exchange.Host {
 	return exchange.Host{
@@ -264,6 +281,7 @@
 	e.relay.Declared.Forget(incarnations)
 	e.logTargets(live)
 	e.moves.Store(&control.View{Moves: state.Moves})
+	e.revision.Store(state.Revision)
 	if e.view.Swap(v) == nil {
 		close(e.firstView)
 	}
@@ -354,8 +372,8 @@
 		e.Log.Error().Err(err).Uint64("version", r.Version).Msg("failed to decode the routing document; the previous one stays in force")
 		return e.routingTable
 	}
-	e.routingTable, e.shardLists = routing.NewTable(d), d.ShardLists()
-	e.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Msg("routing document in force")
+	e.routingTable, e.shardLists = e.routingTable.Next(d), d.ShardLists()
+	e.Log.Info().Uint64("version", d.Version).Int("routes", len(d.Routes)).Int("organisations", len(d.Organisations)).Msg("routing document in force")
 	return e.routingTable
 }
 
@@ -399,5 +417,6 @@
 	}
 	e.portions.Drain(shutdownCtx)
 	e.pool.Close()
+	e.sendLast(ctx)
 	e.Log.Info().Msg("graceful shutdown: done")
 }
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -161,7 +161,7 @@
 		}
 		request := &portion.Request{
 			Method: g.j.Method, URI: g.j.RequestURI, Host: g.j.Host, Header: header, Body: g.j.body, Shards: p.Shards, Spare: d.spare, Route: hash,
-			Cutoff: g.j.partialAfter.Sub(now) - returnMargin, Timeout: max(g.j.deadline.Sub(now), time.Millisecond),
+			Organisation: g.j.organisation, Cutoff: g.j.partialAfter.Sub(now) - returnMargin, Timeout: max(g.j.deadline.Sub(now), time.Millisecond),
 		}
 		collection, err := g.Delegate(p.Hosts, request, func(f *portion.Frame, err error) {
 			select {
@@ -173,6 +173,7 @@
 			left = append(left, p.Shards...)
 			continue
 		}
+		g.j.usage.recordSent(now.Sub(g.j.started))
 		d.collection = collection
 		g.delegations = append(g.delegations, d)
 		g.delegated += len(p.Shards)
@@ -228,6 +229,7 @@
 		g.delegated--
 		g.received.signatures = append(g.received.signatures, p.Signature)
 	}
+	g.countRun(g.j, len(f.Parts) > 0)
 	if len(f.Parts) > 0 {
 		g.received.bodies = append(g.received.bodies, f.Records)
 	}
@@ -246,6 +248,7 @@
 	delete(d.pending, service)
 	g.delegated--
 	g.received.fail(service, ran, err)
+	g.countRun(g.j, ran)
 	if d.spare > 0 {
 		d.spare--
 	} else {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,12 @@
 	// Parts lists the signatures of the parts of a merged response, Missing is the number of
 	// shards that have no part in it.
 	Parts, Missing string
+	// Credentials carries the key of a caller, after the word Scheme and a space. It is never sent to
+	// targets or other hosts while the routing document has organisations.
+	Credentials, Scheme string
+	// Organisation is the name of the organisation that a request belongs to. If the routing document has
+	// organisations, only hosts set it.
+	Organisation string
 }
 
 const (
@@ -145,12 +151,18 @@
 	// Observe, if set, is called with the outcome of each request to a target and the time since it
 	// was sent.
 	Observe func(t *control.Target, route string, latency time.Duration, o route.Outcome)
+	// CountRun, if set, is called once for each request of an organisation that a target began to run, or may
+	// have, with the time at which the first attempt was sent.
+	CountRun func(organisation string, sent time.Time)
 	// Draining reports whether callers are notified to close their connections.
 	Draining func() bool
 	Metrics  *Metrics
 	// DecodeDeclaration, if set, returns what a target declares of itself in a reply. It reports
 	// false if the reply says nothing usable, so that the last declaration still holds.
 	DecodeDeclaration func(now time.Time, status int, h *limit.Header) (declaration.Declaration, bool)
+	// KeysStale, if set, reports whether this host has had no contact with control hosts for so long that it
+	// refuses requests with keys: it may lack the withdrawal of one.
+	KeysStale func() bool
 	// Declared holds what the targets have declared.
 	Declared declaration.Table
 	// HelpersEpoch, if set, returns a number that changes with the hosts that take portions.
@@ -198,6 +210,8 @@
 	// rank is the rank of the request under shortage; 0 is the highest. That of its organisation takes
 	// precedence over that of its route.
 	rank int
+	// usage decides whether and when the request is counted.
+	usage usage
 
 	fingerprintOnce  sync.Once
 	fingerprintValue uint64
