--- a/node/entry.go
+++ b/node/entry.go
@@ -277,8 +277,9 @@
 	e.relay.Declared.Forget(incarnations)
 	e.logTargets(live)
 	e.moves.Store(&control.View{Moves: state.Moves})
-	e.revision.Store(state.Revision)
-	if e.view.Swap(v) == nil {
+	first := e.view.Swap(v) == nil
+	e.revision.Store(state.Revision) // after the view, which must not count as newer than it is
+	if first {
 		close(e.firstView)
 	}
 	return next
