--- a/duty/duty.go
+++ b/duty/duty.go
@@ -54,7 +54,7 @@
 // Holder decides what the leader of the replicated log does for a duty. Times are readings of a clock that
 // counts suspended time. Exported fields are set before use. It is not safe for concurrent use.
 type Holder struct {
-	// Address is the address of this host, by which a holder is known, whatever its name.
+	// Name is the name of this host. Address is its address, by which a holder is known, whatever its name.
 	Name    string
 	Address netip.AddrPort
 	// Lease is the time after which another host may claim the duty. Tolerance is for how long this
--- a/node/reporter.go
+++ b/node/reporter.go
@@ -46,11 +46,9 @@
 	// mu guards collector.
 	mu        sync.Mutex
 	collector usage.Collector
-	// states counts the states that the metrics show, reports the calls by result.
-	reports *prometheus.CounterVec
-	token   prometheus.Gauge
-	backlog prometheus.Gauge
-	dropped prometheus.Gauge
+	// reports counts the calls by result. The gauges are those of the duty on this host.
+	reports                 *prometheus.CounterVec
+	token, backlog, dropped prometheus.Gauge
 }
 
 // prepareUsage prepares the duty to report usage if the settings name it.
