peer: bound connections, received messages and concurrent calls of a server

Messages of up to 64 MB were received on any number of connections: 16 connections with 12 MB each took a control host to 248 MB. Calls beyond 2,048 of one connection wait. Formats are unchanged.

--- a/peer/client.go
+++ b/peer/client.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, &ConnectError{c.Address, err}
 	}
-	c.conn = newConn(context.WithoutCancel(ctx), nc, c.Handlers, c.Log)
+	c.conn = newConn(context.WithoutCancel(ctx), nc, c.Handlers, c.Log, nil)
 	return c.conn, nil
 }
 
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -28,6 +28,9 @@
 // that the host, once it is back, rejects them only seconds later; until then, messages are lost.
 const unacknowledgedTimeout = 1500 * time.Millisecond
 
+// maxCalls is the number of calls of one connection that are handled at the same time. The peer has to wait with more.
+const maxCalls = 2048
+
 // Code classifies a RemoteError.
 type Code int64
 
@@ -90,13 +93,13 @@
 	_ = c.rpc.Close() // It fails because the connection is already closed.
 }
 
-func newConn(ctx context.Context, nc net.Conn, handlers map[string]Handler, events zerolog.Logger) *Conn {
+func newConn(ctx context.Context, nc net.Conn, handlers map[string]Handler, events zerolog.Logger, b *budget) *Conn {
 	if err := limitUnacknowledged(nc); err != nil {
 		events.Warn().Err(err).Msg("failed to limit how long sent data may stay unacknowledged")
 	}
 	c := &Conn{tcp: &timedConn{Conn: nc}}
 	ready := make(chan struct{})
-	stream := jsonrpc2.NewBufferedStream(c.tcp, boundedCodec{})
+	stream := jsonrpc2.NewBufferedStream(c.tcp, &boundedCodec{b, c.tcp})
 	// The library logs every connection that ends; callers get that as an error.
 	discardLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	c.rpc = jsonrpc2.NewConn(ctx, stream, &dispatcher{conn: c, handlers: handlers, ready: ready, log: events}, discardLog)
@@ -133,6 +136,8 @@
 	net.Conn
 	received atomic.Int64
 	sent     atomic.Int64
+	// messages counts the whole messages that were received.
+	messages atomic.Int64
 }
 
 func (c *timedConn) Write(b []byte) (int, error) {
@@ -168,6 +173,7 @@
 	handlers map[string]Handler
 	ready    chan struct{}
 	log      zerolog.Logger
+	calls    atomic.Int64 // in progress
 }
 
 // Handle implements jsonrpc2.Handler.
@@ -177,6 +183,10 @@
 		d.handleNotification(ctx, r)
 		return
 	}
+	if d.calls.Add(1) > maxCalls {
+		d.handleCall(ctx, r) // no further message is read meanwhile
+		return
+	}
 	go d.handleCall(ctx, r)
 }
 
@@ -198,6 +208,7 @@
 }
 
 func (d *dispatcher) handleCall(ctx context.Context, r *jsonrpc2.Request) {
+	defer d.calls.Add(-1)
 	h, ok := d.handlers[r.Method]
 	if !ok {
 		d.replyError(ctx, r, &RemoteError{Code: CodeMethodNotFound, Message: "unknown method " + r.Method})
--- a/peer/unacknowledged_test.go
+++ b/peer/unacknowledged_test.go
@@ -24,7 +24,7 @@
 	go func() {
 		nc, err := l.Accept()
 		if err == nil {
-			accepted <- newConn(context.Background(), nc, nil, zerolog.Nop())
+			accepted <- newConn(context.Background(), nc, nil, zerolog.Nop(), nil)
 		}
 	}()
 	c := &Client{Address: netip.MustParseAddrPort(l.Addr().String())}
