door: one account of the memory and connections of all callers

Every HTTP listener of entry and control hosts now counts its connections, the bytes and fields of headers, bodies as they come and answers as they wait against a budget from the memory in the settings, before net/http builds anything from them. A caller beyond it is refused with 503, 408 or 431, or closed; those silent for longest go first, and a quarter is kept for ordinary requests. Connections are bounded by two fifths of the descriptors, headers by the routing document. The readers of a routing document share its text.

--- a/node/control.go
+++ b/node/control.go
@@ -45,6 +45,7 @@
 	peers   quorum.Peers
 	replica *quorum.Replica
 	hub     exchange.Hub
+	text    routingText
 	client  exchange.Client
 	// saves receives the requests to save the cached state at once.
 	saves chan saveRequest
@@ -67,15 +68,16 @@
 	if err := c.servePeers(ctx, g, handlers); err != nil {
 		return err
 	}
-	if _, err := c.serve(ctx, g, c.Settings.Operator, c.Interfaces.Operator(c)); err != nil {
+	if _, err := c.serve(ctx, g, "operators", c.Settings.Operator, c.Interfaces.Operator(c), listenLimits); err != nil {
 		return err
 	}
-	if _, err := c.serve(ctx, g, c.Settings.Addresses, c.Interfaces.Addresses(c)); err != nil {
+	if _, err := c.serve(ctx, g, "directory", c.Settings.Addresses, c.Interfaces.Addresses(c), listenLimits); err != nil {
 		return err
 	}
-	if _, err := c.serve(ctx, g, c.Settings.Metrics, c.metrics()); err != nil {
+	if _, err := c.serve(ctx, g, "metrics", c.Settings.Metrics, c.metrics(), listenLimits); err != nil {
 		return err
 	}
+	g.Go(func() error { return c.door.Run(ctx) })
 	g.Go(func() error { return c.replica.Run(ctx) })
 	g.Go(func() error { return c.hub.Run(ctx) })
 	g.Go(func() error { return c.client.Run(ctx) })
@@ -290,7 +292,11 @@
 	if err != nil {
 		return control.RoutingState{}, &UnavailableError{"the newest state is not certain: " + err.Error()}
 	}
-	return response.RoutingState, nil
+	state := response.RoutingState
+	if err := c.text.share(&state.Routing); err != nil {
+		return control.RoutingState{}, err
+	}
+	return state, nil
 }
 
 // drain shuts the control host down gracefully.
--- a/node/entry.go
+++ b/node/entry.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 
 	"wasabirelay/control"
 	"wasabirelay/declaration"
+	"wasabirelay/door"
 	"wasabirelay/exchange"
 	"wasabirelay/limit"
 	"wasabirelay/move"
@@ -46,6 +48,8 @@
 	// newConnectionCheckDelay is the delay after its opening at which a connection is checked
 	// before its first use. By then, a reset of a nearby target has arrived.
 	newConnectionCheckDelay = time.Millisecond
+	// initialHeaderBytes is the limit of a header while no routing document states one.
+	initialHeaderBytes = 64 << 10
 	// maxChangeLines is the maximum number of log lines per second for one kind of change of
 	// the view, maxLoggedNames the maximum number of target names in one list of such a line.
 	maxChangeLines, maxLoggedNames = 20, 32
@@ -98,16 +102,18 @@
 	g, ctx := errgroup.WithContext(ctx)
 	var callers *http.Server
 	for _, l := range []struct {
+		name    string
 		address netip.AddrPort
 		handler http.Handler
+		limits  func() door.Limits
 		server  **http.Server
 	}{
-		{e.Settings.Caller, e.relay, &callers},
-		{e.Settings.Addresses, e.Interfaces.Addresses(e), nil},
-		{e.Settings.Ready, e.Interfaces.Ready(e.serving), nil},
-		{e.Settings.Metrics, e.metrics(), nil},
+		{"callers", e.Settings.Caller, e.relay, e.callerLimits, &callers},
+		{"directory", e.Settings.Addresses, e.Interfaces.Addresses(e), listenLimits, nil},
+		{"ready", e.Settings.Ready, e.Interfaces.Ready(e.serving), listenLimits, nil},
+		{"metrics", e.Settings.Metrics, e.metrics(), listenLimits, nil},
 	} {
-		server, err := e.serve(ctx, g, l.address, l.handler)
+		server, err := e.serve(ctx, g, l.name, l.address, l.handler, l.limits)
 		if err != nil {
 			return err
 		}
@@ -120,6 +126,7 @@
 			return err
 		}
 	}
+	g.Go(func() error { return e.door.Run(ctx) })
 	g.Go(func() error { return e.client.Run(ctx) })
 	g.Go(func() error { return e.maintainView(ctx) })
 	g.Go(func() error { return e.reportEvidence(ctx) })
@@ -137,6 +144,16 @@
 	return g.Wait()
 }
 
+// callerLimits returns the limits of the routing document for the headers of callers.
+func (e *Entry) callerLimits() door.Limits {
+	limits := door.Limits{HeaderBytes: initialHeaderBytes}
+	if v := e.view.Load(); v != nil {
+		document := &v.Routing.Document.Limits
+		limits.HeaderBytes, limits.HeaderTimeout = cmp.Or(max(0, document.HeaderBytes), initialHeaderBytes), document.HeaderTimeout
+	}
+	return limits
+}
+
 func (e *Entry) prepare() {
 	e.wake, e.notify, e.firstView = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	e.lastActive = map[string]time.Time{}
--- a/node/order.go
+++ b/node/order.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"wasabirelay/control"
+	"wasabirelay/door"
 	"wasabirelay/quorum"
 	"wasabirelay/relay"
 )
@@ -48,7 +49,7 @@
 
 // connContext is the value of http.Server.ConnContext.
 func connContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(relay.ConnContext(ctx, conn), callerKey{}, conn)
+	return context.WithValue(door.ConnContext(relay.ConnContext(ctx, conn), conn), callerKey{}, conn)
 }
 
 // isCallerWaiting reports whether the connection of the request with the context is open. The context
--- a/node/process.go
+++ b/node/process.go
@@ -19,13 +19,14 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"wasabirelay/door"
 	"wasabirelay/eventlog"
 	"wasabirelay/peer"
 )
 
 const (
 	// headerTimeout bounds how long a request header may take to arrive. For callers, the
-	// bound of the routing document applies, which is shorter.
+	// bound of the routing document applies if it is shorter.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long idle connections of callers are kept. It exceeds the time for
 	// which callers reuse them.
@@ -34,6 +35,10 @@
 	// of the Go runtime, near which the garbage collector runs more often. The rest is for
 	// stacks and buffers of the kernel.
 	memoryLimitFraction = 0.7
+	// peerByteMemory is the memory of a byte of a message that is received: the message is copied while it is decoded.
+	peerByteMemory = 2
+	// maxMetricsRequests is the number of requests for metrics that are served at the same time.
+	maxMetricsRequests = 4
 	// gcPercent is the growth of the heap between two garbage collections, in percent of the
 	// live heap, up to memoryLimitFraction. The live heap is some 10 MB of 184 MB or more, and
 	// each collection takes processor time of a small host from the requests.
@@ -56,6 +61,8 @@
 	// because the time of day may be set while the process runs.
 	started time.Time
 	events  *eventlog.Limiter
+	// door bounds what all callers of this process hold together.
+	door *door.Door
 }
 
 // Reload applies the settings that may change while the process runs: the seeds.
@@ -75,6 +82,8 @@
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(p.Settings.Memory)))
 		debug.SetGCPercent(gcPercent)
 	}
+	p.door = &door.Door{Memory: p.Settings.Memory, Descriptors: p.Settings.Descriptors, Clock: p.Clock, Log: p.Log, Events: p.events}
+	p.door.Metrics = door.NewMetrics(p.Registry, p.door)
 	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
 
@@ -86,9 +95,12 @@
 
 func (p *Process) seedAddresses() []netip.AddrPort { return *p.seeds.Load() }
 
+// listenLimits returns the limits of listeners that no routing document bounds.
+func listenLimits() door.Limits { return door.DefaultLimits }
+
 // serve opens an HTTP listener at the address and serves it in g. It does nothing if the
 // address is not valid.
-func (p *Process) serve(ctx context.Context, g *errgroup.Group, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+func (p *Process) serve(ctx context.Context, g *errgroup.Group, name string, address netip.AddrPort, handler http.Handler, limits func() door.Limits) (*http.Server, error) {
 	if !address.IsValid() {
 		return nil, nil
 	}
@@ -97,7 +109,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler, ConnContext: connContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	l = p.door.Listener(l, name, limits)
+	server := &http.Server{
+		Handler: p.door.Handler(handler), ConnContext: connContext, ConnState: door.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
 	g.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve")
@@ -111,7 +126,7 @@
 // servePeers opens the listener for other hosts and serves it in g.
 func (p *Process) servePeers(ctx context.Context, g *errgroup.Group, handlers map[string]peer.Handler) error {
 	address := cmp.Or(p.Settings.PeerListen, p.Settings.Peer)
-	server := &peer.Server{Address: address, Handlers: handlers, Log: p.Log}
+	server := &peer.Server{Address: address, Handlers: handlers, Log: p.Log, MaxConnections: p.door.MaxPeers(), MaxReceiving: p.door.Budget() / peerByteMemory}
 	l, err := server.Listen(ctx)
 	if err != nil {
 		return err
@@ -121,5 +136,5 @@
 }
 
 func (p *Process) metrics() http.Handler {
-	return promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests})
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -44,6 +44,8 @@
 	ToleratedFailures int
 	// Memory is the memory limit of the process in bytes; 0 if there is none.
 	Memory int64
+	// Descriptors is the number of file descriptors of the process; 0 if not known.
+	Descriptors int
 	// Cores is the processor capacity of the process, in cores; 0 if not known.
 	Cores float64
 	// HeartbeatInterval is the time between two heartbeats of a target.
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"wasabirelay/door"
 	"wasabirelay/routing"
 )
 
@@ -49,9 +50,24 @@
 		refused.route = rt.Name
 		return nil, refused
 	}
+	if err := door.Reserve(r.Context(), copiesMemory(j)); err != nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + err.Error(), retry: door.RetryAfter, route: rt.Name}
+	}
 	return j, nil
 }
 
+// copiesMemory returns the memory of the copies that targets are sent, beyond those of an ordinary request.
+func copiesMemory(j *job) int64 {
+	const ordinary = 4 << 10 // bytes of one copy
+	size := len(j.body)
+	for name, values := range j.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return int64(max(0, size-ordinary) * max(1, len(j.route.Shards)))
+}
+
 // originForm returns the request URI without the scheme and the host that its absolute form begins with.
 func originForm(uri string) string {
 	scheme, rest, ok := strings.Cut(uri, "://")
@@ -124,11 +140,17 @@
 	}
 	reader := io.Reader(r.Body)
 	if bound > 0 {
+		if r.ContentLength > int64(bound) {
+			return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+		}
 		reader = http.MaxBytesReader(nil, r.Body, int64(bound))
 	}
-	body, err := io.ReadAll(reader)
+	body, err := readAll(reader, r.ContentLength)
 	var large *http.MaxBytesError
+	var full *door.RefusedError
 	switch {
+	case errors.As(err, &full):
+		return nil, &refusal{status: full.Status(), reason: "not run: " + full.Error(), retry: door.RetryAfter}
 	case errors.As(err, &large):
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -142,6 +164,31 @@
 	return body, nil
 }
 
+// readAll reads a body of the given length, or of any length if it is negative. Its buffer grows with what arrives.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	const first = 2048 // bytes
+	size := func(n int64) int64 {
+		if length < 0 {
+			return n
+		}
+		return min(n, length+1) // the end is read with the last byte or after it
+	}
+	body := make([]byte, 0, size(first))
+	for {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, size(2*int64(cap(body)))), body...)
+		}
+	}
+}
+
 // refuse sends a refusal to the caller.
 func (s *Service) refuse(w http.ResponseWriter, r *http.Request, refused *refusal) {
 	if refused.retry > 0 {
