relay: count copies and answers before a request runs

600 callers that don't read answers of 1 MB took an entry host to 342 MB, bound 96: an answer counted only once it was there, and it has to be delivered. A request now takes what its copies for targets and its answer will hold, as large as a recent one of the route, before it runs; without room it is refused with 503, not run, once slow readers were closed. Ordinary requests take nothing. The parts of a merged answer are released before it is written.

--- a/door/door.go
+++ b/door/door.go
@@ -121,9 +121,11 @@
 	}
 }
 
-// force takes n bytes for an answer, which is delivered in any case. The slowest callers make room if there are any.
+// force takes n bytes for an answer, as far as the connection doesn't hold them yet. An answer is delivered in any case;
+// the slowest callers make room if there are any.
 func (d *Door) force(c *Conn, n int64) {
-	if !d.reserve(c, n) {
+	n -= c.held.Load()
+	if n > 0 && !d.reserve(c, n) {
 		d.used.Add(n)
 		c.held.Add(n)
 		if c.gone.Load() {
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -50,24 +50,12 @@
 		refused.route = rt.Name
 		return nil, refused
 	}
-	if err := door.Reserve(r.Context(), copiesMemory(j)); err != nil {
+	if err := door.Reserve(r.Context(), s.heldMemory(j)); err != nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + err.Error(), retry: door.RetryAfter, route: rt.Name}
 	}
 	return j, nil
 }
 
-// copiesMemory returns the memory of the copies that targets are sent, beyond those of an ordinary request.
-func copiesMemory(j *job) int64 {
-	const ordinary = 4 << 10 // bytes of one copy
-	size := len(j.body)
-	for name, values := range j.Header {
-		for _, value := range values {
-			size += len(name) + len(value)
-		}
-	}
-	return int64(max(0, size-ordinary) * max(1, len(j.route.Shards)))
-}
-
 // originForm returns the request URI without the scheme and the host that its absolute form begins with.
 func originForm(uri string) string {
 	scheme, rest, ok := strings.Cut(uri, "://")
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -52,7 +52,13 @@
 // records.
 func (s *Service) writeMerged(w http.ResponseWriter, j *job, c *gathered) {
 	missing := len(j.route.Shards) - len(c.signatures)
+	received := 0
+	for _, b := range c.bodies {
+		received += len(b)
+	}
+	s.answerSizes.record(j.route.Name, received)
 	body := merge(c.bodies, j.route.ResultLimit)
+	c.bodies = nil // the caller may be slow to read
 	h := w.Header()
 	h.Set(s.Headers.Request, j.id)
 	h.Set(s.Headers.Parts, strings.Join(c.signatures, ", "))
@@ -142,6 +148,7 @@
 
 // writeReply sends the reply of a target to the caller.
 func (s *Service) writeReply(w http.ResponseWriter, j *job, res *limit.Response) {
+	s.answerSizes.record(j.route.Name, len(res.Body))
 	fields := res.Header.Fields()
 	h := w.Header()
 	for name, values := range s.Headers.endToEnd(fields) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -173,6 +173,7 @@
 	cold         coldLimiter
 	deaths       deathChecks
 	attempts     atomic.Int64
+	answerSizes  answerSizes
 	// gathering counts the requests whose shards this host is asking.
 	gathering atomic.Int64
 }
