--- a/cmd/wasabirelay-node/main.go
+++ b/cmd/wasabirelay-node/main.go
@@ -25,7 +25,9 @@
 const reloadInterval = 2 * time.Second
 
 type options struct {
-	PeerListen netip.AddrPort `help:"Address to listen on for other hosts, if they reach this host through a forwarder."`
+	PeerListen        netip.AddrPort `help:"Address to listen on for other hosts, if they reach this host through a forwarder."`
+	CallerMemoryMB    int64          `name:"caller-memory-mb" help:"Memory in MB that requests of callers may hold together; a fifth of that of the process unless set."`
+	CallerConnections int            `help:"Connections that callers may have open together; unless set, it follows from the descriptors and the memory of the process."`
 }
 
 func main() {
@@ -41,7 +43,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	s.PeerListen = o.PeerListen
+	s.PeerListen, s.CallerMemory, s.CallerConnections = o.PeerListen, o.CallerMemoryMB<<20, o.CallerConnections
 	os.Exit(run(s, reloads))
 }
 
--- a/door/conn.go
+++ b/door/conn.go
@@ -98,6 +98,8 @@
 	headerSweeps int
 	bodySweeps   int
 	bodyStart    int64
+	// closing is true once net/http has closed the connection of a refused caller.
+	closing bool
 }
 
 // isStalled reports whether the caller sends a request, or reads an answer, and has made no progress lately. The
--- a/door/door.go
+++ b/door/door.go
@@ -44,15 +44,19 @@
 	// Memory is the memory of the process in bytes, Descriptors the number of its file descriptors; 0 for the defaults.
 	Memory      int64
 	Descriptors int
-	Clock       clockwork.Clock
-	Log         zerolog.Logger
-	Events      *eventlog.Limiter
-	Metrics     *Metrics
+	// CallerMemory is the memory that requests may hold together, in bytes, CallerConnections the number of connections
+	// of callers; 0 for what follows from Memory and Descriptors.
+	CallerMemory      int64
+	CallerConnections int
+	Clock             clockwork.Clock
+	Log               zerolog.Logger
+	Events            *eventlog.Limiter
+	Metrics           *Metrics
 
 	used atomic.Int64 // memory that requests hold
 
 	mu sync.Mutex // guards the fields below and those that Conn names
-	// open holds the connections, lingering those that are closed after their caller has got the refusal.
+	// open holds the connections, lingering those of refused callers until these have got the refusal.
 	open, lingering map[*Conn]bool
 	// barren is when a search for callers to evict has last found none.
 	barren time.Time
@@ -60,6 +64,9 @@
 
 // Budget returns the memory that requests may hold together, in bytes.
 func (d *Door) Budget() int64 {
+	if d.CallerMemory > 0 {
+		return d.CallerMemory
+	}
 	memory := d.Memory
 	if memory <= 0 {
 		memory = defaultMemory
@@ -69,6 +76,9 @@
 
 // MaxConnections returns the number of connections that callers may have open together.
 func (d *Door) MaxConnections() int {
+	if d.CallerConnections > 0 {
+		return d.CallerConnections
+	}
 	return max(1, min(d.MaxPeers(), int(d.Budget()/connectionMemory)))
 }
 
@@ -196,8 +206,10 @@
 // holds d.mu.
 func (d *Door) makePlace() bool {
 	for c := range d.lingering {
-		d.closeLingering(c)
-		return true
+		if c.closing {
+			d.closeLingering(c)
+			return true
+		}
 	}
 	now := d.Clock.Now()
 	if now.Sub(d.barren) < retryEviction {
@@ -212,7 +224,8 @@
 		return false
 	}
 	d.evict(victim, Connections)
-	if d.lingering[victim] {
+	// If a read still waits, it will see the refusal, and no request is served on the connection.
+	if d.lingering[victim] && victim.reading.Load() {
 		d.closeLingering(victim)
 	}
 	return true
@@ -232,7 +245,7 @@
 	delete(d.open, c)
 	d.release(c)
 	if c.refusal.Load() != nil && !c.gone.Load() {
-		c.still = 0
+		c.still, c.closing = 0, true
 		d.lingering[c] = true
 		return true
 	}
--- a/door/sweep.go
+++ b/door/sweep.go
@@ -25,7 +25,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.lingering {
-		if c.still++; c.still > lingerSweeps {
+		c.sweep()
+		if c.closing && c.still > lingerSweeps || c.still > sweeps(readerTimeout) {
 			d.closeLingering(c)
 		}
 	}
--- a/node/process.go
+++ b/node/process.go
@@ -82,7 +82,10 @@
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(p.Settings.Memory)))
 		debug.SetGCPercent(gcPercent)
 	}
-	p.door = &door.Door{Memory: p.Settings.Memory, Descriptors: p.Settings.Descriptors, Clock: p.Clock, Log: p.Log, Events: p.events}
+	p.door = &door.Door{
+		Memory: p.Settings.Memory, Descriptors: p.Settings.Descriptors, CallerMemory: p.Settings.CallerMemory,
+		CallerConnections: p.Settings.CallerConnections, Clock: p.Clock, Log: p.Log, Events: p.events,
+	}
 	p.door.Metrics = door.NewMetrics(p.Registry, p.door)
 	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -46,6 +46,9 @@
 	Memory int64
 	// Descriptors is the number of file descriptors of the process; 0 if not known.
 	Descriptors int
+	// CallerMemory and CallerConnections, if set, replace the limits of package door that follow from Memory and Descriptors.
+	CallerMemory      int64
+	CallerConnections int
 	// Cores is the processor capacity of the process, in cores; 0 if not known.
 	Cores float64
 	// HeartbeatInterval is the time between two heartbeats of a target.
