Treat statuses beyond 599 as malformed replies

Operators met answers with the status 000. A target's 600, 777 or 999, with a good identity and signature, reached callers, also through another host; net/http clients took it for an answer. RFC 9110 calls these statuses invalid.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -26,6 +26,9 @@
 // would keep the sub-request busy without end.
 const maxInterim = 8
 
+// maxStatus is the largest status of HTTP: RFC 9110, section 15 calls those beyond it invalid.
+const maxStatus = 599
+
 var (
 	headerEnd = []byte("\r\n\r\n")
 	// interruptDeadline is a deadline in the past, which interrupts blocked reads and writes.
@@ -182,6 +185,8 @@
 			return err
 		}
 		switch {
+		case c.head.status < http.StatusContinue || c.head.status > maxStatus:
+			return &ReplyError{Reason: Malformed, Err: errors.Errorf("status %d is no status of HTTP", c.head.status)}
 		case c.head.status == http.StatusSwitchingProtocols:
 			return &ReplyError{Reason: Malformed, Err: errors.New("the protocol was switched without a request to do so")}
 		case c.head.status >= http.StatusOK:
--- /dev/null
+++ b/relay/status_test.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/portion"
+)
+
+// oddStatuses are no final statuses of HTTP.
+var oddStatuses = []string{"000", "042", "099", "100", "101", "150", "199", "600", "777", "999", "1000", "00", "0200"}
+
+// serveStatus returns a target that answers each request with the status, a good identity and a good signature.
+func serveStatus(status string) func(net.Conn) {
+	return func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			writeStatus(conn, status, r)
+		}
+	}
+}
+
+func writeStatus(conn net.Conn, status string, r *http.Request) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\n%s: %s\r\n%s: sign\r\nContent-Length: %d\r\n\r\n%s",
+		status, headers.Request, r.Header.Get(headers.Request), headers.Signature, recordSize, record("odd"))
+}
+
+// checkNoAnswer checks that the caller has got an answer of this host, not of the target.
+func checkNoAnswer(t *testing.T, res response, body string) {
+	t.Helper()
+	is := is.New(t)
+	is.True(res.StatusCode == http.StatusBadGateway || res.StatusCode == http.StatusGatewayTimeout)
+	is.Equal(res.Header.Get(headers.Signature), "")
+	is.True(!strings.Contains(body, "odd"))
+}
+
+// Guards against replies with a status that is no final status of HTTP and that a caller takes for an answer, or for
+// the promise that its request has not run.
+func TestOddStatuses(t *testing.T) {
+	for _, status := range oddStatuses {
+		quick := func(r *http.Request) { r.Header.Set(headers.Timeout, "300") } // some of them are interim replies
+		t.Run(status+" of one target", func(t *testing.T) {
+			res, body := newRawHarness(t, 1, serveStatus(status)).get(t, quick)
+			checkNoAnswer(t, res, body)
+		})
+		t.Run(status+" passed on", func(t *testing.T) {
+			other, h := newRawHarness(t, 1, serveStatus(status)), newRawHarness(t, 1, serveStatus(status))
+			h.cutOff()
+			h.loseLinks()
+			h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectHere})
+			res, body := h.get(t, quick)
+			checkNoAnswer(t, res, body)
+		})
+	}
+	for _, portions := range []bool{false, true} {
+		for _, status := range oddStatuses {
+			t.Run(fmt.Sprintf("%s of shards, in a portion: %t", status, portions), func(t *testing.T) {
+				is := is.New(t)
+				h, _ := eightShards(t, 0.5, map[int]func(*fakeTarget){7: func(f *fakeTarget) {
+					f.reply = func(w http.ResponseWriter, r *http.Request) {
+						conn, _, err := w.(http.Hijacker).Hijack()
+						if err == nil {
+							writeStatus(conn, status, r)
+							conn.Close()
+						}
+					}
+				}})
+				if portions {
+					h.divided(4, h.collectHere)
+				}
+				res, body := h.get(t, func(r *http.Request) { r.Header.Set(headers.Timeout, "400") })
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.True(!strings.Contains(body, "odd"))
+				is.Equal(res.Header.Get(headers.Missing), "1")
+				is.Equal(len(strings.Split(res.Header.Get(headers.Parts), ",")), 7)
+			})
+		}
+	}
+}
+
+// Guards against another host, perhaps of an earlier version, that passes on a reply with such a status.
+func TestOddStatusesOfOtherHosts(t *testing.T) {
+	for _, status := range []int{-1, 0, 42, 99, 100, 101, 150, 199, 600, 777, 999, 1000} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			h := newHarness(t, singleRoute(false, 1), newTarget("t1", "s1"))
+			h.cutOff()
+			h.loseLinks()
+			h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){
+				"other": func(_ context.Context, r *portion.Request, receive func(*portion.Frame, error)) {
+					reply := &portion.Reply{Status: status, Body: record("odd")}
+					reply.SetHeader(http.Header{headers.Request: {r.Header.Get(headers.Request)}, headers.Signature: {"sign"}})
+					receive(&portion.Frame{Last: true, Reply: reply}, nil)
+				},
+			})
+			res, body := h.get(t, nil)
+			checkNoAnswer(t, res, body)
+		})
+	}
+}
