node: count the memory of a routing document before it is decoded

A document of 3 MB made of empty routes takes a hundred times as much decoded: 16 callers took a control host to 219 MB, bound 96. A document without room is refused with 503; operators send it again.

--- a/door/crowd/crowd_test.go
+++ b/door/crowd/crowd_test.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// whole sends a whole request.
+func whole(path, body string) func(net.Conn) {
+	return func(c net.Conn) {
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, host, len(body), body)
+	}
+}
+
 // chunked sends a body in chunks of the given size. Its last chunk is missing.
 func chunked(path string, size, chunk int) func(net.Conn) {
 	text := strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("b", chunk)), size/chunk)
@@ -174,6 +181,8 @@
 		_, _ = c.Write([]byte{0x80, 0x80, 0x80, 0x10}) // announces 32 MB
 		_, _ = io.WriteString(c, `{"method":"`+strings.Repeat("b", 12<<20))
 	}
+	document := whole("/config/replace", `{"version":9,"routes":[`+strings.Repeat("{},", 1<<20)+`{}]}`)
+	heartbeat := whole("/instances/t/heartbeat", `{"a":1`+strings.Repeat(`,"a":[]`, 1<<20)+`}`)
 	for _, tt := range []struct {
 		name        string
 		listener    standin.Listener
@@ -182,6 +191,8 @@
 	}{
 		{"documents one byte short", standin.Operators, 40, oneShort("/config/replace", "", operatorBytes)},
 		{"heartbeats one byte short", standin.Operators, 40, oneShort("/instances/t/heartbeat", "", operatorBytes)},
+		{"documents of many short fields", standin.Operators, 16, document},
+		{"heartbeats of many short fields", standin.Operators, 16, heartbeat},
 		{"large headers", standin.Operators, 100, header("/config/fetch", shortFields(largeHeader))},
 		{"large headers, directory", standin.Directory, 100, header("/resolve", shortFields(largeHeader))},
 		{"answers that are not read", standin.Operators, 200, ahead("/config/fetch", "", 50)},
--- a/node/control.go
+++ b/node/control.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wasabirelay/control"
+	"wasabirelay/door"
 	"wasabirelay/exchange"
 	"wasabirelay/journal"
 	"wasabirelay/move"
@@ -216,6 +217,9 @@
 
 // ApplyRouting implements ControlService.
 func (c *Control) ApplyRouting(ctx context.Context, source []byte) error {
+	if err := door.Reserve(ctx, decodeMemory(source)); err != nil {
+		return &UnavailableError{err.Error()}
+	}
 	d, err := c.Interfaces.DecodeRouting(source)
 	if err != nil {
 		return err
--- a/node/text.go
+++ b/node/text.go
@@ -7,6 +7,15 @@
 	"wasabirelay/control"
 )
 
+// objectMemory and valueMemory are the memory of an object, for example a route, and of another value of a document that
+// is decoded, in bytes. Each of them may have two bytes or three in the document.
+const objectMemory, valueMemory = 1024, 64
+
+// decodeMemory returns the memory that decoding a routing document takes.
+func decodeMemory(source []byte) int64 {
+	return int64(bytes.Count(source, []byte{'{'}))*objectMemory + int64(bytes.Count(source, []byte{','}))*valueMemory
+}
+
 // routingText holds the text of the routing document that was read last, so that all who read it at the same time share
 // one copy. The zero value is ready to use.
 type routingText struct {
