soak: learn organisations and reports of usage

The soak sent no request with a key and took no report. It checks that no target is shown a key, that each run has the organisation of its key, that unknown keys don't run, and that reports and holders of a token don't contradict each other; a test plants a violation of each run.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -17,22 +17,23 @@
 )
 
 type options struct {
-	Program string        `arg:"" help:"Path of wasabirelay-node." type:"existingfile"`
-	First   uint64        `help:"First seed." default:"1"`
-	Seeds   int           `help:"Number of seeds to run." default:"1"`
-	Length  time.Duration `help:"How long faults are injected per seed." default:"20s"`
-	Control int           `help:"Number of control hosts." default:"3"`
-	Entry   int           `help:"Number of entry hosts." default:"3"`
-	Replace bool          `help:"Also replace control hosts by others; the other faults of a seed differ then."`
-	Stutter bool          `help:"Also make targets repeat, break off and fail replies; callers leave early, pipeline and send bodies slowly."`
-	Only    string        `help:"Inject only faults whose names contain this, and those of --stutter."`
-	Quiet   bool          `help:"Inject no other faults."`
-	Head    float64       `help:"Share of HEAD among the requests to one service that may run more than once; needs --stutter."`
-	Pause   time.Duration `help:"Pause between the requests of a caller." default:"5ms"`
-	Jobs    int           `help:"Number of seeds that run at the same time." default:"1"`
-	Dir     string        `help:"Directory for data and logs; those of seeds without a violation are removed." default:"tmp/soak"`
-	Causes  bool          `help:"Print which runs the requests had that got a mixed answer, 502 or 504."`
-	Verbose bool          `help:"Print each fault as it is injected."`
+	Program       string        `arg:"" help:"Path of wasabirelay-node." type:"existingfile"`
+	First         uint64        `help:"First seed." default:"1"`
+	Seeds         int           `help:"Number of seeds to run." default:"1"`
+	Length        time.Duration `help:"How long faults are injected per seed." default:"20s"`
+	Control       int           `help:"Number of control hosts." default:"3"`
+	Entry         int           `help:"Number of entry hosts." default:"3"`
+	Replace       bool          `help:"Also replace control hosts by others; the other faults of a seed differ then."`
+	Stutter       bool          `help:"Also make targets repeat, break off and fail replies; callers leave early, pipeline and send bodies slowly."`
+	Organisations bool          `help:"Also put organisations into the documents, send requests with keys, and report usage."`
+	Only          string        `help:"Inject only faults whose names contain this, and those of --stutter."`
+	Quiet         bool          `help:"Inject no other faults."`
+	Head          float64       `help:"Share of HEAD among the requests to one service that may run more than once; needs --stutter."`
+	Pause         time.Duration `help:"Pause between the requests of a caller." default:"5ms"`
+	Jobs          int           `help:"Number of seeds that run at the same time." default:"1"`
+	Dir           string        `help:"Directory for data and logs; those of seeds without a violation are removed." default:"tmp/soak"`
+	Causes        bool          `help:"Print which runs the requests had that got a mixed answer, 502 or 504."`
+	Verbose       bool          `help:"Print each fault as it is injected."`
 }
 
 func main() {
@@ -82,7 +83,7 @@
 		}
 		return strings.Join(append([]string{report.String()}, report.Causes...), "\n  ")
 	}
-	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Only: o.Only, Quiet: o.Quiet, HeadShare: o.Head, CallPause: o.Pause, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
+	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Organisations: o.Organisations, Only: o.Only, Quiet: o.Quiet, HeadShare: o.Head, CallPause: o.Pause, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"wasabirelay/platform"
 	"wasabirelay/platform/standin"
 )
 
@@ -389,3 +390,37 @@
 		is.Equal(errors.Is(err, io.EOF), !reset)
 	}
 }
+
+// Guards against a run of a request with a key that the checker judges wrongly.
+func TestOrganisationsOfRuns(t *testing.T) {
+	header := platform.Interfaces().Headers
+	for _, tt := range []struct {
+		name, request, organisation string
+		keyShown                    bool
+		violations                  int
+	}{
+		{"sound", "keyed", "north", false, 0},
+		{"without a key", "public", "", false, 0},
+		{"another organisation", "keyed", "south", false, 1},
+		{"no organisation", "keyed", "", false, 1},
+		{"forged organisation", "public", "forged", false, 1},
+		{"unknown key", "unknown", "", false, 1},
+		{"key shown", "keyed", "north", true, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var c checker
+			c.init()
+			x := &standin.Execution{Request: tt.request, Header: http.Header{}}
+			if tt.organisation != "" {
+				x.Header.Set(header.Organisation, tt.organisation)
+			}
+			if tt.keyShown {
+				x.Header.Set(header.Credentials, "key")
+			}
+			o := organisations{expected: map[string]string{"keyed": "north", "unknown": ""}}
+			o.checkRun(x, &c)
+			is.Equal(len(c.violations), tt.violations)
+		})
+	}
+}
--- a/soak/load.go
+++ b/soak/load.go
@@ -62,7 +62,14 @@
 // putDocument sends the next document and retries until it is acknowledged.
 func (r *Run) putDocument(ctx context.Context) error {
 	version := r.version.Add(1)
-	if err := standin.PutRouting(ctx, r.deployment.OperatorAddresses(), standin.RoutingDocument(version, shards, singleRunServices[0])); err != nil {
+	document := standin.RoutingDocument(version, shards, singleRunServices[0])
+	if r.Organisations {
+		var err error
+		if document, err = r.organisations.document(version, document); err != nil {
+			return err
+		}
+	}
+	if err := standin.PutRouting(ctx, r.deployment.OperatorAddresses(), document); err != nil {
 		return err
 	}
 	r.acked.Store(version)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,6 +61,9 @@
 	// the seed determines, and callers leave early, pipeline and send bodies slowly. The other faults
 	// of a seed remain the same.
 	Stutter bool
+	// Organisations is true if documents hold organisations, callers also send requests with keys, and usage is
+	// reported. The faults of a seed remain the same.
+	Organisations bool
 	// Only, if set, limits the other faults to those whose names contain it; the order for a seed
 	// differs then. Quiet is true if there are none. HeadShare is the share of HEAD among idempotent
 	// requests that are not merged; it needs Stutter.
@@ -90,6 +93,7 @@
 	evacuated, ackedEvacuation string
 	check                      checker
 	traffic                    traffic
+	organisations              organisations
 	requests                   atomic.Int64
 	version                    atomic.Uint64
 	acked                      atomic.Uint64
@@ -144,6 +148,9 @@
 			wg.Go(func() { r.sendRequests(load, i) })
 		}
 	}
+	if r.Organisations {
+		wg.Go(func() { r.sendKeyed(load) })
+	}
 	for i := range r.EntryHosts {
 		wg.Go(func() { r.checkVersions(load, r.machine(r.ControlHosts+i)) })
 	}
@@ -163,6 +170,7 @@
 	stop()
 	wg.Wait()
 	r.checkLastDocument(ctx)
+	r.organisations.report(&r.check)
 	repeats, allowed := r.traffic.report(&r.check)
 	if r.Quiet {
 		r.check.checkAttempts()
@@ -175,6 +183,13 @@
 // start starts all processes and targets and waits until answers are complete.
 func (r *Run) start(ctx context.Context) error {
 	r.deployment = &standin.Deployment{Program: r.Program, Dir: r.Directory(), ControlHosts: r.ControlHosts, EntryHosts: r.EntryHosts, Forward: r.openHostLink}
+	if r.Organisations {
+		r.organisations.expected = map[string]string{}
+		var err error
+		if r.deployment.Provider, err = r.organisations.provider.Start(ctx); err != nil {
+			return err
+		}
+	}
 	if err := r.deployment.Start(); err != nil {
 		return err
 	}
@@ -214,7 +229,7 @@
 	var failed error
 	t := &standin.Target{
 		ID: fmt.Sprintf("%s-%d", service, len(r.targetLinks)), Service: service, Centre: centre, ColdDuration: cold,
-		ControlAddresses: r.deployment.OperatorAddresses, OnArrival: r.traffic.recordArrival, OnRun: r.check.recordRun, Stutter: r.stutter(),
+		ControlAddresses: r.deployment.OperatorAddresses, OnArrival: r.traffic.recordArrival, OnRun: r.recordRun, Stutter: r.stutter(),
 		AdvertisedAddress: func(own netip.AddrPort) netip.AddrPort {
 			p, err := NewProxy(anyPort, own)
 			if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// Guards against keys that reach targets, requests that run without a known key or for another organisation, and
+// reports of usage that contradict each other, while hosts and targets fail.
+func TestSoakWithOrganisations(t *testing.T) {
+	do(t, &Run{
+		Seed: 1004, Duration: faultDuration, ControlHosts: 3, EntryHosts: 3, Organisations: true, Program: buildNode(t), Dir: t.TempDir(), Logf: t.Logf,
+	})
+}
+
 // stutterDuration is how long requests are sent before the checks at the end, during which they continue.
 const stutterDuration = time.Second
 
