quorum: read no status that the control goroutine still writes

TestDisksFullInTurn showed a data race twice (load average 36, race detector): LocalStatus returned its result after its caller had stopped waiting, while the control goroutine wrote it.

--- a/quorum/duty.go
+++ b/quorum/duty.go
@@ -29,10 +29,13 @@
 			l = Leadership{Term: r.term, Duty: r.state.Duties()[duty]}
 		}
 	})
-	if err == nil && l.Term == 0 {
-		err = &consensus.NotLeaderError{}
+	switch {
+	case err != nil: // the control goroutine may still write l
+		return Leadership{}, err
+	case l.Term == 0:
+		return Leadership{}, &consensus.NotLeaderError{}
 	}
-	return l, err
+	return l, nil
 }
 
 // ProposeInTerm commits a command through this replica if it leads the given term. The errors are those of
--- a/quorum/local.go
+++ b/quorum/local.go
@@ -46,5 +46,8 @@
 			Voter:     s.Members.Voter(s.ID), Leader: s.Role == consensus.Leader, Term: s.Term, Applied: r.applied, Voters: len(s.Members.Voters),
 		}
 	})
-	return status, err
+	if err != nil { // the control goroutine may still write the status
+		return LocalStatus{DiskFailing: r.DiskFailing()}, err
+	}
+	return status, nil
 }
