door: bound unread bytes, keep the reserve from answers that wait

The platform counts bytes that have arrived and were not read. 600 callers that send requests ahead left 43 and 47 MB of them in the kernel beside a peak of 68 and 71 MB, bound 96.

--- a/door/conn.go
+++ b/door/conn.go
@@ -190,7 +190,7 @@
 	c.writing.Store(true)
 	defer c.writing.Store(false)
 	if len(b) > writePiece {
-		c.door.force(c, int64(len(b)))
+		c.door.reserveAnswer(c, int64(len(b)))
 	}
 	for len(b) > 0 && err == nil {
 		var n int
--- a/door/crowd/crowd_test.go
+++ b/door/crowd/crowd_test.go
@@ -79,8 +79,8 @@
 	return func(c net.Conn) { _, _ = io.WriteString(c, text) }
 }
 
-// unread sends requests of their own identities, and reads no answer.
-func unread(path string, count int) func(net.Conn) {
+// unreadAnswers sends requests of their own identities, and reads no answer.
+func unreadAnswers(path string, count int) func(net.Conn) {
 	var last atomic.Int64
 	return func(c net.Conn) {
 		for range count {
@@ -137,7 +137,7 @@
 		{"large headers, ready", standin.Ready, 100, header("/readyz", shortFields(largeHeader))},
 		{"large headers, metrics", standin.Metrics, 100, header("/metrics", shortFields(largeHeader))},
 		{"large headers without an end", standin.Callers, 100, func(c net.Conn) { _, _ = io.WriteString(c, "GET /any/x HTTP/1.1\r\n"+shortFields(largeHeader)) }},
-		{"requests sent ahead", standin.Callers, 200, ahead("/any/x", "", 4000)},
+		{"requests sent ahead", standin.Callers, 600, ahead("/any/x", "", 4000)},
 		{"requests with legal headers sent ahead", standin.Callers, 200, ahead("/any/x", shortFields(headerBytes-512), 20)},
 		{"metrics sent ahead", standin.Metrics, 100, ahead("/metrics", "", 1000)},
 		{"half-closed", standin.Callers, 400, halfClosed("/one/x")},
@@ -171,7 +171,7 @@
 // Guards against callers that don't read large answers of targets.
 func TestLargeAnswers(t *testing.T) {
 	control, entry := start(t, settings{padding: 1000 << 10})
-	check(t, control, entry, entry.Address(standin.Callers), 600, unread("/any/x", 50), askEntry)
+	check(t, control, entry, entry.Address(standin.Callers), 600, unreadAnswers("/any/x", 50), askEntry)
 }
 
 // Guards against callers that reach a control host, by mistake or not, and end it.
--- a/door/crowd/process_test.go
+++ b/door/crowd/process_test.go
@@ -108,22 +108,22 @@
 	await(t, m, ask)
 	before := peakMemory(t, m)
 	done := make(chan struct{})
-	descriptors := watchDescriptors(t, m, done)
+	most := watch(t, m, done)
 	leave := crowd(t, address, connections, behave)
 	time.Sleep(hold)
 	await(t, m, ask)
 	leave()
 	close(done)
-	peak, open := peakMemory(t, m), <-descriptors
-	t.Logf("memory before %d MB, peak %d MB, descriptors %d", before, peak, open)
+	peak, used := peakMemory(t, m), <-most
+	t.Logf("memory before %d MB, peak %d MB, unread %d MB, descriptors %d", before, peak, used.unread, used.descriptors)
 	bound := m.Descriptors() - reservedDescriptors
 	switch {
 	case m.Starts() == 0 || m.Wait(0) || other.Wait(0):
 		t.Error("a process has ended")
-	case peak > memory:
-		t.Errorf("the memory has reached %d MB, its limit is %d MB", peak, memory)
-	case open > bound:
-		t.Errorf("%d descriptors were open, %d are allowed", open, bound)
+	case peak+used.unread > memory: // the platform counts what has arrived and was not read
+		t.Errorf("the memory has reached %d MB and %d MB unread, its limit is %d MB", peak, used.unread, memory)
+	case used.descriptors > bound:
+		t.Errorf("%d descriptors were open, %d are allowed", used.descriptors, bound)
 	}
 	await(t, m, ask)
 }
@@ -175,16 +175,41 @@
 	return kilobytes >> 10
 }
 
-// watchDescriptors sends the largest number of open descriptors until done.
-func watchDescriptors(t *testing.T, m *standin.Machine, done <-chan struct{}) <-chan int {
+// unread returns the bytes that have arrived for the machine and wait in the kernel, in MB.
+func unread(ip netip.Addr) int {
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	b := ip.As4()
+	own := fmt.Sprintf("%02X%02X%02X%02X:", b[3], b[2], b[1], b[0])
+	total := 0
+	for line := range strings.Lines(string(text)) {
+		f := strings.Fields(line)
+		if len(f) < 5 || !strings.HasPrefix(f[1], own) || f[3] != "01" {
+			continue
+		}
+		_, queue, _ := strings.Cut(f[4], ":")
+		n, _ := strconv.ParseInt(queue, 16, 64)
+		total += int(n)
+	}
+	return total >> 20
+}
+
+// usage is what a process uses beside its resident memory. unread is in MB.
+type usage struct{ unread, descriptors int }
+
+// watch sends the largest usage until done.
+func watch(t *testing.T, m *standin.Machine, done <-chan struct{}) <-chan usage {
 	t.Helper()
-	result := make(chan int, 1)
+	result := make(chan usage, 1)
 	dir := fmt.Sprintf("/proc/%d/fd", m.PID())
 	go func() {
-		most := 0
+		var most usage
 		for {
+			most.unread = max(most.unread, unread(m.IP))
 			if list, err := os.ReadDir(dir); err == nil {
-				most = max(most, len(list))
+				most.descriptors = max(most.descriptors, len(list))
 			}
 			select {
 			case <-done:
--- a/door/door.go
+++ b/door/door.go
@@ -23,8 +23,8 @@
 	// memoryShare is the share of the memory that requests may hold together, and that all connections
 	// may hold beside it.
 	memoryShare = 0.2
-	// connectionMemory is the memory of a connection: the buffers and goroutines of net/http.
-	connectionMemory = 32 << 10
+	// connectionMemory is the memory of a connection that waits: its buffers, in the kernel too, and goroutines.
+	connectionMemory = 40 << 10
 	// reservedDescriptors are those that the process can't use for connections, descriptorShare is the share of the
 	// others that callers may take, and that other hosts may take. The rest is for targets and files.
 	reservedDescriptors = 200
@@ -131,16 +131,11 @@
 	}
 }
 
-// force takes n bytes for an answer, as far as the connection doesn't hold them yet. An answer is delivered in any case;
-// the slowest callers make room if there are any.
-func (d *Door) force(c *Conn, n int64) {
-	n -= c.held.Load()
-	if n > 0 && !d.reserve(c, n) {
-		d.used.Add(n)
-		c.held.Add(n)
-		if c.gone.Load() {
-			d.release(c)
-		}
+// reserveAnswer takes the n bytes of an answer, as far as the connection doesn't hold them yet. The slowest callers make
+// room. An answer is delivered in any case; without room it doesn't count, so that ordinary requests keep their reserve.
+func (d *Door) reserveAnswer(c *Conn, n int64) {
+	if n -= c.held.Load(); n > 0 {
+		d.reserve(c, n)
 	}
 }
 
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -161,6 +163,26 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// Guards against answers that wait for slow readers and take the reserve of ordinary requests.
+func TestAnswersLeaveTheReserve(t *testing.T) {
+	is := is.New(t)
+	d := &Door{Memory: 2 << 20}
+	address := serve(t, d)
+	dial(t, address).send("GET / HTTP/1.1\r\n")
+	await(t, "the connection is open", func() bool { return d.used.Load() > 0 })
+	d.mu.Lock()
+	conns := slices.Collect(maps.Keys(d.open))
+	d.mu.Unlock()
+	d.reserveAnswer(conns[0], d.Budget()/2)
+	d.reserveAnswer(conns[0], 1<<30)
+	is.True(d.used.Load() >= d.Budget()/2)
+	is.True(d.used.Load() <= d.Budget()*3/4)
+	ordinary := dial(t, address)
+	ordinary.send(post("", 1000) + strings.Repeat("b", 1000))
+	status, _ := ordinary.answer()
+	is.Equal(status, http.StatusOK)
+}
+
 func stalled(d *Door) (count int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/node/process.go
+++ b/node/process.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -107,7 +106,7 @@
 	if !address.IsValid() {
 		return nil, nil
 	}
-	var lc net.ListenConfig
+	lc := door.ListenConfig()
 	l, err := lc.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
