Decide by rank who goes first when there is too little room

Waiters at a target stood by their deadline alone, so that lookups with seconds of time went before suggestions that callers want within milliseconds, and those refused together came back together.

Package rank holds the decisions: the order of waiters by rank and by the last moment at which the work can start, a floor of turns for lower ranks, a place kept for higher ranks that are expected, refusal at once of what can't be answered in time, one admission for requests to many shards, and when refused callers return. Hedges are dropped where no place is free. All of it applies only to contended deployments.

--- a/limit/errors.go
+++ b/limit/errors.go
@@ -14,6 +14,8 @@
 	NoShare Reason = "no-share"
 	// TooLate means that the expected wait exceeds the remaining time.
 	TooLate Reason = "too-late"
+	// Displaced means that requests which go first make the wait exceed the remaining time.
+	Displaced Reason = "displaced"
 	// ContextEnded means that the context ended during the wait.
 	ContextEnded Reason = "ended"
 	// CheckFailed means that the check before the first byte returned an error.
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -88,6 +88,8 @@
 	// AllowUnframed accepts replies whose body ends with the connection. A reply counts as
 	// truncated in any case if its connection is reset.
 	AllowUnframed bool
+	// Contended is true if callers compete for room: requests wait in the order of their ranks, see AcquireFor.
+	Contended bool
 
 	mu      sync.RWMutex
 	targets map[string]*targetPool
@@ -182,7 +184,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.hasRoom() && t.queue.Len() == 0
+	return t.hasRoom() && t.queue.Len() == 0 && t.ranked.Len() == 0
 }
 
 // Sweep replaces idle connections that targets have closed. To keep connections open ahead of
--- a/limit/stats.go
+++ b/limit/stats.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"wasabirelay/rank"
+)
 
 // TargetStats are the statistics of one target.
 type TargetStats struct {
@@ -16,6 +20,8 @@
 	Opened, OpenFailures uint64
 	// Drained counts replies of cancelled sub-requests that were read in the background.
 	Drained uint64
+	// Ranks says what has become of the requests of each rank, if Pool.Contended.
+	Ranks [rank.Count]rank.Counts
 }
 
 // Stats returns the statistics of each target by name.
@@ -27,7 +33,8 @@
 		t.mu.Lock()
 		s := t.stats
 		s.Open, s.Idle, s.InUse = t.open-t.opening, len(t.idle), t.inUse
-		s.Waiting, s.Limit = t.queue.Len(), t.effectiveLimit()
+		s.Waiting, s.Limit = t.queue.Len()+t.ranked.Len(), t.effectiveLimit()
+		s.Ranks = t.ranked.Counts
 		t.mu.Unlock()
 		all[name] = s
 	}
--- a/limit/target_pool.go
+++ b/limit/target_pool.go
@@ -56,6 +56,8 @@
 	// meanHeld is the moving average of the time that a permit is held.
 	meanHeld time.Duration
 	queue    waiterQueue
+	// ranked takes the place of queue if Pool.Contended.
+	ranked rankedQueue
 
 	// idle holds the open connections that are not in use, the most recently used one last.
 	idle []*connection
@@ -80,6 +82,8 @@
 	target   *targetPool
 	granted  time.Time
 	released bool
+	// rank is that of the request, if Pool.Contended.
+	rank int
 	// holders counts the owner and the cancelled sub-requests whose reply is still pending.
 	holders int
 }
@@ -114,6 +118,7 @@
 	for t.queue.Len() > 0 {
 		t.queue.pop().result <- permitResult{err: &RefusedError{Reason: NoShare}}
 	}
+	t.ranked.refuseAll()
 	for _, c := range t.idle {
 		t.drop(c)
 	}
@@ -155,24 +160,29 @@
 	heap.Push(&t.queue, w)
 	t.stats.Waits++
 	t.mu.Unlock()
-	return t.await(ctx, w)
+	return t.await(ctx, w.result, func() bool {
+		waits := w.index >= 0
+		if waits {
+			heap.Remove(&t.queue, w.index)
+		}
+		return waits
+	})
 }
 
-// await waits until the request gets a permit or is refused.
-func (t *targetPool) await(ctx context.Context, w *waiter) (*Permit, *RefusedError) {
+// await waits until the request gets a permit or is refused. remove removes its waiter and reports whether it waited.
+func (t *targetPool) await(ctx context.Context, result chan permitResult, remove func() bool) (*Permit, *RefusedError) {
 	select {
-	case a := <-w.result:
+	case a := <-result:
 		return a.permit, a.err
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
-	if w.index >= 0 {
-		heap.Remove(&t.queue, w.index)
+	if remove() {
 		t.stats.Refused++
 	}
 	t.mu.Unlock()
 	select {
-	case a := <-w.result: // the result arrived in the meantime
+	case a := <-result: // the result arrived in the meantime
 		if a.permit != nil {
 			a.permit.Release(Failed)
 		}
@@ -200,6 +210,10 @@
 // no longer be answered in time.
 func (t *targetPool) grantWaiting() {
 	now := t.pool.clock().Now()
+	if t.pool.Contended {
+		t.grantRanked(now)
+		return
+	}
 	for t.queue.Len() > 0 && t.hasRoom() {
 		w := t.queue.pop()
 		if w.bounded && now.Add(t.meanHeld).After(w.deadline) {
@@ -227,12 +241,14 @@
 	case Succeeded:
 		t.increaseLimit(p)
 		t.observeHeld(held)
+		t.ranked.Observe(p.rank, held)
 	case Shed:
 		t.decreaseLimit(now, p)
 	case Failed:
 		if held > t.meanHeld { // the sub-request would have taken at least as long
 			t.observeHeld(held)
 		}
+		t.ranked.ObserveFailed(p.rank, held)
 	}
 	p.removeHolder()
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -145,17 +145,20 @@
 	e.client = exchange.Client{
 		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.requestView, Load: e.load.share,
 	}
-	e.pool = &limit.Pool{Clock: e.Clock, DrainTimeout: abandonedReplyTimeout, AcceptDelay: newConnectionCheckDelay, AllowUnframed: true}
+	e.pool = &limit.Pool{Clock: e.Clock, DrainTimeout: abandonedReplyTimeout, AcceptDelay: newConnectionCheckDelay, AllowUnframed: true, Contended: e.Settings.Contended}
 	e.table = &route.Table{Centre: e.Settings.Centre, OnAssessment: e.logAssessment}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
 		View: e.view.Load, Ready: e.firstView, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack, RetryWindow: e.Settings.RetryWindow,
 		Draining: e.draining.Load, Metrics: relay.NewMetrics(e.Registry), DecodeDeclaration: e.Interfaces.DecodeDeclaration,
-		Declared: declaration.Table{OnChange: e.logDeclaration}, Reach: reach.Judge{OnChange: e.reachChanged},
+		Declared: declaration.Table{OnChange: e.logDeclaration}, Reach: reach.Judge{OnChange: e.reachChanged}, Contended: e.Settings.Contended,
 		Observe: func(t *control.Target, name string, latency time.Duration, o route.Outcome) {
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
 	}
+	if e.Settings.Contended {
+		e.Registry.MustRegister(relay.RankCollector{Pool: e.pool})
+	}
 	e.relay.Crashes.OnVerdict = e.logCrashVerdict
 	e.client.OwnCrashes = func(after uint64) ([]poison.Record, uint64) { return e.relay.Crashes.Own(e.Clock.Now(), after) }
 	e.client.MergeCrashes = func(records []poison.Record) { e.relay.Crashes.Merge(e.Clock.Now(), records) }
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -49,6 +49,7 @@
 		refused.route = rt.Name
 		return nil, refused
 	}
+	j.standing = s.callerStanding(j)
 	return j, nil
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -148,13 +148,14 @@
 			s.Log.Error().Str("request", j.id).Str("target", t.Name).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("attempt failed: panic")
 		}
 	}()
-	permit, err := s.Pool.Acquire(ctx, t)
+	permit, err := s.Pool.AcquireFor(ctx, t, &a.terms)
 	if err != nil {
 		r.err, r.outcome = err, route.Shed
 		if ctx.Err() != nil {
 			r.outcome = route.Cancelled
 		}
 		r.withdrawn = a.state.Load() == withdrawn
+		s.recordShortage(j, r)
 		return r
 	}
 	started := s.Clock.Now()
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabirelay/control"
+	"wasabirelay/rank"
 	"wasabirelay/route"
 )
 
@@ -44,6 +45,8 @@
 	// extra is the reserved part of the budget; nil for the first attempt and those that replace it
 	// because nothing was sent.
 	extra *route.Extra
+	// terms is what the attempt competes for room with.
+	terms rank.Terms
 	// ended is true once the fetch has handled the result.
 	ended bool
 }
@@ -138,6 +141,10 @@
 	case newest.state.Load() == waiting:
 		f.hedgeAt = now.Add(f.hedge) // another target may have room by then
 	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts:
+		if f.dropsHedge() {
+			f.hedgeAt = now.Add(f.hedge)
+			return
+		}
 		f.startExtra(causeHedge)
 	}
 }
@@ -270,7 +277,7 @@
 
 // start starts an attempt at a target.
 func (f *fetch) start(t *control.Target, extra *route.Extra) {
-	a := &attempt{fetch: f, target: t, extra: extra}
+	a := &attempt{fetch: f, target: t, extra: extra, terms: f.attemptTerms()}
 	a.parent = f.ctx
 	f.attempts = append(f.attempts, a)
 	f.sent++
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -26,10 +26,14 @@
 	}
 	absent := absentShards(j.view, j.route.Shards, s.Pool.HasShare, wait)
 	if len(j.route.Shards)-absent.count < j.route.RequiredShards() {
-		s.refuse(w, j.Request, &refusal{
+		s.refuse(w, j.Request, s.delayReturn(j, &refusal{
 			status: http.StatusServiceUnavailable, reason: fmt.Sprintf("not run: %d of %d shards have no target that takes requests", absent.count, len(j.route.Shards)),
 			retry: absent.retry, route: j.route.Name,
-		})
+		}, 0))
+		return
+	}
+	if refused := s.admit(j, plan.Own); refused != nil {
+		s.refuse(w, j.Request, refused)
 		return
 	}
 	required, shards := j.route.RequiredShards(), len(j.route.Shards)
@@ -73,6 +77,10 @@
 	for i := range c.failed {
 		ran = ran || c.failed[i].ran
 	}
+	wait := time.Duration(0)
+	for i := range c.failed {
+		wait = max(wait, refusedWait(&c.failed[i]))
+	}
 	f := &refusal{status: http.StatusServiceUnavailable, reason: "too few shards can be asked", retry: retryAfter, route: j.route.Name}
 	if ran {
 		f.status, f.reason = http.StatusBadGateway, "too few shards replied"
@@ -81,7 +89,7 @@
 		}
 	}
 	f.reason += ": " + describeFailures(c.failed)
-	s.refuse(w, j.Request, f)
+	s.refuse(w, j.Request, s.delayReturn(j, f, wait))
 }
 
 // forward serves a request with the reply of one target.
@@ -106,9 +114,9 @@
 		if r.target == nil {
 			retry = max(retry, shardWait(j.view, service, s.Pool.HasShare, s.declaredWait(j.view)))
 		}
-		s.refuse(w, j.Request, &refusal{
+		s.refuse(w, j.Request, s.delayReturn(j, &refusal{
 			status: http.StatusServiceUnavailable, reason: "not run: " + r.reason(), retry: retry, route: j.route.Name,
-		})
+		}, refusedWait(&r)))
 	case !s.Clock.Now().Before(j.deadline):
 		s.refuse(w, j.Request, &refusal{status: http.StatusGatewayTimeout, reason: "no reply in time", route: j.route.Name})
 	default:
@@ -182,6 +190,7 @@
 // objective is lower than that of others.
 func (s *Service) recordResponse(j *job, status, missing, repeated int, failed []result) {
 	took := s.Clock.Since(j.started)
+	s.recordServed(j)
 	s.Metrics.request(j.route.Name, status)
 	s.Metrics.response(j.route.Name, took, missing)
 	kind, lines := "answered", answeredLines
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -25,6 +25,7 @@
 	unusable *prometheus.CounterVec
 	copies   prometheus.Counter
 	repeats  *prometheus.CounterVec
+	ranks    *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
@@ -76,7 +77,8 @@
 	m.repeats = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabirelay_relay_repeats_total", Help: "Repeats of requests that the budget has allowed (sent) or not (refused), by cause: hedge, retry or resend.",
 	}, []string{"cause", outcomeLabel})
-	r.MustRegister(m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes, m.held, m.crashing, m.unusable, m.copies, m.repeats)
+	m.ranks = newRankCounter()
+	r.MustRegister(m.ranks, m.requests, m.latency, m.missing, m.attempts, m.replies, m.portions, m.passes, m.held, m.crashing, m.unusable, m.copies, m.repeats)
 	return m
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"wasabirelay/limit"
 	"wasabirelay/poison"
 	"wasabirelay/portion"
+	"wasabirelay/rank"
 	"wasabirelay/reach"
 	"wasabirelay/route"
 	"wasabirelay/routing"
@@ -165,12 +166,15 @@
 	// Reach judges whether this host has lost its links to targets. Requests are passed on to
 	// other hosts then.
 	Reach reach.Judge
+	// Contended is true if callers compete for the room at targets: see package rank.
+	Contended bool
 
 	splitter     trafficSplitter
 	stopper      stopper
 	startWorkers sync.Once
 	workers      *workers[*attempt]
 	cold         coldLimiter
+	returns      rank.Returns
 	deaths       deathChecks
 	attempts     atomic.Int64
 	// gathering counts the requests whose shards this host is asking.
@@ -198,6 +202,8 @@
 	// rank is the rank of the request under shortage; 0 is the highest. That of its organisation takes
 	// precedence over that of its route.
 	rank int
+	// standing is what is known about the caller from its earlier requests.
+	standing rank.Standing
 
 	fingerprintOnce  sync.Once
 	fingerprintValue uint64
