Count requests refused at the host towards the floor of their rank

A request to many shards that was refused before it asked for room at any target was not counted there. A lower rank of which all requests are refused that way would never be owed a turn. The wait that a request can expect now takes the floor into account. TestFloorOfRefused fails without.

--- a/limit/ranked.go
+++ b/limit/ranked.go
@@ -65,6 +65,17 @@
 	return rank.ShardWait{Wait: wait, Held: held}
 }
 
+// Refuse records that a request which needed the target was refused before it asked for a permit.
+func (p *Pool) Refuse(target *control.Target, terms *rank.Terms) {
+	t := p.targetPool(target)
+	if t == nil || !p.Contended {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ranked.Refuse(p.clock().Now(), terms)
+}
+
 func (t *targetPool) room() rank.Room {
 	return rank.Room{InUse: t.inUse, Limit: t.effectiveLimit()}
 }
--- a/rank/queue.go
+++ b/rank/queue.go
@@ -103,13 +103,17 @@
 	return all
 }
 
-// Wait returns how long a request would wait if it came now, and for how long it would hold its room.
+// Wait returns how long a request would wait if it came now, and for how long it would hold its room. A rank that has got
+// less than its floor goes next.
 func (q *Queue[T]) Wait(now time.Time, t *Terms, room Room) (wait, held time.Duration) {
 	held = q.held(t.index())
 	if room.free() > len(q.waiters) {
 		return 0, held
 	}
 	ahead := held // one of those in flight ends first
+	if q.owed(now, t) {
+		return ahead / time.Duration(max(1, room.Limit)), held
+	}
 	for i := range q.waiters {
 		if q.compare(now, &q.waiters[i].Terms, t) <= 0 {
 			ahead += q.held(q.waiters[i].index())
@@ -119,27 +123,29 @@
 }
 
 // Admits reports whether a request that comes now may wait, and how long that takes. It may not if it can't be answered
-// before its deadline any more; a hedge may not wait at all, since the shard is being asked already. A rank that has got
-// less than its floor may wait as long as its work alone fits.
+// before its deadline any more; a hedge may not wait at all, since the shard is being asked already.
 func (q *Queue[T]) Admits(now time.Time, t *Terms, room Room) (wait time.Duration, ok bool) {
 	wait, held := q.Wait(now, t, room)
-	switch {
-	case t.Hedge && room.free() <= len(q.waiters):
-		ok = false
-	case t.Deadline.IsZero() || !now.Add(wait+held).After(t.Deadline):
-		ok = true
-	default:
-		ok = !now.Add(held).After(t.Deadline) && q.belowFloor(now, t.index())
-	}
+	inTime := t.Deadline.IsZero() || !now.Add(wait+held).After(t.Deadline)
+	ok = inTime && (!t.Hedge || room.free() > len(q.waiters))
 	if !ok {
 		q.Counts[t.index()].Refused++
 	}
 	return wait, ok
 }
 
+// Refuse records that a request which needed room here was refused elsewhere, so that its rank still gets its floor.
+func (q *Queue[T]) Refuse(now time.Time, t *Terms) {
+	q.Arrive(now, t)
+	q.Counts[t.index()].Refused++
+}
+
 // Displace removes and returns the requests that can't be answered before their deadline any more, given what goes
 // first. Nothing of a request that waits has been sent, so that its refusal is true.
 func (q *Queue[T]) Displace(now time.Time, room Room) []T {
+	if len(q.waiters) == 0 {
+		return nil
+	}
 	var out []T
 	order := q.order(now)
 	ahead := time.Duration(0)
--- a/rank/queue_test.go
+++ b/rank/queue_test.go
@@ -148,6 +148,32 @@
 	is.True(other.share() <= urgent.share())
 }
 
+// TestFloorOfRefused guards against a lower rank of which every request is refused before it waits at a target, so that
+// its floor has nothing to serve.
+func TestFloorOfRefused(t *testing.T) {
+	is := is.New(t)
+	var q Queue[int]
+	full, high, low := Room{1, 1}, Terms{}, Terms{Rank: 1, Deadline: start.Add(time.Second)}
+	q.Observe(0, 10*ms)
+	for i := range 200 {
+		q.Arrive(start, &high)
+		q.Push(high, i)
+	}
+	for range 100 {
+		q.Next(start, Room{0, 1})
+	}
+	_, ok := q.Admits(start, &low, full)
+	is.True(!ok)
+	for range 10 {
+		q.Refuse(start, &low)
+	}
+	wait, ok := q.Admits(start, &low, full)
+	is.True(ok && wait == 10*ms)
+	q.Push(low, -1)
+	next, _, _ := q.Next(start, Room{0, 1})
+	is.Equal(next, -1)
+}
+
 // TestLastPlaceKept plays suggestions and few long lookups at two slots. It guards against lookups that hold both slots,
 // so that each suggestion that comes meanwhile is late, and against slots that are kept free although nobody comes.
 func TestLastPlaceKept(t *testing.T) {
--- a/relay/shortage.go
+++ b/relay/shortage.go
@@ -68,33 +68,36 @@
 		return nil
 	}
 	now, terms := s.Clock.Now(), j.terms()
-	waits := make([]rank.ShardWait, 0, len(shards))
+	waits, targets := make([]rank.ShardWait, 0, len(shards)), make([]*control.Target, 0, len(shards))
 	for _, service := range shards {
-		if w, ok := s.leastWait(j, service, &terms); ok {
-			waits = append(waits, w)
+		if t, w := s.leastWait(j, service, &terms); t != nil {
+			waits, targets = append(waits, w), append(targets, t)
 		}
 	}
 	wait, ok := rank.Gathering(now, &terms, waits, j.spare)
 	if ok {
 		return nil
 	}
+	for _, t := range targets {
+		s.Pool.Refuse(t, &terms)
+	}
 	return s.delayReturn(j, &refusal{
 		status: http.StatusServiceUnavailable, route: j.route.Name, retry: retryAfter,
 		reason: fmt.Sprintf("not run: the shards have no room in time for rank %d; expected wait %s", j.rank, wait),
 	}, wait)
 }
 
-// leastWait returns the shortest wait at a target of the shard. It reports false if this host can ask none.
-func (s *Service) leastWait(j *job, service string, terms *rank.Terms) (least rank.ShardWait, ok bool) {
+// leastWait returns the target of the shard with the shortest wait, or nil if this host can ask none.
+func (s *Service) leastWait(j *job, service string, terms *rank.Terms) (best *control.Target, least rank.ShardWait) {
 	for _, t := range j.view.Targets[service] {
 		if t.State != control.Warm || j.view.Out[t.Centre] || !s.Pool.HasShare(t) {
 			continue
 		}
-		if w := s.Pool.Expect(t, terms); !ok || w.Wait+w.Held < least.Wait+least.Held {
-			least, ok = w, true
+		if w := s.Pool.Expect(t, terms); best == nil || w.Wait+w.Held < least.Wait+least.Held {
+			best, least = t, w
 		}
 	}
-	return least, ok
+	return best, least
 }
 
 // refusedWait returns the wait that the pool has refused a result for, or 0.
