relay: drop a hedge without room for good

A hedge that found no free place was tried again each hedge delay. Those that were sent at last came when the load was highest, and took places from requests that had not been sent at all.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -141,11 +141,9 @@
 	case newest.state.Load() == waiting:
 		f.hedgeAt = now.Add(f.hedge) // another target may have room by then
 	case newest.state.Load() == committed && f.j.route.Idempotent && f.sent < f.j.route.Attempts:
-		if f.dropsHedge() {
-			f.hedgeAt = now.Add(f.hedge)
-			return
+		if !f.dropsHedge() {
+			f.startExtra(causeHedge)
 		}
-		f.startExtra(causeHedge)
 	}
 }
 
