limit: give a free place to a ranked request without queueing it

It is not refused any more because the mean time of the work exceeds its time left: nobody else would get the place.

--- a/limit/ranked.go
+++ b/limit/ranked.go
@@ -88,6 +88,12 @@
 		return nil, &RefusedError{Reason: NoShare}
 	}
 	t.ranked.Arrive(now, terms)
+	if t.ranked.Take(now, terms, t.room()) {
+		defer t.mu.Unlock()
+		permit := t.grant(now)
+		permit.rank = terms.Rank
+		return permit, nil
+	}
 	if wait, ok := t.ranked.Admits(now, terms, t.room()); !ok {
 		t.stats.Refused++
 		t.mu.Unlock()
@@ -95,11 +101,8 @@
 	}
 	w := &rankedWaiter{since: now, rank: terms.Rank, result: make(chan permitResult, 1)}
 	t.ranked.Push(*terms, w)
-	before := t.ranked.Len()
+	t.stats.Waits++
 	t.grantRanked(now)
-	if t.ranked.Len() >= before {
-		t.stats.Waits++
-	}
 	t.mu.Unlock()
 	return t.await(ctx, w.result, func() bool { return t.ranked.Remove(w) })
 }
--- a/limit/ranked_test.go
+++ b/limit/ranked_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"wasabirelay/control"
 	"wasabirelay/rank"
 )
 
@@ -135,3 +136,22 @@
 	is.NoErr(o.err)
 	o.permit.Release(Succeeded)
 }
+
+// BenchmarkAcquire measures a permit with room to spare, with and without ranks.
+func BenchmarkAcquire(b *testing.B) {
+	for _, contended := range []bool{false, true} {
+		b.Run(map[bool]string{false: "deadlines", true: "ranks"}[contended], func(b *testing.B) {
+			p := &Pool{Contended: contended}
+			p.SetShares(map[string]Share{"t0": {Incarnation: "1", Connections: 4, Slots: 4, CloseAfterUse: true}})
+			defer p.Close()
+			target, terms := &control.Target{Name: "t0", Incarnation: "1"}, &rank.Terms{Rank: 1, Objective: time.Now().Add(time.Hour)}
+			for b.Loop() {
+				permit, err := p.AcquireFor(b.Context(), target, terms)
+				if err != nil {
+					b.Fatal(err)
+				}
+				permit.Release(Succeeded)
+			}
+		})
+	}
+}
--- a/rank/queue.go
+++ b/rank/queue.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// Take gives a free place to a request that comes while none waits, and reports whether it did. The time that the work
+// is likely to take doesn't matter then: refusing it would help nobody.
+func (q *Queue[T]) Take(now time.Time, t *Terms, room Room) bool {
+	if len(q.waiters) > 0 || room.free() <= 0 || room.free() == 1 && q.reservedUntil(now, t, room).After(now) {
+		return false
+	}
+	q.serve(now, t.index())
+	return true
+}
+
+func (q *Queue[T]) serve(now time.Time, r int) {
+	q.ranks[r].serve(now)
+	q.Counts[r].Served++
+}
+
 // Push adds a request that waits.
 func (q *Queue[T]) Push(t Terms, value T) {
 	q.waiters = append(q.waiters, waiter[T]{t, value})
@@ -179,8 +194,7 @@
 		}
 	}
 	served := q.remove(best)
-	q.ranks[served.index()].serve(now)
-	q.Counts[served.index()].Served++
+	q.serve(now, served.index())
 	return served.value, time.Time{}, true
 }
 
--- a/rank/queue_test.go
+++ b/rank/queue_test.go
@@ -64,6 +64,11 @@
 	slices.SortFunc(load, func(a, b *request) int { return a.Since.Compare(b.Since) })
 	var q Queue[*request]
 	var again time.Time
+	run := func(now time.Time, r *request) {
+		r.ends = now.Add(r.kind.takes)
+		running = append(running, r)
+		slices.SortFunc(running, func(a, b *request) int { return a.ends.Compare(b.ends) })
+	}
 	for len(load)+len(running)+q.Len() > 0 {
 		now := nextEvent(load, running, again)
 		for len(running) > 0 && !running[0].ends.After(now) {
@@ -79,6 +84,10 @@
 			r := load[0]
 			load = load[1:]
 			q.Arrive(now, &r.Terms)
+			if q.Take(now, &r.Terms, Room{len(running), slots}) {
+				run(now, r)
+				continue
+			}
 			if _, ok := q.Admits(now, &r.Terms, Room{len(running), slots}); ok {
 				q.Push(r.Terms, r)
 			} else {
@@ -93,9 +102,7 @@
 			if again = at; !ok {
 				break
 			}
-			r.ends = now.Add(r.kind.takes)
-			running = append(running, r)
-			slices.SortFunc(running, func(a, b *request) int { return a.ends.Compare(b.ends) })
+			run(now, r)
 		}
 	}
 }
@@ -191,9 +198,7 @@
 	q.Observe(2, 220*ms)
 	for i := range 2 {
 		l := Terms{Rank: 2, Objective: start.Add(1500 * ms), Deadline: start.Add(8 * time.Second)}
-		q.Push(l, i)
-		_, _, ok := q.Next(start, Room{i, 2})
-		is.True(ok) // no request of a higher rank has come
+		is.True(q.Take(start, &l, Room{i, 2})) // no request of a higher rank has come
 	}
 }
 
