rank: keep a place also from late parts of the higher rank

A late part got the place just when a request of its rank that is still in time was expected, and late answers are worth little to callers.

--- a/rank/queue.go
+++ b/rank/queue.go
@@ -185,13 +185,11 @@
 	if len(q.waiters) == 0 || room.free() <= 0 {
 		return value, again, false
 	}
-	best := q.first(now, Count)
+	best := q.first(now)
+	w := &q.waiters[best]
 	if room.free() == 1 {
-		w := &q.waiters[best].Terms
-		if at := q.reservedUntil(now, w, room); at.After(now) {
-			if best = q.first(now, w.index()); best < 0 {
-				return value, at, false
-			}
+		if again = q.reservedUntil(now, &w.Terms, room); again.After(now) {
+			return value, again, false
 		}
 	}
 	served := q.remove(best)
@@ -199,14 +197,10 @@
 	return served.value, time.Time{}, true
 }
 
-// first returns the index of the waiter that goes next among those of ranks before the given one: the first one of the
-// order, or that of a rank that has got less than its floor. It returns -1 if there is none.
-func (q *Queue[T]) first(now time.Time, ranks int) int {
+// first returns the index of the waiter that goes next: the first one of the order, or that of a rank below its floor.
+func (q *Queue[T]) first(now time.Time) int {
 	best := -1
 	for i := range q.waiters {
-		if q.waiters[i].index() >= ranks {
-			continue
-		}
 		if best < 0 || q.before(now, i, best) {
 			best = i
 		}
