--- a/relay/accept.go
+++ b/relay/accept.go
@@ -67,6 +67,7 @@
 	if err := door.Reserve(r.Context(), s.heldMemory(j)); err != nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + err.Error(), retry: door.RetryAfter, route: rt.Name}
 	}
+	j.standing = s.callerStanding(j)
 	return j, nil
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"wasabirelay/limit"
 	"wasabirelay/poison"
 	"wasabirelay/portion"
+	"wasabirelay/rank"
 	"wasabirelay/reach"
 	"wasabirelay/route"
 	"wasabirelay/routing"
@@ -177,12 +178,15 @@
 	// Reach judges whether this host has lost its links to targets. Requests are passed on to
 	// other hosts then.
 	Reach reach.Judge
+	// Contended is true if callers compete for the room at targets: see package rank.
+	Contended bool
 
 	splitter     trafficSplitter
 	stopper      stopper
 	startWorkers sync.Once
 	workers      *workers[*attempt]
 	cold         coldLimiter
+	returns      rank.Returns
 	deaths       deathChecks
 	attempts     atomic.Int64
 	answerSizes  answerSizes
@@ -213,6 +217,8 @@
 	rank int
 	// usage decides whether and when the request is counted.
 	usage usage
+	// standing is what is known about the caller from its earlier requests.
+	standing rank.Standing
 
 	fingerprintOnce  sync.Once
 	fingerprintValue uint64
