Place work where it will be done soonest, on contended deployments

Cause: requests that look alike cost targets very different amounts of work, and the choice of a target knew only a moving latency per target, in which the kinds of requests and the speed of the target are mixed.

Change: package workload learns the cost of a request by route, method, size of the body, path and organisation, and of each target its speed, apart from the cost, and what it still has to do for this host. Where Settings.Contended is set, Table.Pick selects by the expected completion, refuses what would not be done in time, and no longer ejects a target for its latency; the hedge delay follows the cost of the request.

--- a/node/entry.go
+++ b/node/entry.go
@@ -146,7 +146,7 @@
 		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.requestView, Load: e.load.share,
 	}
 	e.pool = &limit.Pool{Clock: e.Clock, DrainTimeout: abandonedReplyTimeout, AcceptDelay: newConnectionCheckDelay, AllowUnframed: true}
-	e.table = &route.Table{Centre: e.Settings.Centre, OnAssessment: e.logAssessment}
+	e.table = &route.Table{Centre: e.Settings.Centre, OnAssessment: e.logAssessment, Contended: e.Settings.Contended}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
 		View: e.view.Load, Ready: e.firstView, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack, RetryWindow: e.Settings.RetryWindow,
@@ -156,6 +156,9 @@
 			e.evidence.Observe(e.moves.Load(), t, name, latency, o)
 		},
 	}
+	if e.Settings.Contended {
+		e.relay.Placement = relay.NewPlacementMetrics(e.Registry, e.table, e.Clock)
+	}
 	e.relay.Crashes.OnVerdict = e.logCrashVerdict
 	e.client.OwnCrashes = func(after uint64) ([]poison.Record, uint64) { return e.relay.Crashes.Own(e.Clock.Now(), after) }
 	e.client.MergeCrashes = func(records []poison.Record) { e.relay.Crashes.Merge(e.Clock.Now(), records) }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -158,10 +158,11 @@
 		return r
 	}
 	started := s.Clock.Now()
-	s.Table.Start(started, t)
+	s.Table.StartWork(started, t, g.work)
 	ended = func() {
 		permit.Release(limit.Failed)
-		s.Table.Done(s.Clock.Now(), t, j.route.Name, s.Clock.Since(started), route.Failed)
+		now := s.Clock.Now()
+		s.Table.DoneWork(now, t, j.route.Name, g.work, now.Sub(started), 0, route.Failed)
 	}
 	s.attempts.Add(1)
 	left := max(1, j.deadline.Sub(started).Milliseconds())
@@ -172,10 +173,11 @@
 	s.recordDeclaration(now, a, r)
 	r.withdrawn = a.state.Load() == withdrawn
 	permit.Release(permitResult(r.outcome))
-	s.Table.Done(now, t, j.route.Name, now.Sub(started), r.outcome)
+	sinceSent := a.sinceSent(now, started)
+	expected := s.Table.DoneWork(now, t, j.route.Name, g.work, now.Sub(started), sinceSent, r.outcome)
 	ended = func() {}
+	s.Placement.prediction(expected, sinceSent)
 	s.Metrics.attempt(t.Service, r.outcome, now.Sub(started))
-	sinceSent := a.sinceSent(now, started)
 	s.recordReach(now, r, sinceSent)
 	s.recordCrashEvidence(now, j, r)
 	if s.Observe != nil {
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -315,7 +315,7 @@
 func reached(r *result) bool { return r.ran || r.response != nil }
 
 // hedgeDelay returns the delay after which a request is hedged.
-func (s *Service) hedgeDelay(j *job) time.Duration {
+func (s *Service) hedgeDelay(j *job, work route.Work) time.Duration {
 	ofObjective := func(share float64) time.Duration { return time.Duration(share * float64(j.route.Objective)) }
 	learned, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
 	switch {
@@ -324,7 +324,7 @@
 	case !ok:
 		return ofObjective(maxHedge)
 	}
-	return min(max(learned, ofObjective(minHedge)), ofObjective(maxHedge))
+	return min(max(work.HedgeDelay(learned), ofObjective(minHedge)), ofObjective(maxHedge))
 }
 
 // pick selects the target for the next attempt. It reports false if there is none.
@@ -338,6 +338,8 @@
 	choice := route.Choice{
 		Service: f.service, Replicas: v.Targets[f.service], Exclude: f.triedTargets(), NoProbe: !f.j.route.Idempotent,
 		Avoid: func(t *control.Target) bool { return v.Avoid[t.Name] || !f.Pool.HasRoom(t) },
+		Work:  f.work, Urgent: len(f.attempts) > 0, Within: f.j.deadline.Sub(now),
+		Hosts: hostsOf(division),
 	}
 	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
 		choice.Allow = func(t *control.Target) bool {
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"wasabirelay/portion"
+	"wasabirelay/route"
 )
 
 // fetchGroup runs the fetches of one request, one for each service that it needs a reply from.
@@ -17,6 +18,8 @@
 	j       *job
 	ctx     context.Context
 	message *message
+	// work is what the request is expected to cost each target.
+	work route.Work
 	// hedge is the delay after which an attempt is hedged.
 	hedge   time.Duration
 	fetches []fetch
@@ -73,9 +76,9 @@
 // startFetches starts the fetches of this host and leaves the portions of the plan to others. The
 // caller stops the group when ctx ends.
 func (s *Service) startFetches(ctx context.Context, j *job, plan *portion.Plan) *fetchGroup {
-	total := plan.Count()
+	total, work := plan.Count(), s.workOf(j)
 	g := &fetchGroup{
-		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), hedge: s.hedgeDelay(j), spare: j.spare,
+		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), work: work, hedge: s.hedgeDelay(j, work), spare: j.spare,
 		// Fetches must not move: each shard has at most one.
 		fetches: make([]fetch, 0, total), results: make(chan *result, total), timer: s.Clock.NewTimer(idleTimer),
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -30,10 +30,11 @@
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
 var latencyBuckets = []float64{.005, .01, .02, .03, .04, .06, .08, .1, .15, .25, .4, 1, 4}
 
-// Labels of the name of the route and of the outcome.
+// Labels of the name of the route, of the outcome and of a reason.
 const (
 	routeLabel   = "route"
 	outcomeLabel = "outcome"
+	reasonLabel  = "reason"
 )
 
 // NewMetrics registers the metrics.
@@ -63,13 +64,13 @@
 	}
 	m.held = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabirelay_relay_held_back_total", Help: "Choices of a target that passed one over because it takes no requests, by what it has declared.",
-	}, []string{"reason"})
+	}, []string{reasonLabel})
 	m.crashing = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabirelay_relay_crashing_total", Help: "Requests refused because targets die when they run them.",
 	}, []string{routeLabel})
 	m.unusable = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabirelay_relay_unusable_replies_total", Help: "Replies of targets that could not be used, by what was wrong with them.",
-	}, []string{"reason"})
+	}, []string{reasonLabel})
 	m.copies = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wasabirelay_relay_late_copies_total", Help: "Late copies of replies to earlier requests that were skipped.",
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -148,6 +148,8 @@
 	// Draining reports whether callers are notified to close their connections.
 	Draining func() bool
 	Metrics  *Metrics
+	// Placement records how work is placed; nil unless Table.Contended is set.
+	Placement *PlacementMetrics
 	// DecodeDeclaration, if set, returns what a target declares of itself in a reply. It reports
 	// false if the reply says nothing usable, so that the last declaration still holds.
 	DecodeDeclaration func(now time.Time, status int, h *limit.Header) (declaration.Declaration, bool)
--- a/route/cost.go
+++ b/route/cost.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabirelay/control"
+	"wasabirelay/workload"
 )
 
 const (
@@ -37,6 +38,8 @@
 	incarnation, previous string
 	replaced              bool
 	inFlight              int
+	// work is nil unless Table.Contended is set.
+	work *workload.Target
 
 	// latency is the estimated latency in nanoseconds, samples the number of samples in it,
 	// and sampled the time of the last one.
--- a/route/health.go
+++ b/route/health.go
@@ -81,7 +81,10 @@
 	}
 	updatePeerShed(now, peers)
 	for i := 0; i < len(peers) && len(peers) > 1; i++ {
-		if why, bad := outlier(now, peers[i], peers); bad {
+		why, bad := outlier(now, peers[i], peers)
+		// Where work is placed by its completion, a slow replica gets little work anyway, and without it
+		// the others may not suffice.
+		if bad && (why != reasonLatency || !t.Contended) {
 			t.eject(now, peers[i], why)
 			peers = slices.Delete(peers, i, i+1)
 			i--
--- /dev/null
+++ b/route/placement_test.go
@@ -0,0 +1,77 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/workload"
+)
+
+// TestPlacement guards against work for a target that is done late although another one is free.
+func TestPlacement(t *testing.T) {
+	const ms = time.Millisecond
+	light, heavy := workload.NewKind("light", "GET", "", "", 0), workload.NewKind("heavy", "GET", "", "", 0)
+	tests := []struct {
+		name   string
+		before func(table *Table, now time.Time, start func(target int, k workload.Kind))
+		choice Choice
+		want   map[string]bool // nil: none
+	}{
+		{"a heavy request stands before light ones", func(_ *Table, _ time.Time, start func(int, workload.Kind)) {
+			start(0, heavy)
+			start(1, light)
+		}, Choice{}, map[string]bool{"t1": true}},
+		{"the remote target would be done no sooner", func(*Table, time.Time, func(int, workload.Kind)) {}, Choice{}, map[string]bool{"t0": true, "t1": true}},
+		{"both targets nearby have long queues", func(_ *Table, _ time.Time, start func(int, workload.Kind)) {
+			for range 4 {
+				start(0, heavy)
+				start(1, heavy)
+			}
+		}, Choice{}, map[string]bool{"t2": true}},
+		{"none is done in time", func(*Table, time.Time, func(int, workload.Kind)) {}, Choice{Within: ms}, nil},
+		{"a hedge goes to the one that is done first", func(_ *Table, _ time.Time, start func(int, workload.Kind)) {
+			start(0, light)
+			start(1, light)
+		}, Choice{Urgent: true}, map[string]bool{"t2": true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			table, replicas, now := newTable(), newReplicas("izmir-a", "izmir-a", "izmir-b"), timeAt(time.Second)
+			table.Contended = true
+			for range 30 {
+				for _, r := range replicas {
+					r.Slots = 4
+					recordWork(table, now, r, light, 10*ms)
+					recordWork(table, now, r, heavy, 200*ms)
+				}
+			}
+			test.before(table, now, func(i int, k workload.Kind) { table.StartWork(now, replicas[i], table.Estimate(now, k)) })
+			test.choice.Replicas, test.choice.Work = replicas, table.Estimate(now, light)
+			for range 50 {
+				r, ok := table.Pick(now, test.choice)
+				is.Equal(ok, test.want != nil)
+				if ok {
+					is.True(test.want[r.Name])
+				}
+			}
+		})
+	}
+}
+
+// TestRefusalForCostEnds guards against a route that is refused for good because its cost was measured
+// while all targets were slow.
+func TestRefusalForCostEnds(t *testing.T) {
+	is := is.New(t)
+	table, replicas, kind := newTable(), newReplicas("izmir-a"), workload.NewKind("r", "GET", "", "", 0)
+	table.Contended = true
+	recordWork(table, timeAt(0), replicas[0], kind, time.Second)
+	pick := func(now time.Time) bool {
+		_, ok := table.Pick(now, Choice{Replicas: replicas, Work: table.Estimate(now, kind), Within: 100 * time.Millisecond})
+		return ok
+	}
+	is.True(!pick(timeAt(time.Second)))
+	is.True(pick(timeAt(3 * time.Second)))
+}
--- a/route/route.go
+++ b/route/route.go
@@ -87,6 +87,17 @@
 	// NoProbe keeps the sub-request away from ejected targets that are due for a probe. It is
 	// set for requests that can't be retried.
 	NoProbe bool
+	// Work is what the sub-request is expected to cost. It and the following fields have an effect
+	// only if Table.Contended is set.
+	Work Work
+	// Hosts is the number of hosts that send to the replicas; 0 stands for 1.
+	Hosts float64
+	// Urgent is set for a sub-request that replaces a slow one: another data centre is no reason
+	// against a target.
+	Urgent bool
+	// Within is the time in which the sub-request must be done; 0 if it is unlimited. No replica is
+	// selected if none is expected to be done by then, as long as the estimate of the work is fresh.
+	Within time.Duration
 }
 
 // Table holds what this host has observed about targets and services. Exported fields are set
@@ -100,11 +111,16 @@
 	// OnAssessment, if set, is called under the lock of the table when a target is ejected or
 	// reinstated. It must not call methods of the table.
 	OnAssessment func(Assessment)
+	// Contended is true if callers compete for room at targets. Pick then selects by the learned cost
+	// of the sub-request and by the work that each replica still has to do.
+	Contended bool
 
 	mu       sync.Mutex
 	targets  map[string]*targetState
 	services map[string]*serviceState
 	counters counters
+	// placed is nil unless Contended is set.
+	placed *placement
 }
 
 // Assessment reports that this host has ejected or reinstated a target.
@@ -155,6 +171,9 @@
 			return probe, true
 		}
 	}
+	if t.Contended {
+		return t.place(now, &c, &local, &remote, &avoided, &ejected)
+	}
 	return t.choose(now, &local, &remote, &avoided, &ejected)
 }
 
@@ -191,6 +210,10 @@
 func (t *Table) Done(now time.Time, target *control.Target, service string, latency time.Duration, o Outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.done(now, target, service, latency, o)
+}
+
+func (t *Table) done(now time.Time, target *control.Target, service string, latency time.Duration, o Outcome) {
 	state := t.state(target)
 	s := t.service(service)
 	lostToHedge := o == Cancelled && s.delay > 0 && latency > s.delay // its hedge was faster
--- a/route/stats.go
+++ b/route/stats.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Stats are the counters and the current state of a Table for metrics.
 type Stats struct {
@@ -55,3 +59,40 @@
 	}
 	return s
 }
+
+// Choices returns how often Pick has decided for each reason, if Contended is set.
+func (t *Table) Choices() map[string]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[string]uint64, len(choiceReasonNames))
+	for reason, name := range choiceReasonNames {
+		counts[name] = t.placement().choices[reason]
+	}
+	return counts
+}
+
+// OutstandingWork is the work that a target still has to do for this host, as the time that an ordinary
+// target takes.
+type OutstandingWork struct {
+	Target string
+	Work   time.Duration
+}
+
+// MostOutstanding returns the n targets with the most outstanding work, the most first.
+func (t *Table) MostOutstanding(now time.Time, n int) []OutstandingWork {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []OutstandingWork
+	for name, state := range t.targets {
+		if state.work == nil {
+			continue
+		}
+		if work := state.work.Outstanding(now); work > 0 {
+			list = append(list, OutstandingWork{name, work})
+		}
+	}
+	slices.SortFunc(list, func(a, b OutstandingWork) int {
+		return cmp.Or(cmp.Compare(b.Work, a.Work), cmp.Compare(a.Target, b.Target))
+	})
+	return list[:min(n, len(list))]
+}
