Hedge each attempt at a delay that follows its target

Cause: the hedge delay was that of the route, so that a fast target that has stopped was hedged as late as a slow one. Change: on contended deployments the delay is the time that one sub-request in 20 of this cost exceeds at this target.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -46,6 +46,8 @@
 	extra *route.Extra
 	// ended is true once the fetch has handled the result.
 	ended bool
+	// hedge is the delay after which the attempt is hedged; 0 stands for that of the request.
+	hedge time.Duration
 }
 
 // States of an attempt.
@@ -112,7 +114,7 @@
 		f.finish()
 		return
 	}
-	f.hedgeAt = now.Add(f.hedge)
+	f.hedgeAt = now.Add(f.newest().hedge)
 }
 
 // handleSlow handles an attempt that has no reply after the hedge delay.
@@ -130,7 +132,7 @@
 	f.hedgeAt = time.Time{}
 	switch {
 	case f.reassign():
-		f.hedgeAt = now.Add(f.hedge)
+		f.hedgeAt = now.Add(f.newest().hedge)
 	case len(f.j.route.Shards) > 0 && f.canOmitOne() && newest.withdraw():
 		// All targets of the shard are busy. The response omits the shard: a longer queue would
 		// only add delay.
@@ -270,7 +272,7 @@
 
 // start starts an attempt at a target.
 func (f *fetch) start(t *control.Target, extra *route.Extra) {
-	a := &attempt{fetch: f, target: t, extra: extra}
+	a := &attempt{fetch: f, target: t, extra: extra, hedge: f.hedgeOf(t)}
 	a.parent = f.ctx
 	f.attempts = append(f.attempts, a)
 	f.sent++
@@ -314,17 +316,30 @@
 // reached reports whether the request may have reached the target.
 func reached(r *result) bool { return r.ran || r.response != nil }
 
+// hedgeOf returns the delay after which an attempt at the target is hedged: that of the request or, if
+// it is known how long the target may take, that time within the same bounds. Where targets differ, one
+// that is fast and has stopped is hedged sooner, and one that is slow and at work isn't hedged in vain.
+func (f *fetch) hedgeOf(t *control.Target) time.Duration {
+	if !f.Table.Contended {
+		return f.hedge
+	}
+	bound := f.Table.Bound(f.Clock.Now(), t, f.work)
+	if bound == 0 {
+		return f.hedge
+	}
+	return min(max(bound, f.j.ofObjective(minHedge)), f.j.ofObjective(maxHedge))
+}
+
 // hedgeDelay returns the delay after which a request is hedged.
 func (s *Service) hedgeDelay(j *job, work route.Work) time.Duration {
-	ofObjective := func(share float64) time.Duration { return time.Duration(share * float64(j.route.Objective)) }
 	learned, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
 	switch {
 	case learned == 0:
-		return ofObjective(defaultHedge)
+		return j.ofObjective(defaultHedge)
 	case !ok:
-		return ofObjective(maxHedge)
+		return j.ofObjective(maxHedge)
 	}
-	return min(max(work.HedgeDelay(learned), ofObjective(minHedge)), ofObjective(maxHedge))
+	return min(max(work.HedgeDelay(learned), j.ofObjective(minHedge)), j.ofObjective(maxHedge))
 }
 
 // pick selects the target for the next attempt. It reports false if there is none.
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -258,7 +259,7 @@
 // delay, and hedges for shards whose replies wait for the processor would only double the work.
 func (g *fetchGroup) slowAt(a *attempt) time.Time {
 	sent := time.Duration(a.sent.Load())
-	return g.j.started.Add(slowAge(sent, time.Duration(g.progress.Load()), g.hedge, g.inTail()))
+	return g.j.started.Add(slowAge(sent, time.Duration(g.progress.Load()), cmp.Or(a.hedge, g.hedge), g.inTail()))
 }
 
 // slowAge is slowAt in terms of the age of the request. sent is 0 for an attempt that has not been
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -205,6 +205,11 @@
 	fingerprintValue uint64
 }
 
+// ofObjective returns a share of the objective of the request.
+func (j *job) ofObjective(share float64) time.Duration {
+	return time.Duration(share * float64(j.route.Objective))
+}
+
 // connectionKey is the context key of the state of a caller's connection.
 type connectionKey struct{}
 
--- a/route/placement.go
+++ b/route/placement.go
@@ -59,6 +59,17 @@
 	return Work{Kind: k, Estimate: t.placement().costs.Estimate(now, k)}
 }
 
+// Bound returns the time that one sub-request in 20 to the target exceeds; 0 if it is unknown.
+func (t *Table) Bound(now time.Time, target *control.Target, w Work) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w.Estimate.Bound == 0 {
+		return 0
+	}
+	work := t.state(target).workload()
+	return work.Forecast(now, w.Estimate, target.Slots, 1).Wait + time.Duration(work.Slowness(now)*float64(w.Estimate.Bound))
+}
+
 // StartWork is Start with what the sub-request is expected to cost.
 func (t *Table) StartWork(now time.Time, target *control.Target, w Work) {
 	t.mu.Lock()
--- a/workload/target.go
+++ b/workload/target.go
@@ -15,7 +15,7 @@
 	speedDecayTime = 10 * time.Second
 	// speedPull returns a part of the slowness to 1 with each sample. If all targets of a service
 	// become slower, their requests count as more costly in the end.
-	speedPull = 0.002
+	speedPull = 0.005
 	// maxSlownessLog bounds the logarithm of what one sample says, because a target that has stopped
 	// for a moment isn't slow afterwards.
 	maxSlownessLog = 1.5
