Hedge by target only up to the delay of the route

Cause: an attempt at a slow target was hedged later than before, and while a whole service was slow its attempts were hedged sooner than the route allows. Change: the delay of an attempt is at most that of its request, and follows its target only where that of the route is learned and the service isn't slow.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -317,29 +317,30 @@
 func reached(r *result) bool { return r.ran || r.response != nil }
 
 // hedgeOf returns the delay after which an attempt at the target is hedged: that of the request or, if
-// it is known how long the target may take, that time within the same bounds. Where targets differ, one
-// that is fast and has stopped is hedged sooner, and one that is slow and at work isn't hedged in vain.
+// the target rarely takes so long, the time that it may take. Where targets differ, one that is fast and
+// has stopped is hedged sooner.
 func (f *fetch) hedgeOf(t *control.Target) time.Duration {
-	if !f.Table.Contended {
+	if !f.Table.Contended || !f.hedgeByTarget {
 		return f.hedge
 	}
 	bound := f.Table.Bound(f.Clock.Now(), t, f.work)
 	if bound == 0 {
 		return f.hedge
 	}
-	return min(max(bound, f.j.ofObjective(minHedge)), f.j.ofObjective(maxHedge))
+	return min(max(bound, f.j.ofObjective(minHedge)), f.hedge)
 }
 
-// hedgeDelay returns the delay after which a request is hedged.
-func (s *Service) hedgeDelay(j *job, work route.Work) time.Duration {
+// hedgeDelay returns the delay after which a request is hedged. It reports whether the delay is learned:
+// it isn't if the whole service is slow, when more hedges would only add load.
+func (s *Service) hedgeDelay(j *job, work route.Work) (delay time.Duration, known bool) {
 	learned, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
 	switch {
 	case learned == 0:
-		return j.ofObjective(defaultHedge)
+		return j.ofObjective(defaultHedge), false
 	case !ok:
-		return j.ofObjective(maxHedge)
+		return j.ofObjective(maxHedge), false
 	}
-	return min(max(work.HedgeDelay(learned), j.ofObjective(minHedge)), j.ofObjective(maxHedge))
+	return min(max(work.HedgeDelay(learned), j.ofObjective(minHedge)), j.ofObjective(maxHedge)), true
 }
 
 // pick selects the target for the next attempt. It reports false if there is none.
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -22,8 +22,10 @@
 	// work is what the request is expected to cost each target.
 	work route.Work
 	// hedge is the delay after which an attempt is hedged.
-	hedge   time.Duration
-	fetches []fetch
+	hedge time.Duration
+	// hedgeByTarget is true if the attempts at fast targets are hedged sooner.
+	hedgeByTarget bool
+	fetches       []fetch
 	// pending counts the fetches that are not done.
 	pending int
 	// failed counts the fetches that have ended without a reply, or are about to because they are
@@ -79,10 +81,11 @@
 func (s *Service) startFetches(ctx context.Context, j *job, plan *portion.Plan) *fetchGroup {
 	total, work := plan.Count(), s.workOf(j)
 	g := &fetchGroup{
-		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), work: work, hedge: s.hedgeDelay(j, work), spare: j.spare,
+		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), work: work, spare: j.spare,
 		// Fetches must not move: each shard has at most one.
 		fetches: make([]fetch, 0, total), results: make(chan *result, total), timer: s.Clock.NewTimer(idleTimer),
 	}
+	g.hedge, g.hedgeByTarget = s.hedgeDelay(j, work)
 	left := g.delegate(plan.Portions, total)
 	now := s.Clock.Now()
 	for _, service := range plan.Own {
