--- a/route/placement.go
+++ b/route/placement.go
@@ -63,11 +63,11 @@
 func (t *Table) Bound(now time.Time, target *control.Target, w Work) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w.Estimate.Bound == 0 {
+	if w.Bound == 0 {
 		return 0
 	}
 	work := t.state(target).workload()
-	return work.Forecast(now, w.Estimate, target.Slots, 1).Wait + time.Duration(work.Slowness(now)*float64(w.Estimate.Bound))
+	return work.Forecast(now, w.Estimate, target.Slots, 1).Wait + time.Duration(work.Slowness(now)*float64(w.Bound))
 }
 
 // StartWork is Start with what the sub-request is expected to cost.
