--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -317,30 +317,29 @@
 func reached(r *result) bool { return r.ran || r.response != nil }
 
 // hedgeOf returns the delay after which an attempt at the target is hedged: that of the request or, if
-// the target rarely takes so long, the time that it may take. Where targets differ, one that is fast and
-// has stopped is hedged sooner.
+// the target rarely takes so long, the time that it may take. One that is fast and has stopped is hedged
+// sooner than one that is slow.
 func (f *fetch) hedgeOf(t *control.Target) time.Duration {
-	if !f.Table.Contended || !f.hedgeByTarget {
+	if !f.hedgeByTarget {
 		return f.hedge
 	}
-	bound := f.Table.Bound(f.Clock.Now(), t, f.work)
-	if bound == 0 {
-		return f.hedge
+	if bound := f.Table.Bound(f.Clock.Now(), t, f.work); bound > 0 {
+		return min(max(bound, f.j.ofObjective(minHedge)), f.hedge)
 	}
-	return min(max(bound, f.j.ofObjective(minHedge)), f.hedge)
+	return f.hedge
 }
 
 // hedgeDelay returns the delay after which a request is hedged. It reports whether the delay is learned:
 // it isn't if the whole service is slow, when more hedges would only add load.
-func (s *Service) hedgeDelay(j *job, work route.Work) (delay time.Duration, known bool) {
-	learned, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
+func (s *Service) hedgeDelay(j *job, work route.Work) (delay time.Duration, learned bool) {
+	ofRoute, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
 	switch {
-	case learned == 0:
+	case ofRoute == 0:
 		return j.ofObjective(defaultHedge), false
 	case !ok:
 		return j.ofObjective(maxHedge), false
 	}
-	return min(max(work.HedgeDelay(learned), j.ofObjective(minHedge)), j.ofObjective(maxHedge)), true
+	return min(max(work.HedgeDelay(ofRoute), j.ofObjective(minHedge)), j.ofObjective(maxHedge)), true
 }
 
 // pick selects the target for the next attempt. It reports false if there is none.
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -23,7 +23,7 @@
 	work route.Work
 	// hedge is the delay after which an attempt is hedged.
 	hedge time.Duration
-	// hedgeByTarget is true if the attempts at fast targets are hedged sooner.
+	// hedgeByTarget is true if attempts at fast targets are hedged sooner.
 	hedgeByTarget bool
 	fetches       []fetch
 	// pending counts the fetches that are not done.
@@ -85,7 +85,8 @@
 		// Fetches must not move: each shard has at most one.
 		fetches: make([]fetch, 0, total), results: make(chan *result, total), timer: s.Clock.NewTimer(idleTimer),
 	}
-	g.hedge, g.hedgeByTarget = s.hedgeDelay(j, work)
+	hedge, learned := s.hedgeDelay(j, work)
+	g.hedge, g.hedgeByTarget = hedge, learned && s.Table.Contended
 	left := g.delegate(plan.Portions, total)
 	now := s.Clock.Now()
 	for _, service := range plan.Own {
--- a/route/load_test.go
+++ b/route/load_test.go
@@ -257,6 +257,7 @@
 	const late = 100 * time.Millisecond
 	for _, hosts := range []int{7, 31, 62} {
 		l := shardLoad(hosts)
+		l.length = 10 * time.Second
 		byLatency := l.play(uint64(hosts), false, nil)
 		tests := []struct {
 			name             string
