Hedge sooner only if another target is expected to be faster

Cause: hedges of requests at fast targets went to slow ones, which added load where it was short. Change: an attempt is hedged no sooner than another target of the shard would be done.

--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -318,12 +318,13 @@
 
 // hedgeOf returns the delay after which an attempt at the target is hedged: that of the request or, if
 // the target rarely takes so long, the time that it may take. One that is fast and has stopped is hedged
-// sooner than one that is slow.
+// sooner than one that is slow, if another target is expected to be faster.
 func (f *fetch) hedgeOf(t *control.Target) time.Duration {
 	if !f.hedgeByTarget {
 		return f.hedge
 	}
-	if bound := f.Table.Bound(f.Clock.Now(), t, f.work); bound > 0 {
+	c := route.Choice{Replicas: f.j.view.Targets[f.service], Work: f.work, Hosts: hostsOf(f.j.view.division(f.service))}
+	if bound := f.Table.HedgeBound(f.Clock.Now(), t, c); bound > 0 {
 		return min(max(bound, f.j.ofObjective(minHedge)), f.hedge)
 	}
 	return f.hedge
--- a/relay/hedge_target_test.go
+++ b/relay/hedge_target_test.go
@@ -23,7 +23,7 @@
 	s := &Service{Clock: clock, Table: &route.Table{Centre: "c", Contended: true}}
 	j := &job{route: &routing.Route{Name: "r", Objective: 200 * ms}}
 	kind := workload.NewKind("r", "GET", "", "", 0)
-	fast, slow := &control.Target{Name: "fast", Incarnation: "1"}, &control.Target{Name: "slow", Incarnation: "1"}
+	fast, slow := &control.Target{Name: "fast", Incarnation: "1", State: control.Warm}, &control.Target{Name: "slow", Incarnation: "1", State: control.Warm}
 	for range 100 {
 		for target, took := range map[*control.Target]time.Duration{fast: 10 * ms, slow: 60 * ms} {
 			w := s.Table.Estimate(clock.Now(), kind)
@@ -34,11 +34,15 @@
 	work := s.Table.Estimate(clock.Now(), kind)
 	hedge, learned := s.hedgeDelay(j, work)
 	is.True(learned)
-	f := &fetch{fetchGroup: &fetchGroup{Service: s, j: j, work: work, hedge: hedge, hedgeByTarget: true}}
-	is.Equal(f.hedgeOf(slow), hedge)
+	j.view = &View{Targets: map[string][]*control.Target{"s": {fast, slow}, "t": {fast, {Name: "other", Incarnation: "1", State: control.Warm}}}}
+	f := &fetch{service: "t", fetchGroup: &fetchGroup{Service: s, j: j, work: work, hedge: hedge, hedgeByTarget: true}}
 	is.True(f.hedgeOf(fast) < hedge*3/4)
 	is.True(f.hedgeOf(fast) >= 16*ms) // minHedge
 
+	f.service = "s" // the only other target is slow
+	is.True(f.hedgeOf(fast) > hedge*9/10)
+	f.service = "t"
+	is.Equal(f.hedgeOf(slow), hedge)
 	f.hedgeByTarget = false
 	is.Equal(f.hedgeOf(fast), hedge)
 }
--- a/route/placement.go
+++ b/route/placement.go
@@ -59,15 +59,31 @@
 	return Work{Kind: k, Estimate: t.placement().costs.Estimate(now, k)}
 }
 
-// Bound returns the time that one sub-request in 20 to the target exceeds; 0 if it is unknown.
-func (t *Table) Bound(now time.Time, target *control.Target, w Work) time.Duration {
+// HedgeBound returns the time after which a hedge for a sub-request to the target may pay: one in 20 takes
+// longer, and another replica would have been done by then. It returns 0 if that is unknown or if there is
+// no other replica.
+func (t *Table) HedgeBound(now time.Time, target *control.Target, c Choice) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w.Bound == 0 {
+	if c.Work.Bound == 0 {
+		return 0
+	}
+	other := time.Duration(0)
+	for _, r := range c.Replicas {
+		state := t.state(r)
+		if r == target || state.ejected || r.State != control.Warm || now.Before(state.drainingUntil) {
+			continue
+		}
+		if cost := forecastOf(now, &c, candidate{r, state}).Cost; other == 0 || cost < other {
+			other = cost
+		}
+	}
+	if other == 0 {
 		return 0
 	}
 	work := t.state(target).workload()
-	return work.Forecast(now, w.Estimate, target.Slots, 1).Wait + time.Duration(work.Slowness(now)*float64(w.Bound))
+	own := work.Forecast(now, c.Work.Estimate, target.Slots, 1).Wait + time.Duration(work.Slowness(now)*float64(c.Work.Bound))
+	return max(own, other)
 }
 
 // StartWork is Start with what the sub-request is expected to cost.
