--- a/route/pick_bench_test.go
+++ b/route/pick_bench_test.go
@@ -44,3 +44,19 @@
 	t.StartWork(now.Add(-took), r, w)
 	t.DoneWork(now, r, "r", w, took, took, Success)
 }
+
+// BenchmarkHedgeBound measures what each attempt adds on contended deployments.
+func BenchmarkHedgeBound(b *testing.B) {
+	table, replicas, kind, now := newTable(), newReplicas("izmir-a", "izmir-b", "manisa"), workload.NewKind("r", "GET", "/a/b", "", 0), timeAt(time.Second)
+	table.Contended = true
+	for _, r := range replicas {
+		recordWork(table, now, r, kind, 5*time.Millisecond)
+	}
+	c := Choice{Replicas: replicas, Work: table.Estimate(now, kind), Hosts: 24}
+	b.ReportAllocs()
+	for b.Loop() {
+		if table.HedgeBound(now, replicas[0], c) == 0 {
+			b.Fatal("unknown")
+		}
+	}
+}
