--- a/node/entry.go
+++ b/node/entry.go
@@ -168,7 +168,7 @@
 		Self: e.self, Seeds: e.seedAddresses, Clock: e.Clock, Log: e.Log, Changed: e.requestView, Load: e.load.share,
 	}
 	e.pool = &limit.Pool{Clock: e.Clock, DrainTimeout: abandonedReplyTimeout, AcceptDelay: newConnectionCheckDelay, AllowUnframed: true, Contended: e.Settings.Contended}
-	e.table = &route.Table{Centre: e.Settings.Centre, OnAssessment: e.logAssessment}
+	e.table = &route.Table{Centre: e.Settings.Centre, OnAssessment: e.logAssessment, Contended: e.Settings.Contended}
 	e.relay = &relay.Service{
 		Headers: e.Interfaces.Headers, Clock: e.Clock, Log: e.Log, Events: e.events, Pool: e.pool, Table: e.table,
 		View: e.view.Load, Ready: e.firstView, RetryShare: e.Settings.RetryShare, RetrySlack: e.Settings.RetrySlack, RetryWindow: e.Settings.RetryWindow,
@@ -181,6 +181,7 @@
 	e.registerMetrics()
 	if e.Settings.Contended {
 		e.Registry.MustRegister(relay.RankCollector{Pool: e.pool})
+		e.relay.Placement = relay.NewPlacementMetrics(e.Registry, e.table, e.Clock)
 	}
 	e.relay.Crashes.OnVerdict = e.logCrashVerdict
 	e.client.OwnCrashes = func(after uint64) ([]poison.Record, uint64) { return e.relay.Crashes.Own(e.Clock.Now(), after) }
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -49,6 +49,8 @@
 	terms rank.Terms
 	// ended is true once the fetch has handled the result.
 	ended bool
+	// hedge is the delay after which the attempt is hedged; 0 stands for that of the request.
+	hedge time.Duration
 }
 
 // States of an attempt.
@@ -117,7 +119,7 @@
 		f.finish()
 		return
 	}
-	f.hedgeAt = now.Add(f.hedge)
+	f.hedgeAt = now.Add(f.newest().hedge)
 }
 
 // handleSlow handles an attempt that has no reply after the hedge delay.
@@ -135,7 +137,7 @@
 	f.hedgeAt = time.Time{}
 	switch {
 	case f.reassign():
-		f.hedgeAt = now.Add(f.hedge)
+		f.hedgeAt = now.Add(f.newest().hedge)
 	case len(f.j.route.Shards) > 0 && f.canOmitOne() && newest.withdraw():
 		// All targets of the shard are busy. The response omits the shard: a longer queue would
 		// only add delay.
@@ -277,7 +279,7 @@
 
 // start starts an attempt at a target.
 func (f *fetch) start(t *control.Target, extra *route.Extra) {
-	a := &attempt{fetch: f, target: t, extra: extra, terms: f.attemptTerms()}
+	a := &attempt{fetch: f, target: t, extra: extra, terms: f.attemptTerms(), hedge: f.hedgeOf(t)}
 	a.parent = f.ctx
 	f.attempts = append(f.attempts, a)
 	f.sent++
@@ -321,17 +323,31 @@
 // reached reports whether the request may have reached the target.
 func reached(r *result) bool { return r.ran || r.response != nil }
 
-// hedgeDelay returns the delay after which a request is hedged.
-func (s *Service) hedgeDelay(j *job) time.Duration {
-	ofObjective := func(share float64) time.Duration { return time.Duration(share * float64(j.route.Objective)) }
-	learned, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
+// hedgeOf returns the delay after which an attempt at the target is hedged: that of the request or, if
+// the target rarely takes so long, the time that it may take. One that is fast and has stopped is hedged
+// sooner than one that is slow, if another target is expected to be faster.
+func (f *fetch) hedgeOf(t *control.Target) time.Duration {
+	if !f.hedgeByTarget {
+		return f.hedge
+	}
+	c := route.Choice{Replicas: f.j.view.Targets[f.service], Work: f.work, Hosts: hostsOf(f.j.view.division(f.service))}
+	if bound := f.Table.HedgeBound(f.Clock.Now(), t, c); bound > 0 {
+		return min(max(bound, f.j.ofObjective(minHedge)), f.hedge)
+	}
+	return f.hedge
+}
+
+// hedgeDelay returns the delay after which a request is hedged. It reports whether the delay is learned:
+// it isn't if the whole service is slow, when more hedges would only add load.
+func (s *Service) hedgeDelay(j *job, work route.Work) (delay time.Duration, learned bool) {
+	ofRoute, ok := s.Table.HedgeAfter(s.Clock.Now(), j.route.Name, hedgeQuantile)
 	switch {
-	case learned == 0:
-		return ofObjective(defaultHedge)
+	case ofRoute == 0:
+		return j.ofObjective(defaultHedge), false
 	case !ok:
-		return ofObjective(maxHedge)
+		return j.ofObjective(maxHedge), false
 	}
-	return min(max(learned, ofObjective(minHedge)), ofObjective(maxHedge))
+	return min(max(work.HedgeDelay(ofRoute), j.ofObjective(minHedge)), j.ofObjective(maxHedge)), true
 }
 
 // pick selects the target for the next attempt. It reports false if there is none.
@@ -345,6 +361,8 @@
 	choice := route.Choice{
 		Service: f.service, Replicas: v.Targets[f.service], Exclude: f.triedTargets(), NoProbe: !f.j.route.Idempotent,
 		Avoid: func(t *control.Target) bool { return v.Avoid[t.Name] || !f.Pool.HasRoom(t) },
+		Work:  f.work, Urgent: len(f.attempts) > 0, Within: f.j.deadline.Sub(now),
+		Hosts: hostsOf(division),
 	}
 	choose := func(allow func(*control.Target) bool) (*control.Target, bool) {
 		choice.Allow = func(t *control.Target) bool {
--- a/relay/fetch_group.go
+++ b/relay/fetch_group.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"wasabirelay/portion"
+	"wasabirelay/route"
 )
 
 // fetchGroup runs the fetches of one request, one for each service that it needs a reply from.
@@ -17,9 +19,13 @@
 	j       *job
 	ctx     context.Context
 	message *message
+	// work is what the request is expected to cost each target.
+	work route.Work
 	// hedge is the delay after which an attempt is hedged.
-	hedge   time.Duration
-	fetches []fetch
+	hedge time.Duration
+	// hedgeByTarget is true if attempts at fast targets are hedged sooner.
+	hedgeByTarget bool
+	fetches       []fetch
 	// pending counts the fetches that are not done.
 	pending int
 	// failed counts the fetches that have ended without a reply, or are about to because they are
@@ -73,12 +79,14 @@
 // startFetches starts the fetches of this host and leaves the portions of the plan to others. The
 // caller stops the group when ctx ends.
 func (s *Service) startFetches(ctx context.Context, j *job, plan *portion.Plan) *fetchGroup {
-	total := plan.Count()
+	total, work := plan.Count(), s.workOf(j)
 	g := &fetchGroup{
-		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), hedge: s.hedgeDelay(j), spare: j.spare,
+		Service: s, j: j, ctx: ctx, message: s.encodeMessage(j), work: work, spare: j.spare,
 		// Fetches must not move: each shard has at most one.
 		fetches: make([]fetch, 0, total), results: make(chan *result, total), timer: s.Clock.NewTimer(idleTimer),
 	}
+	hedge, learned := s.hedgeDelay(j, work)
+	g.hedge, g.hedgeByTarget = hedge, learned && s.Table.Contended
 	left := g.delegate(plan.Portions, total)
 	now := s.Clock.Now()
 	for _, service := range plan.Own {
@@ -255,7 +263,7 @@
 // delay, and hedges for shards whose replies wait for the processor would only double the work.
 func (g *fetchGroup) slowAt(a *attempt) time.Time {
 	sent := time.Duration(a.sent.Load())
-	return g.j.started.Add(slowAge(sent, time.Duration(g.progress.Load()), g.hedge, g.inTail()))
+	return g.j.started.Add(slowAge(sent, time.Duration(g.progress.Load()), cmp.Or(a.hedge, g.hedge), g.inTail()))
 }
 
 // slowAge is slowAt in terms of the age of the request. sent is 0 for an attempt that has not been
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -33,7 +33,7 @@
 // latencyBuckets are in seconds; they suit objectives of 40 to 400 ms.
 var latencyBuckets = []float64{.005, .01, .02, .03, .04, .06, .08, .1, .15, .25, .4, 1, 4}
 
-// Labels of the name of the route, of the outcome and of the reason.
+// Labels of the name of the route, of the outcome and of a reason.
 const (
 	routeLabel   = "route"
 	outcomeLabel = "outcome"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -158,6 +158,8 @@
 	// Draining reports whether callers are notified to close their connections.
 	Draining func() bool
 	Metrics  *Metrics
+	// Placement records how work is placed; nil unless Table.Contended is set.
+	Placement *PlacementMetrics
 	// DecodeDeclaration, if set, returns what a target declares of itself in a reply. It reports
 	// false if the reply says nothing usable, so that the last declaration still holds.
 	DecodeDeclaration func(now time.Time, status int, h *limit.Header) (declaration.Declaration, bool)
@@ -224,6 +226,11 @@
 	fingerprintValue uint64
 }
 
+// ofObjective returns a share of the objective of the request.
+func (j *job) ofObjective(share float64) time.Duration {
+	return time.Duration(share * float64(j.route.Objective))
+}
+
 // connectionKey is the context key of the state of a caller's connection.
 type connectionKey struct{}
 
