route: count what targets refuse for all hosts in the choice by completion

Cause: the work of other hosts is assumed to be like this host's own, so that one sub-request in flight counts as that of all hosts, while the share of refused ones only multiplies the cost of one. Beside a target with some work, one that refuses a part of its sub-requests looked free.

Change: refusals add work of all hosts as well. The new test fails without it for 62 and 300 hosts.

--- a/route/placement.go
+++ b/route/placement.go
@@ -198,7 +198,10 @@
 	}
 	out := forecast{f.target, f.state.workload().Forecast(now, e, f.target.Slots, c.Hosts)}
 	if shed := f.state.shedShare(now); shed > 0 {
-		out.Cost = time.Duration(float64(out.Cost) * (1 + shedCost*shed))
+		// A target that sheds counts as one to which all hosts have sent that much more: the work of the others counts
+		// for all hosts, too.
+		more := shedCost * shed * max(1, c.Hosts) * float64(e.Mean) / float64(max(1, f.target.Slots))
+		out.Cost = time.Duration(float64(out.Cost)*(1+shedCost*shed) + more)
 	}
 	return out
 }
--- a/route/placement_test.go
+++ b/route/placement_test.go
@@ -75,3 +75,30 @@
 	is.True(!pick(timeAt(time.Second)))
 	is.True(pick(timeAt(3 * time.Second)))
 }
+
+// TestPlacementAvoidsTargetsThatShed guards against work for a target that refuses a part of its sub-requests while another
+// one has some to do: each refusal is quick, so that the target always looks free.
+func TestPlacementAvoidsTargetsThatShed(t *testing.T) {
+	for _, hosts := range []float64{1, 7, 62, 300} {
+		is := is.New(t)
+		table, replicas, now := newTable(), newReplicas("izmir-a", "izmir-a"), timeAt(time.Second)
+		table.Contended = true
+		kind := workload.NewKind("light", "GET", "", "", 0)
+		for i := range 20 {
+			for _, r := range replicas {
+				r.Slots = 4
+				recordWork(table, now, r, kind, 10*time.Millisecond)
+			}
+			if i%4 == 3 {
+				table.StartWork(now, replicas[1], table.Estimate(now, kind))
+				table.DoneWork(now.Add(time.Millisecond), replicas[1], "light", table.Estimate(now, kind), time.Millisecond, time.Millisecond, Shed)
+			}
+		}
+		table.StartWork(now, replicas[0], table.Estimate(now, kind))
+		for range 50 {
+			r, ok := table.Pick(now, Choice{Replicas: replicas, Work: table.Estimate(now, kind), Hosts: hosts})
+			is.True(ok)
+			is.Equal(r.Name, replicas[0].Name)
+		}
+	}
+}
