--- a/relay/accept.go
+++ b/relay/accept.go
@@ -207,7 +207,7 @@
 	s.Metrics.request(refused.route, refused.status)
 	s.Metrics.refusedKey(refused.key)
 	s.Metrics.organisation(organisation, organisationRefused)
-	kind, lines := "refused", failedLines
+	kind, lines := refusedLabel, failedLines
 	if refused.key != "" { // anyone can cause these
 		kind, lines = "key", degradedLines
 		_ = http.NewResponseController(w).SetReadDeadline(s.Clock.Now().Add(unreadBodyTime)) // fails on a lost connection only
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -106,7 +106,7 @@
 func (s *Service) Collect(ctx context.Context, r *portion.Request, send func(*portion.Frame)) *portion.Frame {
 	j, reason := s.acceptPortion(ctx, r)
 	if reason != "" {
-		s.Metrics.portion("refused")
+		s.Metrics.portion(refusedLabel)
 		return &portion.Frame{Refused: reason}
 	}
 	s.Metrics.portion("collected")
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -40,6 +40,9 @@
 	reasonLabel  = "reason"
 )
 
+// refusedLabel is the value of labels for what was refused, and the kind of the log lines about it.
+const refusedLabel = "refused"
+
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -151,7 +154,7 @@
 	}
 	outcome := "sent"
 	if !allowed {
-		outcome = "refused"
+		outcome = refusedLabel
 	}
 	m.repeats.WithLabelValues(string(c), outcome).Inc()
 }
--- a/relay/organisation.go
+++ b/relay/organisation.go
@@ -22,7 +22,7 @@
 // Values of organisationOutcome.
 const (
 	organisationServed  organisationOutcome = "served"
-	organisationRefused organisationOutcome = "refused" // by this host
+	organisationRefused organisationOutcome = refusedLabel // by this host
 	organisationLeft    organisationOutcome = "left"    // the caller left
 )
 
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -45,7 +45,7 @@
 		}
 		hosts = slices.DeleteFunc(hosts, func(name string) bool { return name == host })
 	}
-	s.Metrics.pass("refused")
+	s.Metrics.pass(refusedLabel)
 	s.refuse(w, j.Request, &refusal{
 		status: http.StatusServiceUnavailable, reason: "not run: this host has lost its links to targets, and no other host takes the request",
 		retry: reach.RestoreTime, route: j.route.Name,
--- a/relay/rankmetrics.go
+++ b/relay/rankmetrics.go
@@ -15,7 +15,7 @@
 // Values of rankEvent.
 const (
 	rankServed       rankEvent = "served"
-	rankRefused      rankEvent = "refused"
+	rankRefused      rankEvent = refusedLabel
 	rankReturned     rankEvent = "returned"      // after a refusal, in time
 	rankRepeating    rankEvent = "repeating"     // its caller often comes back too early
 	rankHedgeDropped rankEvent = "hedge-dropped" // no place is free for a hedge
@@ -67,7 +67,7 @@
 		label := strconv.Itoa(r)
 		out <- prometheus.MustNewConstMetric(rankWaiting, prometheus.GaugeValue, float64(sum[r].Waiting), label)
 		out <- prometheus.MustNewConstMetric(rankShort, prometheus.GaugeValue, float64(short[r]), label)
-		for event, n := range map[string]uint64{"served": sum[r].Served, "refused": sum[r].Refused, "displaced": sum[r].Displaced} {
+		for event, n := range map[string]uint64{"served": sum[r].Served, refusedLabel: sum[r].Refused, "displaced": sum[r].Displaced} {
 			out <- prometheus.MustNewConstMetric(rankTurns, prometheus.CounterValue, float64(n), label, event)
 		}
 	}
