--- a/relay/organisation.go
+++ b/relay/organisation.go
@@ -23,7 +23,7 @@
 const (
 	organisationServed  organisationOutcome = "served"
 	organisationRefused organisationOutcome = refusedLabel // by this host
-	organisationLeft    organisationOutcome = "left"    // the caller left
+	organisationLeft    organisationOutcome = "left"       // the caller left
 )
 
 // organisationMetrics counts requests by organisation, and those that are refused for their keys.
