relay: count divided requests that end before the first frame

Cause: a request whose shards all were left to other hosts was not counted for its organisation if its caller left, or its response was due, before any of these hosts had sent a frame, although targets may have run it.

Change: shards that are pending when the request ends count as run, as they do where a portion is lost.

Result: TestCountRunOfUnfinishedPortion failed before (no count) and passes now; the tests of counts, divided and passed-on requests of package relay pass with the race detector.

--- a/relay/collect.go
+++ b/relay/collect.go
@@ -93,6 +93,7 @@
 		}
 	}
 	for _, d := range g.delegations {
+		g.countRun(g.j, len(d.pending) > 0)
 		for service := range d.pending {
 			g.received.fail(service, true, errPending)
 		}
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -143,3 +144,20 @@
 		})
 	}
 }
+
+// Guards against a divided request that no host counts because its caller leaves, or the time ends, before the other host
+// has sent a frame.
+func TestCountRunOfUnfinishedPortion(t *testing.T) {
+	is := is.New(t)
+	h, _ := eightShards(t, 0.5, nil)
+	c := h.count(t)
+	sent := make(chan struct{}, 1)
+	h.divided(0, func(context.Context, *portion.Request, func(*portion.Frame, error)) { sent <- struct{}{} })
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	is.NoErr(err)
+	_, err = conn.Write([]byte(keyedRequest))
+	is.NoErr(err)
+	<-sent
+	is.NoErr(conn.Close())
+	is.Equal(c.settled(), []string{"north"})
+}
