usage: keep the greatest counts of records that are handled out of order

Cause: a record replaced the one before it. Calls between hosts are handled concurrently, and after a call without an answer the next one goes over a new connection, so that an earlier record could be handled last, as after a short suspension of the holder. Its lower counts then stayed, because the entry host took them as received.

Change: the counts of a run of an entry host only grow, so that the greatest of each holds. A record without counts for a window no longer drops those that are there.

Result: TestEarlierRecordArrivesLate failed before and passes now; package usage passes with the race detector.

--- a/usage/collector.go
+++ b/usage/collector.go
@@ -57,7 +57,8 @@
 	}
 }
 
-// Record adds a record. The error is a *NotHolderError.
+// Record adds a record. Of each count the greatest holds: a record that was sent before another may be handled after it.
+// The error is a *NotHolderError.
 func (c *Collector) Record(now time.Time, r *Record) (Receipt, error) {
 	if c.token == 0 || r.Token != c.token {
 		return Receipt{}, &NotHolderError{Token: r.Token}
@@ -71,7 +72,14 @@
 		if c.records[s] == nil {
 			c.records[s] = map[uint64]Counts{}
 		}
-		c.records[s][w.Number] = w.Counts
+		counts := c.records[s][w.Number]
+		if counts == nil {
+			counts = Counts{}
+			c.records[s][w.Number] = counts
+		}
+		for organisation, count := range w.Counts {
+			counts[organisation] = max(counts[organisation], count)
+		}
 	}
 	return Receipt{Next: c.next}, nil
 }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -21,8 +21,8 @@
 	Counts Counts `json:"counts"`
 }
 
-// Record holds all that an entry host has counted in some windows so far. It replaces earlier records of the
-// same run of the host.
+// Record holds all that an entry host has counted in some windows so far, including what it has sent in earlier
+// records of the same run.
 type Record struct {
 	Host string `json:"host"`
 	// Start identifies the run of the host.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -139,3 +139,19 @@
 	_, err = collector.Record(at(1000), &Record{Token: 2})
 	is.True(errors.As(err, &refused))
 }
+
+// Guards against counts that are lost because a record without a receipt is handled after the one that was sent later, or
+// because a record lacks its counts.
+func TestEarlierRecordArrivesLate(t *testing.T) {
+	is := is.New(t)
+	collector := &Collector{Length: testWindow, Delay: time.Second}
+	collector.Begin(1)
+	for _, counts := range []Counts{{"a": 5, "b": 1}, {"a": 2}, nil} {
+		_, err := collector.Record(at(2), &Record{Host: "h", Start: 1, Token: 1, Windows: []Window{{Number: 0, Counts: counts}}})
+		is.NoErr(err)
+	}
+	work, ok, err := collector.Due(at(10), ResendTime)
+	is.NoErr(err)
+	is.True(ok)
+	is.Equal(string(work.Content), `{"a":5,"b":1}`)
+}
