rank: expect no wait for a place that is kept free for the request

While a lower rank was kept from the last place, a request of a higher rank that came counted the waiter's turn, although it goes first and a place is free: it was expected to wait, and refused at once if its deadline was near.

Only the waiters that go first count now. TestKeptPlaceIsNoWait fails before.

--- a/rank/queue.go
+++ b/rank/queue.go
@@ -122,18 +122,18 @@
 // less than its floor goes next.
 func (q *Queue[T]) Wait(now time.Time, t *Terms, room Room) (wait, held time.Duration) {
 	held = q.held(t.index())
-	if room.free() > len(q.waiters) {
-		return 0, held
-	}
-	ahead := held // one of those in flight ends first
-	if q.owed(now, t) {
-		return ahead / time.Duration(max(1, room.Limit)), held
-	}
-	for i := range q.waiters {
-		if q.compare(now, &q.waiters[i].Terms, t) <= 0 {
-			ahead += q.held(q.waiters[i].index())
+	ahead, before := held, 0 // one of those in flight ends first
+	if !q.owed(now, t) {
+		for i := range q.waiters {
+			if q.compare(now, &q.waiters[i].Terms, t) <= 0 {
+				ahead += q.held(q.waiters[i].index())
+				before++
+			}
 		}
 	}
+	if room.free() > before {
+		return 0, held
+	}
 	return ahead / time.Duration(max(1, room.Limit)), held
 }
 
--- a/rank/queue_test.go
+++ b/rank/queue_test.go
@@ -202,6 +202,20 @@
 	}
 }
 
+// TestKeptPlaceIsNoWait guards against a request that is refused for its wait although a place is free: the last one,
+// which a lower rank is kept from for its sake.
+func TestKeptPlaceIsNoWait(t *testing.T) {
+	is := is.New(t)
+	var q Queue[int]
+	q.Observe(0, 10*ms)
+	q.Push(Terms{Rank: 2, Deadline: start.Add(time.Second)}, 2)
+	high, low := Terms{Deadline: start.Add(12 * ms)}, Terms{Rank: 3, Deadline: start.Add(12 * ms)}
+	wait, ok := q.Admits(start, &high, Room{1, 2})
+	is.True(ok && wait == 0)
+	_, ok = q.Admits(start, &low, Room{1, 2}) // the waiter goes first
+	is.True(!ok)
+}
+
 // TestHopelessRefusedAtOnce guards against a request that waits although it can't be answered before its deadline, as
 // behind a burst of a higher rank: its caller would learn that only at the end of its time.
 func TestHopelessRefusedAtOnce(t *testing.T) {
