door: search connections to close apart from callers to evict for memory

A search that found nothing is not repeated for 50 ms. Both searches shared that time, so that with no memory left a new connection was closed although an idle one could have made place.

Each has its own time. TestIdleConnectionsMakePlaceWithoutMemory fails before.

--- a/door/door.go
+++ b/door/door.go
@@ -58,8 +58,9 @@
 	mu sync.Mutex // guards the fields below and those that Conn names
 	// open holds the connections, lingering those of refused callers until these have got the refusal.
 	open, lingering map[*Conn]bool
-	// barren is when a search for callers to evict has last found none.
-	barren time.Time
+	// barren and full are when a search for callers to evict, for memory and for the place of a connection, has last
+	// found none.
+	barren, full time.Time
 }
 
 // Budget returns the memory that requests may hold together, in bytes.
@@ -207,7 +208,7 @@
 		}
 	}
 	now := d.Clock.Now()
-	if now.Sub(d.barren) < retryEviction {
+	if now.Sub(d.full) < retryEviction {
 		return false
 	}
 	victim := slowest(d.open, (*Conn).isStalled)
@@ -215,7 +216,7 @@
 		victim = slowest(d.open, (*Conn).isIdle)
 	}
 	if victim == nil {
-		d.barren = now
+		d.full = now
 		return false
 	}
 	d.evict(victim, Connections)
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -210,6 +210,27 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// Guards against idle connections that keep new callers out while there is no memory either.
+func TestIdleConnectionsMakePlaceWithoutMemory(t *testing.T) {
+	d := &Door{CallerConnections: 1}
+	address := serve(t, d)
+	dial(t, address)
+	await(t, "the connection is idle", func() bool {
+		d.sweep()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for c := range d.open {
+			return c.isIdle()
+		}
+		return false
+	})
+	is.New(t).True(!d.reserve(&Conn{door: d}, 1<<40))
+	c := dial(t, address)
+	c.send(post("", 0))
+	status, _ := c.answer()
+	c.is.Equal(status, http.StatusOK)
+}
+
 // Guards against callers that send slowly for ever, and against idle callers that are closed with them.
 func TestSlowCallers(t *testing.T) {
 	for _, tt := range []struct {
