route: look at all targets before a sub-request is refused as late

Placement compares three random candidates, and prefers those nearby by half of the time. If its choice would miss the deadline, the sub-request was not sent, although a target in another data centre, or one that was not drawn, would have been in time.

All nearby and remote candidates are looked at then, and the soonest of those in time is taken; counted as deadline. TestPlacementInTime fails before.

--- a/relay/placement.go
+++ b/relay/placement.go
@@ -51,7 +51,7 @@
 		ratio: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "wasabirelay_relay_cost_ratio", Help: "Time of successful requests to targets divided by the expected time.", Buckets: ratioBuckets,
 		}),
-		choices:     prometheus.NewDesc("wasabirelay_relay_choices_total", "Choices of a target by reason: near, remote, overdue, avoided or late.", []string{reasonLabel}, nil),
+		choices:     prometheus.NewDesc("wasabirelay_relay_choices_total", "Choices of a target by reason: near, remote, overdue, avoided, deadline or late.", []string{reasonLabel}, nil),
 		outstanding: prometheus.NewDesc("wasabirelay_relay_outstanding_seconds", "Work that a target still has to do for this host; those with the most.", []string{"target"}, nil),
 	}
 	r.MustRegister(m.ratio, m)
--- a/route/placement.go
+++ b/route/placement.go
@@ -40,11 +40,12 @@
 	choiceRemote                      // in another data centre, where it is done much sooner
 	choiceOverdue                     // in another data centre, because replies nearby are overdue
 	choiceAvoided                     // one to be avoided or ejected, because there is no other
+	choiceDeadline                    // the only ones in time, of all
 	choiceLate                        // none, because none would be done in time
 	choiceReasons
 )
 
-var choiceReasonNames = [choiceReasons]string{"near", "remote", "overdue", "avoided", "late"}
+var choiceReasonNames = [choiceReasons]string{"near", "remote", "overdue", "avoided", "deadline", "late"}
 
 // placement is the state of a table with Contended.
 type placement struct {
@@ -163,8 +164,15 @@
 			best, ok = t.soonest(now, c, ejected)
 		}
 	}
-	if ok && c.Within > 0 && c.Work.Fresh && best.Completion-best.Silence > c.Within {
-		ok, reason = false, choiceLate
+	if ok && c.isLate(&best) {
+		reason = choiceLate
+		others := []*candidates{local, remote}
+		if local.n+remote.n == 0 {
+			others = []*candidates{avoided}
+		}
+		if best, ok = inTime(now, c, others); ok {
+			reason = choiceDeadline
+		}
 	}
 	if !ok && reason != choiceLate {
 		return nil, false
@@ -191,6 +199,23 @@
 	return best, best.target != nil
 }
 
+// isLate reports whether the sub-request would not be done in time, as far as that is known.
+func (c *Choice) isLate(f *forecast) bool {
+	return c.Within > 0 && c.Work.Fresh && f.Completion-f.Silence > c.Within
+}
+
+// inTime returns the candidate that is expected to be done first of all that are in time.
+func inTime(now time.Time, c *Choice, all []*candidates) (best forecast, ok bool) {
+	for _, f := range all {
+		for i := range f.n {
+			if next := forecastOf(now, c, f.at(i)); !c.isLate(&next) && (!ok || next.Cost < best.Cost) {
+				best, ok = next, true
+			}
+		}
+	}
+	return best, ok
+}
+
 func forecastOf(now time.Time, c *Choice, f candidate) forecast {
 	e := c.Work.Estimate
 	if e.Mean == 0 {
--- a/route/placement_test.go
+++ b/route/placement_test.go
@@ -102,3 +102,27 @@
 		}
 	}
 }
+
+// TestPlacementInTime guards against a sub-request that is not sent because the target with the lowest cost would be late,
+// although another one would be in time: a little faster in another data centre, or one of many nearby.
+func TestPlacementInTime(t *testing.T) {
+	const ms = time.Millisecond
+	kind, now := workload.NewKind("r", "GET", "", "", 0), timeAt(time.Second)
+	for _, centres := range [][]string{{"izmir-a", "izmir-b"}, {"izmir-a", "izmir-a", "izmir-a", "izmir-a", "izmir-a", "izmir-a", "izmir-a", "izmir-a"}} {
+		is := is.New(t)
+		table, replicas := newTable(), newReplicas(centres...)
+		table.Contended = true
+		fast := replicas[len(replicas)-1]
+		for range 40 {
+			for _, r := range replicas[:len(replicas)-1] {
+				recordWork(table, now, r, kind, 13*ms)
+			}
+			recordWork(table, now, fast, kind, 10*ms)
+		}
+		for range 50 {
+			r, ok := table.Pick(now, Choice{Replicas: replicas, Work: table.Estimate(now, kind), Within: 11500 * time.Microsecond})
+			is.True(ok)
+			is.Equal(r, fast)
+		}
+	}
+}
