--- a/route/placement.go
+++ b/route/placement.go
@@ -36,12 +36,12 @@
 type choiceReason int
 
 const (
-	choiceNear    choiceReason = iota // the soonest in the same data centre
-	choiceRemote                      // in another data centre, where it is done much sooner
-	choiceOverdue                     // in another data centre, because replies nearby are overdue
-	choiceAvoided                     // one to be avoided or ejected, because there is no other
-	choiceDeadline                    // the only ones in time, of all
-	choiceLate                        // none, because none would be done in time
+	choiceNear     choiceReason = iota // the soonest in the same data centre
+	choiceRemote                       // in another data centre, where it is done much sooner
+	choiceOverdue                      // in another data centre, because replies nearby are overdue
+	choiceAvoided                      // one to be avoided or ejected, because there is no other
+	choiceDeadline                     // the only ones in time, of all
+	choiceLate                         // none, because none would be done in time
 	choiceReasons
 )
 
