relay: lower the expected size of answers for which requests are refused

A request reserves memory for an answer as large as a recent one of its route. Only a later answer lowered that size. After one beyond all that requests may hold, such as 36 merged replies of 1 MiB on a host of 184 MB, each request of the route was refused and no answer came: the route was refused for good.

Refusals lower it by a sixteenth, every 100 ms at most. TestLargeAnswerDoesNotRefuseItsRouteForGood fails before, after 10 s.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -65,6 +65,7 @@
 		return nil, refused
 	}
 	if err := door.Reserve(r.Context(), s.heldMemory(j)); err != nil {
+		s.answerSizes.refused(started, rt.Name)
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + err.Error(), retry: door.RetryAfter, route: rt.Name}
 	}
 	j.standing = s.callerStanding(j)
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -11,6 +12,8 @@
 	ordinaryCopy, ordinaryAnswer = 4 << 10, 8 << 10
 	// answerDecay is the part of an estimate by which it falls with each smaller answer.
 	answerDecay = 16
+	// lowerInterval is how often an estimate for which requests are refused falls.
+	lowerInterval = 100 * time.Millisecond
 	// maxAnswerRoutes bounds the routes whose answers are known.
 	maxAnswerRoutes = 4096
 )
@@ -18,13 +21,20 @@
 // answerSizes estimates how large the next answer of a route is: as large as a recent one. Callers that read slowly hold
 // their answers, so what a request will hold has to be known before it runs. The zero value is ready to use.
 type answerSizes struct {
-	routes sync.Map // *atomic.Int64 by the name of the route
+	routes sync.Map // *answerSize by the name of the route
 	count  atomic.Int64
 }
 
+// answerSize is the estimate for one route.
+type answerSize struct {
+	size atomic.Int64
+	// lowered is when refused has last lowered the size, in Unix nanoseconds.
+	lowered atomic.Int64
+}
+
 func (a *answerSizes) expected(route string) int64 {
 	if size, ok := a.routes.Load(route); ok {
-		return size.(*atomic.Int64).Load()
+		return size.(*answerSize).size.Load()
 	}
 	return 0
 }
@@ -40,13 +50,30 @@
 			a.routes.Clear()
 			a.count.Store(1)
 		}
-		known, _ = a.routes.LoadOrStore(route, &atomic.Int64{})
+		known, _ = a.routes.LoadOrStore(route, &answerSize{})
 	}
-	estimate := known.(*atomic.Int64)
+	estimate := &known.(*answerSize).size
 	old := estimate.Load()
 	estimate.Store(max(int64(size), old-old/answerDecay))
 }
 
+// refused lowers the estimate because a request was refused for what it would hold. An estimate beyond all that requests
+// may hold would refuse the route for good: no answer would correct it.
+func (a *answerSizes) refused(now time.Time, route string) {
+	known, ok := a.routes.Load(route)
+	if !ok {
+		return
+	}
+	estimate := known.(*answerSize)
+	last := estimate.lowered.Load()
+	since := time.Duration(now.UnixNano() - last) // negative if the time of day was set
+	if since >= 0 && since < lowerInterval || !estimate.lowered.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	size := estimate.size.Load()
+	estimate.size.CompareAndSwap(size, size-size/answerDecay) // unless an answer has set it
+}
+
 // heldMemory returns the memory that the job will hold beside that of an ordinary request: the copies that targets are
 // sent, and the answer.
 func (s *Service) heldMemory(j *job) int64 {
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"wasabirelay/door"
 	"wasabirelay/routing"
 )
 
@@ -35,6 +38,27 @@
 	is.True(s.answerSizes.count.Load() <= maxAnswerRoutes)
 }
 
+// Guards against a route that is refused for good because an answer of it was larger than all that requests may hold.
+func TestLargeAnswerDoesNotRefuseItsRouteForGood(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(true, 2), newTarget("t1", "s1").records("a"))
+	d := &door.Door{CallerMemory: 4 << 20, Clock: h.service.Clock, Events: h.service.Events}
+	behind := httptest.NewUnstartedServer(d.Handler(h.service))
+	behind.Listener = d.Listener(behind.Listener, "test", func() door.Limits { return door.DefaultLimits })
+	behind.Config.ConnContext, behind.Config.ConnState = door.ConnContext, door.ConnState
+	behind.Start()
+	defer behind.Close()
+	h.server.Close()
+	h.server = behind
+	h.service.answerSizes.record("one", 4<<20)
+	res, _ := h.get(t, nil)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	for end := time.Now().Add(10 * time.Second); res.StatusCode != http.StatusOK && time.Now().Before(end); time.Sleep(lowerInterval) {
+		res, _ = h.get(t, nil)
+	}
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
 // Guards against a body that is cut off or padded, whatever its length and the size of the pieces that it arrives in.
 func TestReadAll(t *testing.T) {
 	for _, size := range []int{0, 1, 2047, 2048, 2049, 100000} {
