--- a/door/bench_test.go
+++ b/door/bench_test.go
@@ -15,7 +15,7 @@
 		b.Run(name, func(b *testing.B) {
 			c := dial(b, address)
 			for b.Loop() {
-				c.send(post("X-Wasabirelay-Deadline-Ms: 500\r\n", 0))
+				c.send(post("Timeout: 500\r\n", 0))
 				if status, _ := c.answer(); status != http.StatusOK {
 					b.Fatal(status)
 				}
--- a/door/crowd/crowd_test.go
+++ b/door/crowd/crowd_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"wasabirelay/platform"
 	"wasabirelay/platform/standin"
 )
 
@@ -26,9 +27,16 @@
 	// operatorBytes is the limit of a body at the operator's listener.
 	operatorBytes = 8 << 20
 	host          = "Host: " + standin.Host + "\r\n"
-	identity      = "X-Wasabirelay-Attempt-Id: crowd\r\nX-Wasabirelay-Deadline-Ms: 2000\r\n"
 )
 
+// identity holds the header fields of a request.
+var identity = identityOf("crowd")
+
+func identityOf(request string) string {
+	names := platform.Interfaces().Headers
+	return names.Request + ": " + request + "\r\n" + names.Timeout + ": 2000\r\n"
+}
+
 // shortFields returns header fields of four bytes each.
 func shortFields(size int) string { return strings.Repeat("a:\r\n", size/4) }
 
@@ -84,8 +92,8 @@
 	var last atomic.Int64
 	return func(c net.Conn) {
 		for range count {
-			_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\n%sX-Wasabirelay-Attempt-Id: crowd-%d\r\nX-Wasabirelay-Deadline-Ms: 2000\r\n\r\n", path, host, last.Add(1))
-			if err != nil {
+			text := "GET " + path + " HTTP/1.1\r\n" + host + identityOf(fmt.Sprint("crowd-", last.Add(1))) + "\r\n"
+			if _, err := io.WriteString(c, text); err != nil {
 				return
 			}
 		}
