--- a/door/door.go
+++ b/door/door.go
@@ -58,9 +58,9 @@
 	mu sync.Mutex // guards the fields below and those that Conn names
 	// open holds the connections, lingering those of refused callers until these have got the refusal.
 	open, lingering map[*Conn]bool
-	// barren and full are when a search for callers to evict, for memory and for the place of a connection, has last
+	// noMemoryAt and noPlaceAt are when a search for callers to evict, for memory and for the place of a connection, has last
 	// found none.
-	barren, full time.Time
+	noMemoryAt, noPlaceAt time.Time
 }
 
 // Budget returns the memory that requests may hold together, in bytes.
@@ -148,12 +148,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
-	if now.Sub(d.barren) < retryEviction {
+	if now.Sub(d.noMemoryAt) < retryEviction {
 		return false
 	}
 	victim := slowest(d.open, func(c *Conn) bool { return c != except && c.held.Load() > 0 && c.isStalled() })
 	if victim == nil {
-		d.barren = now
+		d.noMemoryAt = now
 		return false
 	}
 	d.evict(victim, Memory)
@@ -208,7 +208,7 @@
 		}
 	}
 	now := d.Clock.Now()
-	if now.Sub(d.full) < retryEviction {
+	if now.Sub(d.noPlaceAt) < retryEviction {
 		return false
 	}
 	victim := slowest(d.open, (*Conn).isStalled)
@@ -216,7 +216,7 @@
 		victim = slowest(d.open, (*Conn).isIdle)
 	}
 	if victim == nil {
-		d.full = now
+		d.noPlaceAt = now
 		return false
 	}
 	d.evict(victim, Connections)
