Use one largest status, and take the paths of the crowd's requests from the stand-in

limit and relay each had the largest status of HTTP; the crowds spelled paths of the platform that the stand-in has. No change of behaviour.

--- a/door/crowd/crowd_test.go
+++ b/door/crowd/crowd_test.go
@@ -189,16 +189,16 @@
 		_, _ = c.Write([]byte{0x80, 0x80, 0x80, 0x10}) // announces 32 MB
 		_, _ = io.WriteString(c, `{"method":"`+strings.Repeat("b", 12<<20))
 	}
-	document := whole("/config/replace", `{"version":9,"routes":[`+strings.Repeat("{},", 1<<20)+`{}]}`)
-	heartbeat := whole("/instances/t/heartbeat", `{"a":1`+strings.Repeat(`,"a":[]`, 1<<20)+`}`)
+	document := whole(standin.RoutingPath, `{"version":9,"routes":[`+strings.Repeat("{},", 1<<20)+`{}]}`)
+	heartbeat := whole(standin.HeartbeatPath("t"), `{"a":1`+strings.Repeat(`,"a":[]`, 1<<20)+`}`)
 	for _, tt := range []struct {
 		name        string
 		listener    standin.Listener
 		connections int
 		behave      func(net.Conn)
 	}{
-		{"documents one byte short", standin.Operators, 40, oneShort("/config/replace", "", operatorBytes)},
-		{"heartbeats one byte short", standin.Operators, 40, oneShort("/instances/t/heartbeat", "", operatorBytes)},
+		{"documents one byte short", standin.Operators, 40, oneShort(standin.RoutingPath, "", operatorBytes)},
+		{"heartbeats one byte short", standin.Operators, 40, oneShort(standin.HeartbeatPath("t"), "", operatorBytes)},
 		{"documents of many short fields", standin.Operators, 16, document},
 		{"heartbeats of many short fields", standin.Operators, 16, heartbeat},
 		{"large headers", standin.Operators, 100, header("/config/fetch", shortFields(largeHeader))},
--- a/limit/connection.go
+++ b/limit/connection.go
@@ -30,8 +30,8 @@
 // maxStatusLines is the number of different status lines that a connection remembers.
 const maxStatusLines = 4
 
-// maxStatus is the largest status of HTTP: RFC 9110, section 15 calls those beyond it invalid.
-const maxStatus = 599
+// MaxStatus is the largest status of HTTP: RFC 9110, section 15 calls those beyond it invalid.
+const MaxStatus = 599
 
 var (
 	headerEnd = []byte("\r\n\r\n")
@@ -192,7 +192,7 @@
 			return err
 		}
 		switch {
-		case c.head.status < http.StatusContinue || c.head.status > maxStatus:
+		case c.head.status < http.StatusContinue || c.head.status > MaxStatus:
 			return &ReplyError{Reason: Malformed, Err: errors.Errorf("status %d is no status of HTTP", c.head.status)}
 		case c.head.status == http.StatusSwitchingProtocols:
 			return &ReplyError{Reason: Malformed, Err: errors.New("the protocol was switched without a request to do so")}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -214,11 +214,8 @@
 	return nil
 }
 
-// maxStatus is the largest status of a response.
-const maxStatus = 599
-
 // isFinalStatus reports whether a response may have the status.
-func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= limit.MaxStatus }
 
 // serveWhole serves a request that another host has passed on. It passes a first frame to send after
 // a share of the objective, so that the other host knows that this one works on the request.
