--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -18,6 +18,8 @@
 
 	"wasabirelay/certificate"
 	"wasabirelay/client"
+	"wasabirelay/platform"
+	"wasabirelay/routing"
 )
 
 // attemptTimeout bounds the attempt at one address. It is far above the deadline of a query and
@@ -47,7 +49,11 @@
 	Identity func() string
 	// ReadFile reads a file; the name "-" stands for In.
 	ReadFile func(name string) ([]byte, error)
-	Clock    clockwork.Clock
+	// DecodeRouting decodes and checks a routing document in the format that operators use, and FetchRouting
+	// reads the one in force from a control host.
+	DecodeRouting func(source []byte) (*routing.Document, error)
+	FetchRouting  func(ctx context.Context, control netip.AddrPort) ([]byte, error)
+	Clock         clockwork.Clock
 	// Program returns the path of the running program.
 	Program func() (string, error)
 }
@@ -91,6 +97,7 @@
 		Streams: Streams{
 			In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Terminal: isatty.IsTerminal(os.Stdout.Fd()),
 		},
+		DecodeRouting: platform.DecodeRouting, FetchRouting: platform.FetchRouting,
 		Identity: uuid.NewString, Clock: clockwork.NewRealClock(), Program: os.Executable,
 	}
 	f.Operator = func() (*client.Client, error) {
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -23,6 +23,7 @@
 	moveshow "wasabirelay/command/move/show"
 	"wasabirelay/command/move/watch"
 	"wasabirelay/command/query"
+	routingcheck "wasabirelay/command/routing/check"
 	rulelist "wasabirelay/command/rule/list"
 	"wasabirelay/command/rule/set"
 	"wasabirelay/command/rule/unset"
@@ -51,6 +52,9 @@
 		Set   set.Options      `cmd:"" help:"Change one rule."`
 		Unset unset.Options    `cmd:"" help:"Remove one rule, so that its default applies."`
 	} `cmd:"" help:"Manage single rules of the inventory."`
+	Routing struct {
+		Check routingcheck.Options `cmd:"" help:"Check a routing document before it is sent."`
+	} `cmd:"" help:"Manage routing documents."`
 	Move struct {
 		List   movelist.Options `cmd:"" help:"List the version moves."`
 		Show   moveshow.Options `cmd:"" help:"Show the move of a service."`
@@ -73,6 +77,7 @@
 func New(f *factory.Factory) *Command {
 	c := &Command{}
 	c.Inventory.Apply, c.Inventory.Show, c.Inventory.Check = apply.New(f), inventoryshow.New(f), check.New(f)
+	c.Routing.Check = routingcheck.New(f)
 	c.Rule.List, c.Rule.Set, c.Rule.Unset = rulelist.New(f), set.New(f), unset.New(f)
 	c.Move.List, c.Move.Show = movelist.New(f), moveshow.New(f)
 	c.Move.Watch, c.Move.Revert = watch.New(f), revert.New(f)
