Review case 8: no group while one core machine is lost during the first start

Cause: the first seed bootstraps the control group only after every seed has responded. Change: a script that loses one of three core machines 0.7 s after the start; the stand-in of case 6 is shared.

--- a/review/_standin2/start.go
+++ b/review/_standin2/start.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// killAfter is the time from the start of the machines to the kill of all control processes, downTime how long they
-	// are down: less than the second that the pages allow.
+	// killAfter is the time from the start of the machines to the disruption, downTime how long all control processes are
+	// down: less than the second that the pages allow.
 	killAfter, downTime = 700 * time.Millisecond, 500 * time.Millisecond
-	// serveWithin is how long requests may go unserved after all processes are back; the bound recovery-s is 12 s.
+	// serveWithin is how long requests may go unserved after the disruption; the bound recovery-s is 12 s.
 	serveWithin = 30 * time.Second
 )
 
@@ -86,6 +86,40 @@
 
 // firstStart kills the processes of the core once, at the same moment, while the system starts for the first time.
 func firstStart(r *recorder, program, dir string, trouble bool) (int, error) {
+	return startSystem(r, program, dir, func(d *deployment) error {
+		if !trouble {
+			return nil
+		}
+		for _, m := range d.controls {
+			m.kill()
+		}
+		r.line("platform: all processes of the core were killed at the same moment; their disks are preserved")
+		time.Sleep(downTime)
+		for _, m := range d.controls {
+			m.bootstrap = false // it is not the whole system that starts
+			if err := m.start(); err != nil {
+				return err
+			}
+		}
+		r.line("platform: all processes of the core are back")
+		return nil
+	})
+}
+
+// startWithoutOne loses one core machine for good while the system starts for the first time.
+func startWithoutOne(r *recorder, program, dir string, trouble bool) (int, error) {
+	return startSystem(r, program, dir, func(d *deployment) error {
+		if trouble {
+			lost := d.controls[len(d.controls)-1]
+			lost.kill()
+			r.line("platform: %s is lost; the other machines run on", lost.name)
+		}
+		return nil
+	})
+}
+
+// startSystem starts the system for the first time, disrupts it, and checks that it serves a request after that.
+func startSystem(r *recorder, program, dir string, disrupt func(*deployment) error) (int, error) {
 	d, err := newDeployment(program, dir, 3, 3)
 	if err != nil {
 		return notRun, err
@@ -105,19 +139,8 @@
 		return notRun, err
 	}
 	time.Sleep(killAfter)
-	if trouble {
-		for _, m := range d.controls {
-			m.kill()
-		}
-		r.line("platform: all processes of the core were killed at the same moment; their disks are preserved")
-		time.Sleep(downTime)
-		for _, m := range d.controls {
-			m.bootstrap = false // it is not the whole system that starts
-			if err := m.start(); err != nil {
-				return notRun, err
-			}
-		}
-		r.line("platform: all processes of the core are back")
+	if err := disrupt(d); err != nil {
+		return notRun, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), serveWithin)
 	defer cancel()
