--- a/review/_standin2/garble.go
+++ b/review/_standin2/garble.go
@@ -37,6 +37,9 @@
 	faulty  bool
 	trouble *atomic.Bool
 	signed  *sync.Map // signatures of successful runs by request
+	// resets is true if an answer that breaks off has no length and its connection is reset; an extra copy of the answer
+	// before arrives late then, where this one is expected.
+	resets bool
 }
 
 func (g *garbler) start() error {
@@ -101,7 +104,11 @@
 		fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", attemptHeader, id, signatureHeader, signature, bodyBytes)
 		b.Write(bodyOf(signature))
 		text := b.Bytes()
-		if before == nil || !g.faulty || !g.trouble.Load() || rand.Float64() >= garbleRate {
+		if g.resets && before != nil && g.faulty && g.trouble.Load() && endsLikeReply(before) {
+			g.sendReset(conn, before, id, beforeID, signature)
+			return
+		}
+		if g.resets || before == nil || !g.faulty || !g.trouble.Load() || rand.Float64() >= garbleRate {
 			if _, err := conn.Write(text); err != nil {
 				return
 			}
@@ -124,8 +131,33 @@
 	}
 }
 
+// endsLikeReply reports whether the last byte of an answer is the first one of a status line.
+func endsLikeReply(text []byte) bool { return text[len(text)-1] == versionToken[0] }
+
+// sendReset sends an extra copy of the answer before, and half of an answer without a length, and resets the connection.
+func (g *garbler) sendReset(conn net.Conn, before []byte, id, beforeID, signature string) {
+	g.record.line("answer to %s at %s has no length and is reset after %d of %d bytes; an extra copy of the answer to %s comes late, before it", id, g.id, bodyBytes/2, bodyBytes, beforeID)
+	var b bytes.Buffer
+	b.Write(before)
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n", attemptHeader, id, signatureHeader, signature)
+	b.Write(bodyOf(signature)[:bodyBytes/2])
+	_, _ = conn.Write(b.Bytes())
+	if t, ok := conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // the close resets the connection
+	}
+}
+
 // brokenOff checks that consumers get whole answers while searchers break off some and send extra ones late.
 func brokenOff(r *recorder, program, dir string, trouble bool) (int, error) {
+	return spoilt(r, program, dir, trouble, false)
+}
+
+// resetOnTheWay checks the same while searchers send answers without a length that are reset on the way.
+func resetOnTheWay(r *recorder, program, dir string, trouble bool) (int, error) {
+	return spoilt(r, program, dir, trouble, true)
+}
+
+func spoilt(r *recorder, program, dir string, trouble, resets bool) (int, error) {
 	d, err := newDeployment(program, dir, 3, 3)
 	if err != nil {
 		return notRun, err
@@ -142,7 +174,7 @@
 			searcher: searcher{
 				id: fmt.Sprintf("i-kafi81c-%d", i), service: "kafi81c", centre: centres[i%len(centres)], operators: d.operators(), record: r,
 			},
-			faulty: float64(i) < garbleShare*count, trouble: &inTrouble, signed: &signed,
+			faulty: float64(i) < garbleShare*count, trouble: &inTrouble, signed: &signed, resets: resets,
 		}
 		if err := g.start(); err != nil {
 			return notRun, err
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -33,7 +33,7 @@
 // scenario is one case. trouble is false if the disruption is left out.
 type scenario func(r *recorder, program, dir string, trouble bool) (int, error)
 
-var scenarios = map[string]scenario{"first-start": firstStart, "first-start-without-one": startWithoutOne, "broken-off": brokenOff}
+var scenarios = map[string]scenario{"first-start": firstStart, "first-start-without-one": startWithoutOne, "broken-off": brokenOff, "reset-on-the-way": resetOnTheWay}
 
 func main() { os.Exit(run()) }
 
