Divide the memory of a process among all that uses it

Change: node divides the memory at the start: mapped files as measured, receive buffers by the connections that are admitted, a reserve of 0.05, and the heap gets the rest, at most 0.7. If that is less than 0.4, fewer connections are admitted. Receive buffers and bounds are the same.

--- a/door/door.go
+++ b/door/door.go
@@ -23,7 +23,8 @@
 	// memoryShare is the share of the memory that requests may hold together, and that all connections
 	// may hold beside it.
 	memoryShare = 0.2
-	// connectionMemory is the memory of a connection that waits: its buffers, in the kernel too, and goroutines.
+	// connectionMemory is the memory of a connection that waits: its buffers and goroutines. What the kernel holds beside it
+	// is ReceiveMemory.
 	connectionMemory = 40 << 10
 	// reservedDescriptors are those that the process can't use for connections, descriptorShare is the share of the
 	// others that callers may take, and that other hosts may take. The rest is for targets and files.
--- a/door/socket.go
+++ b/door/socket.go
@@ -7,10 +7,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// receiveBuffer is the size of the receive buffers of connections in bytes; the kernel reserves twice as much. What has
-// arrived and was not read counts as memory of the process, and would grow to megabytes per connection.
+// receiveBuffer is the size of the receive buffers of connections in bytes. What has arrived and was not read counts as
+// memory of the process, and would grow to megabytes per connection.
 const receiveBuffer = 32 << 10
 
+// ReceiveMemory is the memory in bytes that the kernel may hold for what a connection of a caller has received: it doubles the
+// size that is set.
+const ReceiveMemory = 2 * receiveBuffer
+
 // ListenConfig returns the configuration of sockets whose connections have a bounded receive buffer.
 func ListenConfig() net.ListenConfig {
 	return net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) error {
--- a/node/process.go
+++ b/node/process.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -30,18 +29,10 @@
 	// idleTimeout is how long idle connections of callers are kept. It exceeds the time for
 	// which callers reuse them.
 	idleTimeout = 60 * time.Second
-	// memoryLimitFraction is the fraction of the memory that is set as the soft memory limit
-	// of the Go runtime, near which the garbage collector runs more often. The rest is for
-	// stacks and buffers of the kernel.
-	memoryLimitFraction = 0.7
 	// peerByteMemory is the memory of a byte of a message that is received: the message is copied while it is decoded.
 	peerByteMemory = 2
 	// maxMetricsRequests is the number of requests for metrics that are served at the same time.
 	maxMetricsRequests = 4
-	// gcPercent is the growth of the heap between two garbage collections, in percent of the
-	// live heap, up to memoryLimitFraction. The live heap is some 10 MB of 184 MB or more, and
-	// each collection takes processor time of a small host from the requests.
-	gcPercent = 400
 )
 
 // Process is the part that entry hosts and control hosts have in common. Exported fields must
@@ -77,14 +68,11 @@
 	p.seeds.CompareAndSwap(nil, &p.Settings.Seeds)
 	p.started = p.Clock.Now()
 	p.events = &eventlog.Limiter{Clock: p.Clock}
-	if p.Settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(p.Settings.Memory)))
-		debug.SetGCPercent(gcPercent)
-	}
 	p.door = &door.Door{
 		Memory: p.Settings.Memory, Descriptors: p.Settings.Descriptors, CallerMemory: p.Settings.CallerMemory,
 		CallerConnections: p.Settings.CallerConnections, Clock: p.Clock, Log: p.Log, Events: p.events,
 	}
+	p.limitMemory()
 	p.door.Metrics = door.NewMetrics(p.Registry, p.door)
 	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
