Reject a body whose last bytes are those of a late copy before a pause

The reply broke off there, and the first nine bytes of a late copy came 100 ms before the rest.

Cause: the length was met, and the bytes behind were looked at for 30 ms at the most; what had arrived of the status line by then was too short to count.

Change: a status line that begins in the body and goes on behind it, if only by a byte, is rejected at once: a sound target sends nothing there. If nothing is behind, and the end came later than the rest, just from "HTTP/" on, or the target has sent a copy before, the bytes behind are waited for up to 300 ms. No body is rejected without a byte behind it.

No format has changed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,6 +86,11 @@
 	interruption func()
 	// head is that of the reply that is being read; readBody reads its body.
 	head head
+	// piece is the index in the body of that reply from which on it has arrived after the rest; negative if all of it has
+	// arrived with the head.
+	piece int
+	// suspect is set if the target has sent a copy of a reply; nil if nothing notes it.
+	suspect *atomic.Bool
 	// late is true if that reply is a late copy of an earlier one, bodiless if it has no body.
 	late, bodiless bool
 	// sent holds the IDs and methods of the sub-requests that the connection has carried, current is the latest ID.
@@ -122,6 +128,9 @@
 	c.conn.Close()
 }
 
+// isSuspect reports whether the target has sent a copy of a reply.
+func (c *connection) isSuspect() bool { return c.suspect != nil && c.suspect.Load() }
+
 // expired reports whether the target is about to close the idle connection.
 func (c *connection) expired() bool { return !c.expires.IsZero() && time.Now().After(c.expires) }
 
@@ -305,6 +314,7 @@
 
 // readBody reads the complete body of the reply.
 func (c *connection) readBody(limit int64, unframed bool) ([]byte, error) {
+	c.piece = -1
 	switch {
 	case c.bodiless:
 		return nil, nil
--- a/limit/do.go
+++ b/limit/do.go
@@ -86,7 +86,7 @@
 	if !wanted.fresh {
 		c.repeatable.add(wanted.content, wanted.head)
 	}
-	c.current, c.replyID, c.isReply = wanted.id, p.ReplyID, p.isReply
+	c.current, c.replyID, c.isReply, c.suspect = wanted.id, p.ReplyID, p.isReply, &permit.target.suspect
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
 		if w.stop() {
@@ -119,6 +119,7 @@
 		p.drain(permit, c, func() readResult { return p.readReply(c, req) })
 		return &LostError{Sent: true, Err: ctx.Err()}
 	}
+	permit.target.noteCopy(err)
 	permit.target.discard(c)
 	return &LostError{Sent: true, Err: err}
 }
@@ -231,11 +232,12 @@
 func (p *Pool) finishReply(ctx context.Context, permit *Permit, c *connection, req *http.Request) (*Response, error) {
 	finish := func(r readResult) (*Response, error) {
 		if errors.Is(r.err, errLateCopy) {
+			permit.target.noteCopy(r.err)
 			return nil, r.err
 		}
 		return permit.target.recycle(c, r)
 	}
-	if c.bodyBuffered() {
+	if c.bodyBuffered() && !c.isSuspect() {
 		return finish(p.read(c, req))
 	}
 	done := make(chan readResult, 1)
@@ -272,6 +274,7 @@
 // closes it.
 func (t *targetPool) recycle(c *connection, r readResult) (*Response, error) {
 	if r.err != nil {
+		t.noteCopy(r.err)
 		t.discard(c)
 		return nil, &LostError{Sent: true, Err: r.err}
 	}
@@ -283,6 +286,14 @@
 	return r.response, nil
 }
 
+// noteCopy notes the error of a reply if it shows a copy of another one.
+func (t *targetPool) noteCopy(err error) {
+	var reply *ReplyError
+	if errors.As(err, &reply) && (reply.Reason == Spliced || reply.Reason == Mismatched) {
+		t.suspect.Store(true)
+	}
+}
+
 // release makes a connection available after its use.
 func (t *targetPool) release(c *connection) {
 	t.mu.Lock()
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -35,6 +35,10 @@
 // rest of a late copy may arrive in further pieces.
 const cutWait = 30 * time.Millisecond
 
+// doubtfulWait bounds it where the end came later than the rest of the body, just from the first byte of a status line
+// on, or where the target has sent copies before. It exceeds the pauses of targets that are busy.
+const doubtfulWait = 300 * time.Millisecond
+
 // splicing finds the start of another reply inside a body. It gets there if a reply without a length is followed
 // by a copy, or if a reply breaks off and a copy follows on the same connection. A body that only mentions
 // status lines or contains replies to other requests is no such case.
@@ -56,8 +60,10 @@
 	unframed bool
 	// found is set if a status line may start in the body.
 	found bool
-	// cut is set if the end of the body may cut the head of another reply. Only the bytes behind it can tell.
-	cut bool
+	// cut is set if the end of the body may cut the head of another reply, from the index cutAt on. Only the bytes behind it
+	// can tell.
+	cut   bool
+	cutAt int
 	// plainFrom and plainTo bound the fields of the last head in the body that hold nothing that tells whose they are: the
 	// heads that start among them begin with the rest of these.
 	plainFrom, plainTo int
@@ -83,7 +89,7 @@
 		return false
 	}
 	s.found = true
-	s.cut = s.cut || len(body)-tail-i >= minCutVersion
+	s.noteCut(tail+i, len(body)-tail-i >= minCutVersion)
 	return len(behind) > 0 && s.at(body, tail+i, behind)
 }
 
@@ -98,12 +104,17 @@
 	doubtful := !s.partial && (s.unframed || len(behind) > 0)
 	text = text[:min(len(text), readBufferSize)]
 	if !isStatus(text) {
-		s.cut = s.cut || whole && hasStatusForm(text[:min(len(text), len(statusForm))])
+		inForm := whole && hasStatusForm(text[:min(len(text), len(statusForm))])
+		s.noteCut(start, inForm)
+		// Nothing but the rest of what may be a status line has arrived behind the body, where a sound target sends nothing.
+		if inForm && len(text) < len(statusForm) && len(behind) > 0 {
+			return true
+		}
 		return whole && len(text) >= minCutStatus && s.isCutLine(text)
 	}
 	line, rest, ended := bytes.Cut(text, lineEnd)
 	if !ended {
-		s.cut = s.cut || whole
+		s.noteCut(start, whole)
 		return whole && s.isCutLine(line)
 	}
 	from := start + len(line) + len(lineEnd)
@@ -117,7 +128,7 @@
 	if id == "" && !reply {
 		s.plainTo += len(fields)
 	}
-	s.cut = s.cut || whole && state == fieldsCut
+	s.noteCut(start, whole && state == fieldsCut)
 	switch {
 	case id != "" && s.known(id):
 		return true
@@ -131,6 +142,13 @@
 	return false
 }
 
+// noteCut notes that the end of the body cuts what may be the head of another reply, which starts at the index.
+func (s *splicing) noteCut(start int, cut bool) {
+	if cut {
+		s.cut, s.cutAt = true, start
+	}
+}
+
 // isCutLine reports whether the end of the body cuts the status line of another reply there.
 func (s *splicing) isCutLine(text []byte) bool {
 	if strings.HasPrefix(s.own+"\r", string(text)) {
@@ -267,7 +285,11 @@
 		return false
 	}
 	if !pending {
-		_ = c.conn.SetReadDeadline(time.Now().Add(cutWait)) // fails only if the connection is closed
+		wait := cutWait
+		if s.cutAt == c.piece || c.isSuspect() {
+			wait = doubtfulWait
+		}
+		_ = c.conn.SetReadDeadline(time.Now().Add(wait)) // fails only if the connection is closed
 		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
 	}
 	_, _ = c.reader.Peek(len(behind) + 1) // the next read returns an error that ended reading
@@ -278,6 +300,9 @@
 // readFull fills the body. It ends early if another reply starts in it, because the rest may then never come.
 func (c *connection) readFull(body []byte) error {
 	for n := 0; n < len(body); {
+		if c.reader.Buffered() == 0 {
+			c.piece = n
+		}
 		m, err := c.reader.Read(body[n:])
 		n += m
 		switch {
--- a/limit/target_pool.go
+++ b/limit/target_pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,6 +75,9 @@
 	// target.
 	expiredUnused bool
 
+	// suspect is true once the target has sent a copy of a reply.
+	suspect atomic.Bool
+
 	stats TargetStats
 }
 
