Bootstrap the control group by agreement of a majority of the seeds

Cause: one process of one host, the first seed, had the right to bootstrap, in the run whose settings said so, and had to wait for all seeds. A process that was killed took the right with it; a host that was lost kept the start waiting.

Change: a majority of the seeds agrees on the bootstrap members with Paxos for one value. Each seed keeps its part in a file that is synced before each answer, so that the right outlives the process; a host without its disk, or with damaged state, has none. Any seed proposes, the first one at an undisturbed start and the others a second apart. Members that an earlier version bootstrapped alone are accepted as a proposal in the lowest ballot, or adopted once a majority of the seeds is in their group (docs/design.md, 3.3). A group has at least as many voters as there are seeds.

TestBootstrapHosts tested a function that is gone. TestPartInAgreement (who takes part, over restarts and damage) and TestMayPropose (no proposal without a majority, by a host that is no seed, or too early) take its place; that all seeds had to respond was the fault.

--- a/node/control.go
+++ b/node/control.go
@@ -25,9 +25,6 @@
 	// maxMissedHeartbeats is the number of heartbeats that a target may miss before it counts
 	// as silent. Single heartbeats can be delayed by seconds.
 	maxMissedHeartbeats = 4
-	// bootstrapDelay is the time without a newly discovered control host that must pass before
-	// the group is bootstrapped. All hosts start within a third of a second.
-	bootstrapDelay = 1200 * time.Millisecond
 	// commitTimeout bounds the commit of a command, including retries. Operators give up after
 	// one second, and there must be time for an attempt with another leader.
 	commitTimeout = 900 * time.Millisecond
@@ -119,9 +116,9 @@
 		Clock: c.Clock, Log: c.Log, OnControlHost: c.addControlHost, MergeCrashes: c.hub.MergeCrashes,
 	}
 	c.replica = &quorum.Replica{
-		Host: c.Settings.Host, Dir: c.Settings.DataDir, Peers: &c.peers, BootstrapHosts: c.bootstrapHosts, NoLease: true, Clock: c.Clock,
+		Host: c.Settings.Host, Dir: c.Settings.DataDir, Peers: &c.peers, Bootstrap: c.bootstrap(), NoLease: true, Clock: c.Clock,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: c.Log, MoveInput: c.moveInput,
-		Changed: c.hub.SetRoutingState, MinVoters: 2*c.Settings.ToleratedFailures + 1, Centre: c.centreOf,
+		Changed: c.hub.SetRoutingState, MinVoters: c.minVoters(), Centre: c.centreOf,
 		LeaveTimeout: max(shutdownDelay, c.Settings.ShutdownTimeout-shutdownDelay),
 	}
 	c.registerMetrics()
@@ -142,6 +139,7 @@
 		return errors.Wrapf(asideErr, "failed to set the damaged control state aside (%v)", err)
 	}
 	c.Log.Error().Err(err).Str("aside", aside).Msg("control state is damaged; joining the group again without it")
+	c.replica.Bootstrap.First = false // what this host has promised is lost
 	return c.replica.Open()
 }
 
@@ -165,29 +163,20 @@
 	return ""
 }
 
-// bootstrapHosts returns the hosts that bootstrap a group: all discovered control hosts, once
-// every seed has responded and no further host appears. It returns nil if this host must not
-// bootstrap a group. Only the first seed may, because at the first start all hosts have the
-// same seeds; two hosts that bootstrap at the same time could leave each other out.
-func (c *Control) bootstrapHosts() []string {
-	seeds := c.Settings.Seeds
-	if !c.Settings.Bootstrap || len(seeds) == 0 || seeds[0] != c.Settings.Peer {
-		return nil
-	}
-	if c.age()-time.Duration(c.lastDiscovery.Load()) < bootstrapDelay {
-		return nil
-	}
-	discovered := map[netip.AddrPort]bool{}
-	for _, h := range c.client.ControlHosts(exchange.Expiry) {
-		discovered[h.Peer] = true
-	}
-	for _, seed := range seeds {
-		if !discovered[seed] {
-			return nil
-		}
+// minVoters returns the least number of voters of a complete group. It may have been bootstrapped without some of the seeds.
+func (c *Control) minVoters() int {
+	return max(2*c.Settings.ToleratedFailures+1, len(c.Settings.Seeds))
+}
+
+// bootstrap returns how a group is bootstrapped. At the first start all hosts have the same seeds.
+func (c *Control) bootstrap() *quorum.Bootstrap {
+	return &quorum.Bootstrap{
+		Seeds: c.Settings.Seeds, Self: c.Settings.Peer, First: c.Settings.Bootstrap,
+		Age: func() (age, quiet time.Duration) {
+			age = c.age()
+			return age, age - time.Duration(c.lastDiscovery.Load())
+		},
 	}
-	others := slices.DeleteFunc(c.peers.Hosts(), func(host string) bool { return host == c.Settings.Host })
-	return append([]string{c.Settings.Host}, others...)
 }
 
 // moveInput returns the input for the decisions on a version move. It counts the targets of the
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -52,27 +52,45 @@
 	return c
 }
 
-// Guards against a bootstrap by a host that must not bootstrap a group, or before all seeds
-// respond.
-func TestBootstrapHosts(t *testing.T) {
+// Guards against a host that takes part in the agreement on bootstrap members although it may have lost what it has promised,
+// and against one that loses its part with its process.
+func TestPartInAgreement(t *testing.T) {
 	own, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
 	for _, tt := range []struct {
 		name      string
 		bootstrap bool
 		seeds     []netip.AddrPort
+		part      bool
 	}{
-		{"not the first start", false, []netip.AddrPort{own}},
-		{"not the first seed", true, []netip.AddrPort{other, own}},
-		{"a seed is silent", true, []netip.AddrPort{own, other}},
-		{"no seeds", true, nil},
+		{"the first start", true, []netip.AddrPort{other, own}, true},
+		{"not the first start", false, []netip.AddrPort{own}, false},
+		{"not a seed", true, []netip.AddrPort{other}, false},
+		{"no seeds", true, nil, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			clock := clockwork.NewFakeClock()
-			c := controlHost(clock, Settings{Peer: own, Bootstrap: tt.bootstrap, Seeds: tt.seeds, DataDir: t.TempDir()})
 			is := is.New(t)
-			is.NoErr(c.prepare())
-			clock.Advance(time.Minute)
-			is.Equal(len(c.bootstrapHosts()), 0)
+			dir := t.TempDir()
+			hasPart := func() bool {
+				_, err := os.Stat(filepath.Join(dir, "agreement"))
+				return err == nil
+			}
+			start := func(bootstrap bool, seeds []netip.AddrPort) {
+				c := controlHost(clockwork.NewFakeClock(), Settings{Peer: own, Bootstrap: bootstrap, Seeds: seeds, DataDir: dir})
+				is.NoErr(c.prepare())
+				ended, cancel := context.WithCancel(t.Context())
+				cancel()
+				is.NoErr(c.replica.Run(ended)) // closes the data directory
+			}
+			start(tt.bootstrap, tt.seeds)
+			is.Equal(hasPart(), tt.part)
+			if !tt.part {
+				return
+			}
+			start(false, nil)
+			is.True(hasPart())
+			is.NoErr(os.WriteFile(filepath.Join(dir, "agreement"), []byte("damaged"), 0o600))
+			start(true, tt.seeds)
+			is.True(!hasPart()) // it was set aside, and what it held is lost
 		})
 	}
 }
--- a/quorum/bootstrap.go
+++ b/quorum/bootstrap.go
@@ -22,6 +22,10 @@
 	bootstrap, adopt []string
 	// join is the host to send a join request to.
 	join string
+	// propose holds the members that the seeds are to agree on.
+	propose []string
+	// agreed is true if a majority of the seeds has accepted the members in adopt.
+	agreed bool
 }
 
 // decideGroup returns what a replica in no group does next. others holds the poll responses
@@ -63,7 +67,12 @@
 func (r *Replica) findGroup(ctx context.Context) {
 	for {
 		others := r.pollHosts(ctx)
-		decision := decideGroup(r.hello(), r.bootstrapHosts(), others)
+		var decision groupDecision
+		if r.Bootstrap == nil {
+			decision = decideGroup(r.hello(), r.Peers.Hosts(), others)
+		} else {
+			decision = r.decideBySeeds(ctx, others)
+		}
 		if r.execute(ctx, decision) {
 			return
 		}
@@ -75,16 +84,15 @@
 	}
 }
 
-// bootstrapHosts returns the hosts that bootstrap a group; see BootstrapHosts.
-func (r *Replica) bootstrapHosts() []string {
-	if r.BootstrapHosts != nil {
-		return r.BootstrapHosts()
+// hello describes a replica in no group.
+func (r *Replica) hello() Hello {
+	h := Hello{ID: r.identity.String()}
+	if r.Bootstrap != nil {
+		h.Agreement = TakesNoPart
 	}
-	return r.Peers.Hosts()
+	return h
 }
 
-func (r *Replica) hello() Hello { return Hello{ID: r.identity.String()} }
-
 // pollHosts returns the responses of the other control hosts by host name.
 func (r *Replica) pollHosts(ctx context.Context) map[string]Hello {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -121,20 +129,27 @@
 		if !r.joinGroup(ctx, decision.bootstrap, consensus.Bootstrap(decision.bootstrap)) {
 			return false
 		}
-		for host, c := range r.Peers.Clients() {
-			if err := c.Notify(ctx, MethodBootstrap, Hello{ID: r.identity.String(), Members: decision.bootstrap, BootstrapMembers: decision.bootstrap}); err != nil {
-				r.Log.Warn().Err(err).Str("to", host).Msg("failed to announce the new group; the host will poll for it")
-			}
-		}
+		r.announceGroup(ctx, Hello{ID: r.identity.String(), Members: decision.bootstrap, BootstrapMembers: decision.bootstrap})
 		return true
+	case decision.propose != nil:
+		return r.proposeMembers(ctx, decision.propose)
 	case decision.adopt != nil:
-		return r.joinGroup(ctx, decision.adopt, consensus.Bootstrap(decision.adopt))
+		return r.adoptGroup(ctx, decision.adopt, decision.agreed)
 	case decision.join != "":
 		return r.requestJoin(ctx, decision.join)
 	}
 	return false
 }
 
+// announceGroup tells all control hosts of a new group.
+func (r *Replica) announceGroup(ctx context.Context, h Hello) {
+	for host, c := range r.Peers.Clients() {
+		if err := c.Notify(ctx, MethodBootstrap, h); err != nil {
+			r.Log.Warn().Err(err).Str("to", host).Msg("failed to announce the new group; the host will poll for it")
+		}
+	}
+}
+
 // joinGroup persists the bootstrap members and the saved state, if there is any, and starts
 // the log. It does nothing if the replica has joined a group in the meantime. It reports
 // whether the replica is in a group.
@@ -147,6 +162,9 @@
 		if r.diskFailing.Load() {
 			return
 		}
+		if isEmpty(saved) && !r.endAgreement() {
+			return
+		}
 		if err := writeBootstrapMembers(r.Dir, members); err != nil {
 			r.fatal = storageFailed(err, "join a group")
 			return
@@ -186,11 +204,16 @@
 func (r *Replica) serveHello(ctx context.Context, _ *peer.Conn, _ json.RawMessage) (any, error) {
 	var h Hello
 	err := r.do(ctx, func() {
-		if h = r.hello(); r.node == nil {
+		h = r.hello()
+		if r.agreement.isOpen() {
+			h.Agreement = TakesPart
+		}
+		if r.node == nil {
 			return
 		}
 		m := r.node.Status().Members
 		h.Members, h.BootstrapMembers = slices.Concat(m.Voters, m.Joining, m.Learners), r.bootstrapMembers
+		h.Agreed = r.agreement.hasAccepted(r.bootstrapMembers)
 	})
 	switch {
 	case err != nil:
@@ -208,7 +231,7 @@
 		return nil, err
 	}
 	if slices.Contains(h.BootstrapMembers, r.identity.String()) {
-		go r.joinGroup(ctx, h.BootstrapMembers, consensus.Bootstrap(h.BootstrapMembers))
+		go r.adoptGroup(ctx, h.BootstrapMembers, h.Agreed)
 	}
 	return nil, nil
 }
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"net/netip"
 	"time"
 
 	"wasabirelay/consensus"
@@ -14,6 +15,7 @@
 	MethodStep      = "consensus.step"
 	MethodHello     = "quorum.hello"
 	MethodBootstrap = "quorum.found"
+	MethodAgree     = "quorum.agree"
 	MethodJoin      = "quorum.join"
 	MethodLeave     = "quorum.leave"
 	MethodPropose   = "control.propose"
@@ -34,6 +36,41 @@
 	Members []string `json:"members,omitempty"`
 	// BootstrapMembers are the members that bootstrapped the group.
 	BootstrapMembers []string `json:"founders,omitempty"`
+	// Agreed is true if a majority of the seeds has accepted the bootstrap members, as far as the replica knows.
+	Agreed bool `json:"agreed,omitempty"`
+	// Agreement is the part that the replica takes in an agreement on bootstrap members; empty in earlier versions.
+	Agreement AgreementPart `json:"agreement,omitempty"`
+}
+
+// AgreementPart is the part that a replica takes in an agreement on bootstrap members.
+type AgreementPart string
+
+// Values of AgreementPart.
+const (
+	// TakesPart means that the replica promises and accepts.
+	TakesPart AgreementPart = "open"
+	// TakesNoPart means that the replica only joins a group.
+	TakesNoPart AgreementPart = "closed"
+)
+
+// AgreeRequest asks a seed to accept bootstrap members in a ballot, or, without members, to promise that it accepts none
+// in a lower ballot.
+type AgreeRequest struct {
+	Seeds   []netip.AddrPort `json:"seeds"`
+	Ballot  ballot           `json:"ballot"`
+	Members []string         `json:"members,omitempty"`
+}
+
+// AgreeResponse is the response to AgreeRequest.
+type AgreeResponse struct {
+	Granted bool `json:"granted"`
+	// Promised is the highest ballot that the seed has promised.
+	Promised ballot `json:"promised"`
+	// Members are those that the seed has accepted, in the ballot Accepted; 0 if it has accepted none.
+	Accepted ballot   `json:"accepted,omitempty"`
+	Members  []string `json:"members,omitempty"`
+	// Member is true if the seed is in a group already. It then neither promises nor accepts.
+	Member bool `json:"member,omitempty"`
 }
 
 // JoinResponse is the response to JoinRequest.
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -47,11 +47,9 @@
 	Disk journal.Disk
 	// Peers holds the control hosts. Hosts may be added while the replica runs.
 	Peers *Peers
-	// BootstrapHosts returns the hosts that bootstrap a group if none of them is in a
-	// group yet. The first host starts the bootstrap. The result is nil if this replica may
-	// only join an existing group. If the function is nil, the hosts of Peers are used;
-	// Peers must then be complete from the start.
-	BootstrapHosts func() []string
+	// Bootstrap lets a majority of seeds bootstrap a group. If it is nil, all hosts of Peers have to be there, and
+	// Peers must be complete from the start.
+	Bootstrap *Bootstrap
 	// MinVoters is the least number of voters of a complete group. A group that was
 	// bootstrapped with more hosts has as many voters as that; further hosts are spare.
 	MinVoters int
@@ -81,6 +79,10 @@
 	fatal  error
 
 	identity journal.Identity
+	// agreement is the part that this host has in the agreement on bootstrap members; nil if it has none.
+	agreement *agreement
+	// seenBallot is the highest ballot that another seed has told.
+	seenBallot ballot
 	// diskFailing is true while the disk refuses writes.
 	diskFailing atomic.Bool
 	hasLeader   atomic.Bool
@@ -181,6 +183,9 @@
 	if r.identity != id { // other goroutines read it; after a failed write it is the same
 		r.identity = id
 	}
+	if err := r.loadAgreement(!isEmpty(saved)); err != nil {
+		return err
+	}
 	if isEmpty(saved) {
 		return nil
 	}
--- a/quorum/send.go
+++ b/quorum/send.go
@@ -92,6 +92,7 @@
 		MethodStep:      r.serveStep,
 		MethodHello:     r.serveHello,
 		MethodBootstrap: r.serveBootstrap,
+		MethodAgree:     r.serveAgree,
 		MethodJoin:      r.serveJoin,
 		MethodLeave:     r.serveLeave,
 		MethodPropose:   r.servePropose,
