soak: disturb the first start of a deployment

Cause: all faults began once the deployment served, so that nothing played the seconds in which the control hosts form their group.

It waits until the lost host has a vote before other faults begin: another loss before is more than a group has to tolerate.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Replace       bool          `help:"Also replace control hosts by others; the other faults of a seed differ then."`
 	Stutter       bool          `help:"Also make targets repeat, break off and fail replies; callers leave early, pipeline and send bodies slowly."`
 	Organisations bool          `help:"Also put organisations into the documents, send requests with keys, and report usage."`
+	DisturbStart  bool          `help:"Also kill, pause and lose control hosts while the deployment starts for the first time."`
 	Only          string        `help:"Inject only faults whose names contain this, and those of --stutter."`
 	Quiet         bool          `help:"Inject no other faults."`
 	Head          float64       `help:"Share of HEAD among the requests to one service that may run more than once; needs --stutter."`
@@ -83,7 +84,7 @@
 		}
 		return strings.Join(append([]string{report.String()}, report.Causes...), "\n  ")
 	}
-	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Organisations: o.Organisations, Only: o.Only, Quiet: o.Quiet, HeadShare: o.Head, CallPause: o.Pause, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
+	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Organisations: o.Organisations, DisturbStart: o.DisturbStart, Only: o.Only, Quiet: o.Quiet, HeadShare: o.Head, CallPause: o.Pause, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -64,6 +64,8 @@
 	// Organisations is true if documents hold organisations, callers also send requests with keys, and usage is
 	// reported. The faults of a seed remain the same.
 	Organisations bool
+	// DisturbStart is true if control hosts also fail while the system starts for the first time.
+	DisturbStart bool
 	// Only, if set, limits the other faults to those whose names contain it; the order for a seed
 	// differs then. Quiet is true if there are none. HeadShare is the share of HEAD among idempotent
 	// requests that are not merged; it needs Stutter.
@@ -181,11 +183,10 @@
 }
 
 // start starts all processes and targets and waits until answers are complete.
-func (r *Run) start(ctx context.Context) error {
+func (r *Run) start(ctx context.Context) (err error) {
 	r.deployment = &standin.Deployment{Program: r.Program, Dir: r.Directory(), ControlHosts: r.ControlHosts, EntryHosts: r.EntryHosts, Forward: r.openHostLink}
 	if r.Organisations {
 		r.organisations.expected = map[string]string{}
-		var err error
 		if r.deployment.Provider, err = r.organisations.provider.Start(ctx); err != nil {
 			return err
 		}
@@ -193,6 +194,16 @@
 	if err := r.deployment.Start(); err != nil {
 		return err
 	}
+	if r.DisturbStart {
+		var lost *standin.Machine
+		var wg sync.WaitGroup
+		wg.Go(func() { lost = r.disturbStart(ctx) })
+		defer func() {
+			if wg.Wait(); err == nil && lost != nil {
+				r.awaitRepair(lost) // another loss before that is more than the group has to tolerate
+			}
+		}()
+	}
 	for i := range r.EntryHosts {
 		p, err := NewProxy(anyPort, r.machine(r.ControlHosts+i).CallerAddress())
 		if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -76,6 +76,17 @@
 	})
 }
 
+// Guards against a first start that never ends, or that ends with two groups of control hosts: some are killed, paused, or lost
+// with their disks in its first two seconds.
+func TestSoakFromDisturbedStart(t *testing.T) {
+	program := buildNode(t)
+	for _, seed := range []uint64{1005, 1006} {
+		do(t, &Run{
+			Seed: seed, Duration: faultDuration, ControlHosts: 3, EntryHosts: 3, DisturbStart: true, Program: program, Dir: t.TempDir(), Logf: t.Logf,
+		})
+	}
+}
+
 // stutterDuration is how long requests are sent before the checks at the end, during which they continue.
 const stutterDuration = time.Second
 
