--- a/soak/soak.go
+++ b/soak/soak.go
@@ -218,12 +218,12 @@
 			}
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	limited, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := r.putDocument(ctx); err != nil {
+	if err := r.putDocument(limited); err != nil {
 		return errors.Wrap(err, "put the first document")
 	}
-	return errors.Wrap(r.awaitComplete(ctx), "start")
+	return errors.Wrap(r.awaitComplete(limited), "start")
 }
 
 // openHostLink starts the proxy in front of a host.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,10 +77,11 @@
 }
 
 // Guards against a first start that never ends, or that ends with two groups of control hosts: some are killed, paused, or lost
-// with their disks in its first two seconds.
+// with their disks in its first two seconds. With 52009, a group that was bootstrapped by two of three seeds lost one of its two
+// voters.
 func TestSoakFromDisturbedStart(t *testing.T) {
 	program := buildNode(t)
-	for _, seed := range []uint64{1005, 1006} {
+	for _, seed := range []uint64{1006, 52009} {
 		do(t, &Run{
 			Seed: seed, Duration: faultDuration, ControlHosts: 3, EntryHosts: 3, DisturbStart: true, Program: program, Dir: t.TempDir(), Logf: t.Logf,
 		})
