--- a/quorum/seeds.go
+++ b/quorum/seeds.go
@@ -139,37 +139,46 @@
 }
 
 // decideBySeeds returns what a replica in no group does next; see decideGroup.
-func (r *Replica) decideBySeeds(ctx context.Context, others map[string]Hello) (decision groupDecision) {
-	_ = r.do(ctx, func() { // the error says that the replica stops
-		b := r.Bootstrap
-		seeds := b.Seeds
-		if r.agreement != nil {
-			seeds = r.agreement.Seeds // those of the settings may change later
-		}
-		bySeed := map[netip.AddrPort]Hello{}
-		for host, h := range others {
-			if address, ok := r.Peers.Address(host); ok && slices.Contains(seeds, address) {
-				bySeed[address] = h
-			}
-		}
-		if decision = decideMembership(r.identity.String(), r.agreement, len(seeds), bySeed, others); decision.adopt != nil || decision.join != "" || !r.agreement.isOpen() {
-			return
-		}
-		view := bootstrapView{position: slices.Index(seeds, b.Self), seeds: len(seeds), responding: len(bySeed) + 1}
-		first, ok := bySeed[seeds[0]]
-		view.firstIsOlder = ok && first.Agreement == ""
-		if view.age, view.quiet = b.Age(); !view.mayPropose() {
-			return
-		}
-		decision.propose = []string{r.identity.String()}
-		for _, h := range others {
-			decision.propose = append(decision.propose, h.ID)
-		}
-		slices.Sort(decision.propose)
-	})
+func (r *Replica) decideBySeeds(ctx context.Context, others map[string]Hello) groupDecision {
+	var decision groupDecision
+	if err := r.do(ctx, func() { decision = r.decideWithAgreement(others) }); err != nil {
+		return groupDecision{}
+	}
 	return decision
 }
 
+// decideWithAgreement is decideBySeeds on the control goroutine.
+func (r *Replica) decideWithAgreement(others map[string]Hello) groupDecision {
+	seeds := r.Bootstrap.Seeds
+	if r.agreement != nil {
+		seeds = r.agreement.Seeds // those of the settings may change later
+	}
+	bySeed := map[netip.AddrPort]Hello{}
+	for host, h := range others {
+		if address, ok := r.Peers.Address(host); ok && slices.Contains(seeds, address) {
+			bySeed[address] = h
+		}
+	}
+	decision := decideMembership(r.identity.String(), r.agreement, len(seeds), bySeed, others)
+	if decision.adopt != nil || decision.join != "" || !r.agreement.isOpen() {
+		return decision
+	}
+	first, ok := bySeed[seeds[0]]
+	view := bootstrapView{
+		position: slices.Index(seeds, r.Bootstrap.Self), seeds: len(seeds), responding: len(bySeed) + 1, firstIsOlder: ok && first.Agreement == "",
+	}
+	view.age, view.quiet = r.Bootstrap.Age()
+	if !view.mayPropose() {
+		return groupDecision{}
+	}
+	members := []string{r.identity.String()}
+	for _, h := range others {
+		members = append(members, h.ID)
+	}
+	slices.Sort(members)
+	return groupDecision{propose: members}
+}
+
 // decideMembership returns the group that a replica adopts or joins, if there is one. own is its agreement, bySeed holds the
 // poll responses of the other seeds. A group that was not agreed on was bootstrapped by an earlier version. The replica
 // adopts it only if no other members can be agreed on any more: if a majority of the seeds is in it, or with the
