--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -60,11 +61,11 @@
 		runs = append(runs, run{r.seed, false})
 	}
 	for _, run := range runs {
-		seed := run.seed
-		r := &Run{
-			Seed: seed, Duration: faultDuration, ControlHosts: 3, EntryHosts: 3, Replacements: run.replacements, Program: program, Dir: t.TempDir(), Logf: t.Logf,
-		}
-		do(t, r)
+		t.Run(fmt.Sprint("seed ", run.seed), func(t *testing.T) {
+			do(t, &Run{
+				Seed: run.seed, Duration: faultDuration, ControlHosts: 3, EntryHosts: 3, Replacements: run.replacements, Program: program, Dir: t.TempDir(), Logf: t.Logf,
+			})
+		})
 	}
 }
 
