Decide on the heads of replies by the grammar of HTTP

Cause: limit parsed heads of the common form and left all others, valid or not, to net/http, which takes blanks in and behind names, continued lines, line feeds alone, control bytes in the reason and other versions. A field that it drops later says nothing on the body.

Change: one parser decides on all heads by the grammar of RFC 9112, and net/http is not asked. It decides on what has arrived: a head that can't become valid fails the attempt at once. That the parser and the check for replies inside bodies share one grammar keeps both in step.

No format has changed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -32,9 +32,6 @@
 // maxStatusLines is the number of different status lines that a connection remembers.
 const maxStatusLines = 4
 
-// MaxStatus is the largest status of HTTP: RFC 9110, section 15 calls those beyond it invalid.
-const MaxStatus = 599
-
 var (
 	headerEnd = []byte("\r\n\r\n")
 	// interruptDeadline is a deadline in the past, which interrupts blocked reads and writes.
@@ -220,8 +217,6 @@
 			return err
 		}
 		switch {
-		case c.head.status < http.StatusContinue || c.head.status > MaxStatus:
-			return &ReplyError{Reason: Malformed, Err: errors.Errorf("status %d is no status of HTTP", c.head.status)}
 		case c.head.status == http.StatusSwitchingProtocols:
 			return &ReplyError{Reason: Malformed, Err: errors.New("the protocol was switched without a request to do so")}
 		case c.head.status >= http.StatusOK:
@@ -242,24 +237,41 @@
 	}
 }
 
-// parseBuffered waits for the next complete head and consumes it.
+// parseBuffered waits for the next complete head and consumes it. It returns as soon as the head can't become valid.
 func (c *connection) parseBuffered() error {
-	text, err := c.bufferHeader()
-	if err != nil {
-		return err
-	}
-	if isHeadSpliced(text) {
-		return &ReplyError{Reason: Spliced}
-	}
-	h, ok := parseHead(text)
-	if !ok {
-		if h, err = parseUncommonHead(text); err != nil {
+	for seen := 0; ; {
+		text, err := c.buffer(seen)
+		if err != nil {
+			return err
+		}
+		h, err := parseHead(text)
+		if errors.Is(err, errHeadCut) {
+			seen = len(text)
+			continue
+		}
+		if end := bytes.Index(text, headerEnd); end >= 0 {
+			text = text[:end+len(headerEnd)]
+		}
+		if isHeadSpliced(text) {
+			return &ReplyError{Reason: Spliced}
+		}
+		if err != nil {
 			return &ReplyError{Reason: Malformed, Err: err}
 		}
+		c.head = h
+		_, _ = c.reader.Discard(h.size) // can't fail: the head is in the buffer
+		return nil
 	}
-	c.head = h
-	_, _ = c.reader.Discard(h.size) // can't fail: the head is in the buffer
-	return nil
+}
+
+// buffer waits until more bytes are in the buffer than have been seen, and returns them all.
+func (c *connection) buffer(seen int) ([]byte, error) {
+	if _, err := c.reader.Peek(seen + 1); errors.Is(err, bufio.ErrBufferFull) {
+		return nil, &ReplyError{Reason: Malformed, Err: errors.New("the header is too large")}
+	} else if err != nil {
+		return nil, err
+	}
+	return c.reader.Peek(c.reader.Buffered())
 }
 
 // idleMargin is how long before its announced expiry an idle connection is no longer used,
@@ -282,18 +294,15 @@
 
 // bufferHeader waits until the complete head is in the buffer and returns it.
 func (c *connection) bufferHeader() ([]byte, error) {
-	for n := 1; ; n = c.reader.Buffered() + 1 {
-		_, err := c.reader.Peek(n)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return nil, &ReplyError{Reason: Malformed, Err: errors.New("the header is too large")}
-		}
+	for seen := 0; ; {
+		text, err := c.buffer(seen)
 		if err != nil {
 			return nil, err
 		}
-		text, _ := c.reader.Peek(c.reader.Buffered())
 		if end := bytes.Index(text, headerEnd); end >= 0 {
 			return text[:end+len(headerEnd)], nil
 		}
+		seen = len(text)
 	}
 }
 
--- a/limit/head.go
+++ b/limit/head.go
@@ -1,12 +1,13 @@
 package limit
 
 import (
-	"bufio"
 	"bytes"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // Header holds the header fields of a reply. Replies of the common form keep them as text,
@@ -95,108 +96,73 @@
 	header Header
 }
 
-// statusPrefix begins the status line of the common form.
-const statusPrefix = "HTTP/1.1 "
-
-// maxLengthDigits is the number of digits of a Content-Length that always fits into an int64.
-const maxLengthDigits = 18
+// The errors of parseHead reach callers as the reason of a refusal and name no bytes of the target.
+var (
+	// errHeadCut reports that a head may go on behind the text that was parsed.
+	errHeadCut      = errors.New("the head is cut")
+	errNoStatusLine = errors.New("the first line of the head is no status line of HTTP")
+)
 
-// parseHead parses a head of the common form: a final status and a body with a length. It reports
-// false for all other heads, valid or not; net/http decides on those. text ends with an empty
-// line.
-func parseHead(text []byte) (h head, ok bool) {
-	const statusEnd = len(statusPrefix) + 3
-	if len(text) < statusEnd || !bytes.HasPrefix(text, []byte(statusPrefix)) {
-		return h, false
-	}
-	line, rest, _ := strings.Cut(string(text), "\r\n")
-	if len(line) < statusEnd || len(line) > statusEnd && line[statusEnd] != ' ' || !isFieldValue(line) {
-		return h, false
-	}
-	for _, c := range []byte(line[len(statusPrefix):statusEnd]) {
-		if c < '0' || c > '9' {
-			return h, false
+// parseHead parses the head that the text begins with, by the grammar of RFC 9112. net/http also takes heads that break it:
+// with a line that is passed over, the body ends elsewhere than the target meant. The error is errHeadCut if
+// the head is valid as far as it goes and the text ends within it.
+func parseHead(text []byte) (head, error) {
+	line, rest, ended := bytes.Cut(text, lineEnd)
+	if !ended {
+		if !isStatusLineStart(line) {
+			return head{}, errNoStatusLine
 		}
-		h.status = 10*h.status + int(c-'0')
-	}
-	if isBodiless(h.status) {
-		return h, false
-	}
-	h.line, h.header.text = line, rest[:len(rest)-len("\r\n")]
-	h.size, h.length = len(text), -1
-	for rest = h.header.text; rest != ""; {
-		line, rest, _ = strings.Cut(rest, "\r\n")
-		if !h.addField(line) {
-			return h, false
-		}
-	}
-	return h, h.length >= 0
+		return head{}, errHeadCut
+	}
+	status, ok := parseStatusLine(line)
+	if !ok {
+		return head{}, errNoStatusLine
+	}
+	fields, rest, state := cutFields(rest)
+	switch state {
+	case fieldsCut:
+		return head{}, errHeadCut
+	case fieldsBroken:
+		return head{}, errors.Errorf("line %d of the head is no header field", 2+bytes.Count(fields, lineEnd))
+	}
+	h := head{status: status, size: len(text) - len(rest), length: -1}
+	all := string(text[:h.size])
+	h.line, h.header.text = all[:len(line)], all[len(line)+len(lineEnd):h.size-len(lineEnd)]
+	return h, h.readFields()
 }
 
-// headRequest makes net/http parse a head without regard to the body that follows it.
-var headRequest = &http.Request{Method: http.MethodHead}
-
-// parseUncommonHead parses any head with net/http. text ends with an empty line.
-func parseUncommonHead(text []byte) (head, error) {
-	source := bytes.NewReader(text)
-	reader := bufio.NewReaderSize(source, len(text))
-	res, err := http.ReadResponse(reader, headRequest) //nolint:bodyclose // there is none
-	if err != nil {
-		return head{}, err
+// readFields takes account of the fields that say where the body ends and whether the connection closes.
+func (h *head) readFields() error {
+	keepAlive := !strings.HasPrefix(h.line, "HTTP/1.0")
+	for rest := h.header.text; rest != ""; {
+		var line string
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, _ := strings.Cut(line, ":")
+		switch value = trimValue(value); {
+		case strings.EqualFold(name, "Content-Length"):
+			length, err := strconv.ParseUint(value, 10, 63)
+			if err != nil || h.length >= 0 && h.length != int64(length) {
+				return errors.New("the Content-Length is not one number")
+			}
+			h.length = int64(length)
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			if h.chunked || !strings.EqualFold(value, "chunked") {
+				return errors.New("the Transfer-Encoding is not chunked")
+			}
+			h.chunked = true
+		case strings.EqualFold(name, "Connection"):
+			for option := range strings.SplitSeq(value, ",") {
+				option = trimValue(option)
+				h.close = h.close || strings.EqualFold(option, "close")
+				keepAlive = keepAlive || strings.EqualFold(option, "keep-alive")
+			}
+		}
 	}
-	return head{
-		line: res.Proto + " " + res.Status, status: res.StatusCode, size: len(text) - reader.Buffered() - source.Len(), // net/http also accepts an empty line without a carriage return
-		length: res.ContentLength, chunked: len(res.TransferEncoding) > 0 && !isBodiless(res.StatusCode),
-		close: res.Close, header: NewHeader(res.Header),
-	}, nil
+	h.close = h.close || !keepAlive
+	return nil
 }
 
 // isBodiless reports whether replies with the status have no body, whatever their header says.
 func isBodiless(status int) bool {
 	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
 }
-
-// addField takes account of a header field. It reports false if the field is malformed or needs
-// net/http.
-func (h *head) addField(line string) bool {
-	colon := strings.IndexByte(line, ':')
-	if colon <= 0 || !isToken(line[:colon]) || !isFieldValue(line[colon+1:]) {
-		return false
-	}
-	switch name, value := line[:colon], trimValue(line[colon+1:]); {
-	case strings.EqualFold(name, "Content-Length"):
-		if h.length >= 0 || value == "" || len(value) > maxLengthDigits || strings.Trim(value, "0123456789") != "" {
-			return false
-		}
-		h.length, _ = strconv.ParseInt(value, 10, 64) // can't fail: it has at most 18 digits
-	case strings.EqualFold(name, "Transfer-Encoding"), strings.EqualFold(name, "Trailer"):
-		return false
-	case strings.EqualFold(name, "Connection"):
-		for option := range strings.SplitSeq(value, ",") {
-			h.close = h.close || strings.EqualFold(trimValue(option), "close")
-		}
-	}
-	return true
-}
-
-// isToken reports whether the text is a valid name of a header field.
-func isToken(text string) bool {
-	for i := range len(text) {
-		c := text[i]
-		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		if !letter && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
-			return false
-		}
-	}
-	return text != ""
-}
-
-// isFieldValue reports whether the text has no control characters but tabs.
-func isFieldValue(text string) bool {
-	for i := range len(text) {
-		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -14,15 +14,6 @@
 	"github.com/pkg/errors"
 )
 
-// statusForm is the start of a status line, in which 0 stands for any digit.
-const statusForm = "HTTP/1.0 000"
-
-var (
-	// versionPrefix begins all status lines.
-	versionPrefix = []byte("HTTP/1.")
-	lineEnd       = []byte("\r\n")
-)
-
 // minCutStatus is the least number of bytes of a status line at the end of a body that count as the start of
 // another reply although nothing follows: a text may well end with "HTTP/1.1".
 const minCutStatus = len("HTTP/1.0 0")
@@ -171,68 +162,6 @@
 	return n > 0 && bytes.Equal(before[:n], after[:n])
 }
 
-// fieldsState says what follows the last field.
-type fieldsState int
-
-const (
-	// fieldsEnded means the empty line that ends a head.
-	fieldsEnded fieldsState = iota
-	// fieldsCut means the end of the text, perhaps within a field.
-	fieldsCut
-	// fieldsBroken means a line that is no field.
-	fieldsBroken
-)
-
-// cutFields returns the complete fields that the text begins with, each with its line break, and what follows
-// them.
-func cutFields(text []byte) (fields, rest []byte, state fieldsState) {
-	for rest = text; ; {
-		line, next, ended := bytes.Cut(rest, lineEnd)
-		fields = text[:len(text)-len(rest)]
-		switch {
-		case !ended:
-			if isFieldStart(string(line)) {
-				return fields, rest, fieldsCut
-			}
-			return fields, rest, fieldsBroken
-		case len(line) == 0:
-			return fields, next, fieldsEnded
-		case !isField(string(line)):
-			return fields, rest, fieldsBroken
-		}
-		rest = next
-	}
-}
-
-func isField(line string) bool {
-	name, value, ok := strings.Cut(line, ":")
-	return ok && isToken(name) && isFieldValue(value)
-}
-
-// isFieldStart reports whether the line can be the start of a field or of an empty line.
-func isFieldStart(line string) bool {
-	line = strings.TrimSuffix(line, "\r")
-	return line == "" || isToken(line) || isField(line)
-}
-
-// isStatus reports whether the text begins with a status line, complete up to its status.
-func isStatus(text []byte) bool {
-	if len(text) < len(statusForm) || !hasStatusForm(text[:len(statusForm)]) {
-		return false
-	}
-	return len(text) == len(statusForm) || text[len(statusForm)] == ' ' || text[len(statusForm)] == '\r'
-}
-
-// hasStatusForm reports whether the text, which is not longer than statusForm, has its form as far as it goes.
-func hasStatusForm(text []byte) bool {
-	for i, c := range text {
-		if c != statusForm[i] && (statusForm[i] != '0' || c < '0' || c > '9') {
-			return false
-		}
-	}
-	return true
-}
-
 // isHeadSpliced reports whether a head holds the status line of another reply: it has broken off there.
 func isHeadSpliced(head []byte) bool {
 	for from := 1; from < len(head); {
--- /dev/null
+++ b/relay/broken_head_test.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"wasabirelay/portion"
+)
+
+// reply is what a target sends in reply to each request. ID in it stands for the identity of the request.
+type reply struct {
+	text string
+	// byByte sends each byte in a piece of its own, open keeps the connection open.
+	byByte, open bool
+}
+
+func (r reply) write(conn net.Conn, req *http.Request) {
+	text := strings.ReplaceAll(r.text, "ID", req.Header.Get(headers.Request))
+	size := len(text)
+	if r.byByte {
+		size = 1
+	}
+	for ; text != ""; text = text[min(size, len(text)):] {
+		_, _ = io.WriteString(conn, text[:size]) // an error means that the host has closed the connection
+	}
+}
+
+// serve is a target on a connection.
+func (r reply) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if r.write(conn, req); !r.open {
+			return
+		}
+	}
+}
+
+// replyOf makes the target send the reply.
+func (f *fakeTarget) replyOf(r reply) *fakeTarget {
+	f.reply = func(w http.ResponseWriter, req *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		if r.write(conn, req); r.open {
+			_, _ = conn.Read(make([]byte, 1)) // until the host closes the connection
+		}
+		conn.Close()
+	}
+	return f
+}
+
+// checkRejected checks that no caller gets the reply as an answer, on any way that replies take.
+func checkRejected(t *testing.T, r reply) {
+	t.Helper()
+	for _, passed := range []bool{false, true} {
+		for _, method := range []string{http.MethodGet, http.MethodHead} {
+			t.Run(fmt.Sprintf("%s, passed on: %t", method, passed), func(t *testing.T) {
+				is := is.New(t)
+				h := newRawHarness(t, 1, r.serve)
+				if passed {
+					other := h
+					h = newHarness(t, singleRoute(false, 1), newTarget("a", "s1"))
+					h.loseLinks()
+					h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){"other": other.collectEncoded})
+				}
+				res, body := h.get(t, func(req *http.Request) { req.Method = method })
+				is.Equal(res.StatusCode, http.StatusBadGateway) // at once, not at the deadline
+				is.Equal(res.Header.Get(headers.Signature), "")
+				is.True(!strings.Contains(body, "odd"))
+			})
+		}
+	}
+	for _, divided := range []bool{false, true} {
+		t.Run(fmt.Sprintf("of a shard, in a portion: %t", divided), func(t *testing.T) {
+			is := is.New(t)
+			h, _ := eightShards(t, 0.5, map[int]func(*fakeTarget){7: func(f *fakeTarget) { f.replyOf(r) }})
+			if divided {
+				h.divided(4, h.collectEncoded)
+			}
+			res, body := h.get(t, nil)
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.True(!strings.Contains(body, "odd"))
+			is.Equal(res.Header.Get(headers.Missing), "1")
+			is.Equal(len(strings.Split(res.Header.Get(headers.Parts), ",")), 7)
+		})
+	}
+}
+
+// oddBody is the body of broken replies, oddChunks the same in chunks.
+var (
+	oddBody   = string(record("odd"))
+	oddChunks = "10\r\n" + oddBody + "\r\n0\r\n\r\n"
+)
+
+const (
+	// soundHead is a head without its end and without a word on the body.
+	soundHead = "HTTP/1.1 200 OK\r\nReq: ID\r\nSign: sign\r\n"
+	// stated states the length of oddBody.
+	stated = "Content-Length: 16\r\n"
+)
+
+// brokenHeads are replies whose head is not one of HTTP.
+var brokenHeads = map[string]string{
+	"blank in the name of the coding":         soundHead + "Transfer Encoding: chunked\r\n\r\n" + oddChunks,
+	"blank behind the name of the coding":     soundHead + "Transfer-Encoding : chunked\r\n\r\n" + oddChunks,
+	"tab behind the name of the coding":       soundHead + "Transfer-Encoding\t: chunked\r\n\r\n" + oddChunks,
+	"blank before the name of the coding":     soundHead + " Transfer-Encoding: chunked\r\n\r\n" + oddChunks,
+	"control byte in the name of the coding":  soundHead + "Transfer\x01Encoding: chunked\r\n\r\n" + oddChunks,
+	"coding continues a line":                 soundHead + "X: 1\r\n Transfer-Encoding: chunked\r\n\r\n" + oddChunks,
+	"coding behind a line feed alone":         soundHead + "X: 1\nTransfer-Encoding: chunked\r\n\r\n" + oddChunks,
+	"coding before a line feed alone":         soundHead + "Transfer-Encoding: chunked\nX: 1\r\n\r\n" + oddChunks,
+	"coding behind a carriage return alone":   soundHead + "X: 1\rTransfer-Encoding: chunked\r\n\r\n" + oddChunks,
+	"unknown coding":                          soundHead + "Transfer-Encoding: chunkee\r\n\r\n" + oddChunks,
+	"coding with a control byte":              soundHead + "Transfer-Encoding: chunked\x00\r\n\r\n" + oddChunks,
+	"coding in quotes":                        soundHead + "Transfer-Encoding: \"chunked\"\r\n\r\n" + oddChunks,
+	"two codings":                             soundHead + "Transfer-Encoding: gzip, chunked\r\n\r\n" + oddChunks,
+	"blank in the name of the length":         soundHead + "Content Length: 16\r\n\r\n" + oddBody,
+	"blank behind the name of the length":     soundHead + "Content-Length : 3\r\n\r\n" + oddBody,
+	"line feed alone between two lengths":     soundHead + "Content-Length: 3\nContent-Length: 16\r\n\r\n" + oddBody,
+	"line feed alone between length and more": soundHead + "Content-Length: 3\nX: 1\r\n\r\n" + oddBody,
+	"line feed alone behind the status line":  strings.Replace(soundHead, "\r\n", "\n", 1) + stated + "\r\n" + oddBody,
+	"line feeds alone":                        strings.ReplaceAll(soundHead+stated+"\r\n", "\r\n", "\n") + oddBody,
+	"length with a sign":                      soundHead + "Content-Length: +16\r\n\r\n" + oddBody,
+	"length with a control byte":              soundHead + "Content-Length: 1\x006\r\n\r\n" + oddBody,
+	"length with a blank":                     soundHead + "Content-Length: 1 6\r\n\r\n" + oddBody,
+	"length in hexadecimal":                   soundHead + "Content-Length: 0x10\r\n\r\n" + oddBody,
+	"length with a separator":                 soundHead + "Content-Length: 1_6\r\n\r\n" + oddBody,
+	"empty length":                            soundHead + "Content-Length:\r\n\r\n" + oddBody,
+	"length that is too large for a number":   soundHead + "Content-Length: 18446744073709551632\r\n\r\n" + oddBody,
+	"list of lengths":                         soundHead + "Content-Length: 3, 16\r\n\r\n" + oddBody,
+	"two lengths":                             soundHead + stated + "Content-Length: 3\r\n\r\n" + oddBody,
+	"blank in a name":                         soundHead + "X Y: 1\r\n" + stated + "\r\n" + oddBody,
+	"blank behind a name":                     soundHead + "X : 1\r\n" + stated + "\r\n" + oddBody,
+	"control byte in a name":                  soundHead + "X\x01Y: 1\r\n" + stated + "\r\n" + oddBody,
+	"delete in a name":                        soundHead + "X\x7fY: 1\r\n" + stated + "\r\n" + oddBody,
+	"byte beyond ASCII in a name":             soundHead + "X\xe9Y: 1\r\n" + stated + "\r\n" + oddBody,
+	"separator in a name":                     soundHead + "X(Y): 1\r\n" + stated + "\r\n" + oddBody,
+	"no name":                                 soundHead + ": 1\r\n" + stated + "\r\n" + oddBody,
+	"no colon":                                soundHead + "X\r\n" + stated + "\r\n" + oddBody,
+	"control byte in a value":                 soundHead + "X: \x01\r\n" + stated + "\r\n" + oddBody,
+	"continued line":                          soundHead + "X: 1\r\n 2\r\n" + stated + "\r\n" + oddBody,
+	"continued status line":                   "HTTP/1.1 200 OK\r\n X: 1\r\nReq: ID\r\nSign: sign\r\n" + stated + "\r\n" + oddBody,
+	"status 000":                              "HTTP/1.1 000 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"status with a sign":                      "HTTP/1.1 +20 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"status of four digits":                   "HTTP/1.1 2000 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"status of two digits":                    "HTTP/1.1 20 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"status behind two blanks":                "HTTP/1.1  200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"status behind a tab":                     "HTTP/1.1\t200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"tab behind the status":                   "HTTP/1.1 200\tOK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"control byte in the reason":              "HTTP/1.1 200 O\x01" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"version 2.0":                             "HTTP/2.0 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"version 1.7":                             "HTTP/1.7 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"version 1.10":                            "HTTP/1.10 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"version in small letters":                "http/1.1 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"blank before the status line":            " " + soundHead + stated + "\r\n" + oddBody,
+	"empty line before the status line":       "\r\n" + soundHead + stated + "\r\n" + oddBody,
+}
+
+// Guards against a caller that gets a body which is not the target's, or a line that is no field, because the head of
+// the reply is broken, and against one that waits for its deadline although the head can't become valid.
+func TestBrokenHeads(t *testing.T) {
+	for name, text := range brokenHeads {
+		for _, way := range []reply{{text: text}, {text: text, byByte: true}, {text: text, open: true}} {
+			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t", name, way.byByte, way.open), func(t *testing.T) { checkRejected(t, way) })
+		}
+	}
+}
