Reject replies that state the end of their body twice

Of seven forms, played against one target on, all reached the caller as 200 with the target's signature: a length beside a transfer coding cut the body there or left it empty, marks of chunks included, and a coding in HTTP/1.0 passed the marks on. Two forms, sent with the length, came whole.

Cause: a length, where there was one, was taken before the coding; in HTTP/1.0, net/http ignores the coding.

Change: a head with both, or with a coding in HTTP/1.0, is malformed. Letting the coding win, as section 6.3 of RFC 9112 has it, would pass the wrong end where the head was spoilt in the coding; it calls such a message one to handle as an error.

Result: TestContradictoryFraming failed before for all seven forms, on the parent commit as well, and passes. FuzzParseHead, 10 s: no failure. No format has changed.

--- a/limit/head.go
+++ b/limit/head.go
@@ -133,7 +133,8 @@
 
 // readFields takes account of the fields that say where the body ends and whether the connection closes.
 func (h *head) readFields() error {
-	keepAlive := !strings.HasPrefix(h.line, "HTTP/1.0")
+	old := strings.HasPrefix(h.line, "HTTP/1.0")
+	keepAlive := !old
 	for rest := h.header.text; rest != ""; {
 		var line string
 		line, rest, _ = strings.Cut(rest, "\r\n")
@@ -159,6 +160,9 @@
 		}
 	}
 	h.close = h.close || !keepAlive
+	if h.chunked && (old || h.length >= 0) {
+		return errors.New("the Transfer-Encoding contradicts the version or a Content-Length")
+	}
 	return nil
 }
 
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -180,3 +180,23 @@
 		}
 	}
 }
+
+// contradictoryFraming are replies whose head states the end of the body twice, or in a way that its version doesn't have.
+var contradictoryFraming = map[string]string{
+	"a length beside the coding":                soundHead + "Transfer-Encoding: chunked\r\n" + stated + "\r\n" + oddChunks,
+	"a coding behind the length":                soundHead + stated + "Transfer-Encoding: chunked\r\n\r\n" + oddChunks,
+	"the length of the chunks":                  soundHead + "Transfer-Encoding: chunked\r\nContent-Length: 27\r\n\r\n" + oddChunks,
+	"a length of nothing beside the coding":     soundHead + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n" + oddChunks,
+	"a coding beside the length of a body":      soundHead + "Transfer-Encoding: chunked\r\n" + stated + "\r\n" + oddBody,
+	"a coding in version 1.0":                   "HTTP/1.0 200 OK" + soundHead[15:] + "Transfer-Encoding: chunked\r\n\r\n" + oddChunks,
+	"a coding beside the length in version 1.0": "HTTP/1.0 200 OK" + soundHead[15:] + "Transfer-Encoding: chunked\r\n" + stated + "\r\n" + oddBody,
+}
+
+// Guards against a body that ends elsewhere than the target meant because its head states two ends.
+func TestContradictoryFraming(t *testing.T) {
+	for name, text := range contradictoryFraming {
+		for _, way := range []reply{{text: text}, {text: text, byByte: true}, {text: text, open: true}} {
+			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t", name, way.byByte, way.open), func(t *testing.T) { checkRejected(t, way) })
+		}
+	}
+}
