Reject replies behind whose end other bytes have come

Cause: bytes behind a reply closed its connection, but the reply counted as whole. On a connection without another request, bytes that are at once behind a body and begin no other reply show that it ends elsewhere than its head states.

Change: such a reply is refused as "continued", a new reason in logs and metrics. Whether the bytes begin another reply is decided by the parser of heads. The socket is looked into only if the latest read was filled, so that most replies cost nothing more.

Result: TestContinuedReplies failed before for all 14 forms and passes, five times with the race detector; TestReplyBehindReply, whole replies with another one behind, passes before and after. No format has changed; a log and a metric gain a value.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -45,6 +45,8 @@
 	written int64
 	// readErr is the error that ended reading; all later reads return it.
 	readErr error
+	// filled is true if the latest read got as many bytes as it asked for: more may have arrived.
+	filled bool
 }
 
 // Read reads bytes. A timeout doesn't end reading.
@@ -53,6 +55,7 @@
 		return 0, c.readErr
 	}
 	n, err := c.Conn.Read(b)
+	c.filled = n == len(b)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
@@ -310,11 +313,31 @@
 // sub-request that it belongs to is HEAD.
 func (c *connection) expectBody(head bool) {
 	c.bodiless = head || isBodiless(c.head.status)
-	if !c.bodiless && !c.head.chunked && c.head.length < 0 {
-		c.closing = true // the body ends with the connection
+	if c.isUnframed() {
+		c.closing = true
 	}
 }
 
+// isUnframed reports whether the body of the reply ends with the connection.
+func (c *connection) isUnframed() bool { return !c.bodiless && !c.head.chunked && c.head.length < 0 }
+
+// isContinued reports whether bytes have arrived behind a reply that has been read which are no other reply: its end is
+// then not the one that its head states. The bytes behind it may arrive later and are then not seen.
+func (c *connection) isContinued() bool {
+	if c.isUnframed() {
+		return false
+	}
+	if c.reader.Buffered() == 0 {
+		if c.socket == nil || !c.raw.filled || !c.hasPending() {
+			return false
+		}
+		_, _ = c.reader.Peek(1) // the next read returns an error that ended reading
+	}
+	behind, _ := c.reader.Peek(c.reader.Buffered())
+	_, err := parseHead(behind)
+	return len(behind) > 0 && err != nil && !errors.Is(err, errHeadCut)
+}
+
 // isAnonymousCopy reports whether the reply, which names no sub-request, may be a copy of an earlier one. It is
 // skipped only if all of it has arrived: nothing tells whether the rest ever does.
 func (c *connection) isAnonymousCopy() bool {
--- a/limit/do.go
+++ b/limit/do.go
@@ -192,6 +192,9 @@
 	if c.isSpliced(body, false) {
 		return readResult{err: &ReplyError{Reason: Spliced}}
 	}
+	if c.isContinued() {
+		return readResult{err: &ReplyError{Reason: Continued}}
+	}
 	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
 	if c.late {
 		if p.OnSkipped != nil {
--- a/limit/errors.go
+++ b/limit/errors.go
@@ -98,6 +98,8 @@
 	Mismatched Fault = "crossed"
 	// Spliced means that another reply starts inside the head or the body.
 	Spliced Fault = "spliced"
+	// Continued means that bytes which are no other reply follow the end that the head states.
+	Continued Fault = "continued"
 	// Malformed means that the header is not HTTP/1.1 or exceeds 8 KiB.
 	Malformed Fault = "malformed"
 )
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -200,3 +200,56 @@
 		}
 	}
 }
+
+// continuedReplies are replies behind whose end, as their head states it, more bytes come in the same piece.
+var continuedReplies = map[string]string{
+	"a length that is too short":                soundHead + "Content-Length: 9\r\n\r\n" + oddBody,
+	"a length that is too short by one":         soundHead + "Content-Length: 15\r\n\r\n" + oddBody,
+	"a length of nothing":                       soundHead + "Content-Length: 0\r\n\r\n" + oddBody,
+	"seven bytes behind the body":               soundHead + stated + "\r\n" + oddBody + "seven b",
+	"an empty line behind the body":             soundHead + stated + "\r\n" + oddBody + "\r\n",
+	"a large body with a length too short":      soundHead + "Content-Length: 20000\r\n\r\n" + strings.Repeat(oddBody, 1250) + "seven b",
+	"a very large body":                         soundHead + "Content-Length: 40000\r\n\r\n" + strings.Repeat(oddBody, 2500) + "seven b",
+	"seven bytes behind the last chunk":         soundHead + "Transfer-Encoding: chunked\r\n\r\n" + oddChunks + "seven b",
+	"a chunk behind the last one":               soundHead + "Transfer-Encoding: chunked\r\n\r\n" + "3\r\nodd\r\n0\r\n\r\n" + oddChunks,
+	"a body behind a 204":                       "HTTP/1.1 204 No Content" + soundHead[15:] + "\r\n" + oddBody,
+	"a body behind a 304":                       "HTTP/1.1 304 Not Modified" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"bytes that begin like a status line":       soundHead + stated + "\r\n" + oddBody + "HTTP is nice",
+	"a status line that is none":                soundHead + stated + "\r\n" + oddBody + "HTTP/1.1 000 OK\r\n\r\n",
+	"a status line and a line that is no field": soundHead + stated + "\r\n" + oddBody + "HTTP/1.1 200 OK\r\nodd\r\n",
+}
+
+// Guards against a body that is cut at a length which is too short: the rest comes behind it, where a sound target sends
+// nothing.
+func TestContinuedReplies(t *testing.T) {
+	for name, text := range continuedReplies {
+		for _, way := range []reply{{text: text}, {text: text, open: true}} {
+			t.Run(fmt.Sprintf("%s, open: %t", name, way.open), func(t *testing.T) { checkRejected(t, way) })
+		}
+	}
+}
+
+// Guards against losing a whole reply because another one, perhaps cut, comes behind it.
+func TestReplyBehindReply(t *testing.T) {
+	sound := soundHead + stated + "\r\n" + oddBody
+	for name, behind := range map[string]string{
+		"nothing":                        "",
+		"a copy":                         sound,
+		"another reply":                  "HTTP/1.1 503 Busy\r\nReq: other\r\nContent-Length: 0\r\n\r\n",
+		"a reply without identity":       "HTTP/1.0 200 OK\r\n\r\nbody",
+		"a byte of a reply":              "H",
+		"a reply cut in its status line": "HTTP/1.1 2",
+		"a reply cut in a name":          "HTTP/1.1 200 OK\r\nCont",
+		"a reply cut in its empty line":  "HTTP/1.1 200 OK\r\nX: y\r\n\r",
+	} {
+		for _, text := range []string{sound, soundHead + "Transfer-Encoding: chunked\r\n\r\n" + oddChunks} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				res, body := newRawHarness(t, 1, reply{text: text + behind}.serve).get(t, nil)
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.Equal(body, oddBody)
+				is.Equal(res.Header.Get(headers.Signature), "sign")
+			})
+		}
+	}
+}
