Reject bodies without a length that consist of chunks

Seen: an answer in chunks whose head had another letter in the name Transfer-Encoding reached callers as 200, with the target's signature and the marks of the chunks in the body.

Cause: the head is a valid one of a reply whose body ends with the connection. RFC 9112 does not require such a reply to say that its connection closes, so no rule on heads can refuse it.

Change: a body without a length that consists of chunks from its first byte to its last is malformed. To refuse all bodies without a length would lose those of targets that send them so.

Result: TestChunksWithoutCoding failed before for all six forms and passes; TestBodyLikeChunks, nine bodies that only resemble chunks, passes before and after. No format has changed.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -357,7 +357,26 @@
 		// The body ends with the connection, so a truncated body would not be detected.
 		return nil, &ReplyError{Reason: NoLength}
 	}
-	return readUpTo(c.reader, limit)
+	body, err := readUpTo(c.reader, limit)
+	if err == nil && isChunkedMessage(body) {
+		return nil, &ReplyError{Reason: Malformed, Err: errors.New("the body is in chunks, which the head does not say")}
+	}
+	return body, err
+}
+
+// isChunkedMessage reports whether the text consists of chunks, the last one included, and a trailer. A body without a
+// length that does has lost its Transfer-Encoding: a sound one happens to have this form next to never.
+func isChunkedMessage(text []byte) bool {
+	if !bytes.HasSuffix(text, headerEnd) {
+		return false
+	}
+	reader := bufio.NewReader(bytes.NewReader(text))
+	if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(reader)); err != nil {
+		return false
+	}
+	trailer, _ := io.ReadAll(reader) // can't fail: it is in memory
+	_, rest, state := cutFields(trailer)
+	return state == fieldsEnded && len(rest) == 0
 }
 
 // readUpTo reads a body of at most limit bytes to its end.
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -229,6 +229,38 @@
 	}
 }
 
+// Guards against the marks of chunks in the body of a caller: the head lost the word on the coding, and its body then ends with
+// the connection.
+func TestChunksWithoutCoding(t *testing.T) {
+	for name, text := range map[string]string{
+		"another name":       soundHead + "Transfer-Encodinf: chunked\r\n\r\n" + oddChunks,
+		"no line":            soundHead + "\r\n" + oddChunks,
+		"HTTP/1.0":           "HTTP/1.0 200 OK" + soundHead[15:] + "\r\n" + oddChunks,
+		"several chunks":     soundHead + "\r\n8\r\nodd body\r\n" + oddChunks,
+		"extension, trailer": soundHead + "\r\n10;a=b\r\n" + oddBody + "\r\n000\r\nX: y\r\n\r\n",
+		"empty":              soundHead + "\r\n0\r\n\r\n",
+	} {
+		for _, way := range []reply{{text: text}, {text: text, byByte: true}} {
+			t.Run(fmt.Sprintf("%s, by byte: %t", name, way.byByte), func(t *testing.T) { checkRejected(t, way, http.MethodGet) })
+		}
+	}
+}
+
+// Guards against losing a body without a length that only resembles chunks.
+func TestBodyLikeChunks(t *testing.T) {
+	for _, body := range []string{
+		"", "0\r\n", "1\r\na\r\n2\r\nbb\r\n", "10\r\n" + oddBody, oddChunks[:len(oddChunks)-1], oddChunks + "\r\n",
+		"text\r\n" + oddChunks, "3\r\nodd\n0\r\n\r\n", "0\r\nno field\r\n\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", body), func(t *testing.T) {
+			is := is.New(t)
+			res, got := newRawHarness(t, 1, reply{text: soundHead + "\r\n" + body}.serve).get(t, nil)
+			is.Equal(res.StatusCode, http.StatusOK)
+			is.Equal(got, body)
+		})
+	}
+}
+
 // continuedReplies are replies behind whose end, as their head states it, more bytes come in the same piece.
 var continuedReplies = map[string]string{
 	"a length that is too short":                soundHead + "Content-Length: 9\r\n\r\n" + oddBody,
