client: Fail on a status that is neither a success nor a refusal

Seen: a stand-in for a host answered with the status 000, 042, 099, 101, 300 or 304, and calls that expect no value, such as the leave of a target, counted as done.

Cause: statuses from 400 on were refusals and all others successes; net/http passes statuses below 100 on.

Change: any other status than 200 to 299 that is no refusal is a StatusError. The request may have run, so only an idempotent one goes to the next host.

No format has changed.

--- a/client/client.go
+++ b/client/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -102,7 +103,8 @@
 // Send sends a request to one address after the other while that is safe: after
 // a refusal with status 503 and executed "none", and for an idempotent request
 // also after a failed attempt. If a host refused the request, the error is an
-// *operator.Refusal, which contains a *problem.Details. If an attempt may have run
+// *operator.Refusal, which contains a *problem.Details; if its response had the status of neither
+// a success nor a refusal, it is a *StatusError. If an attempt may have run
 // and no later attempt had a definite outcome, the error is that of the attempt
 // that may have run.
 func (c *Client) Send(ctx context.Context, call Call) error {
@@ -178,6 +180,17 @@
 	return out
 }
 
+// StatusError reports a response whose status is neither a success nor a refusal. The request may have run.
+type StatusError struct {
+	Address netip.AddrPort
+	Status  int
+}
+
+// Error returns the address and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("call %s: the response has the status %03d, which is no outcome", e.Address, e.Status)
+}
+
 // mayTryNext reports whether the request may be sent to the next host after this error.
 func mayTryNext(err error, idempotent bool) bool {
 	var d *problem.Details
@@ -222,6 +235,9 @@
 		d.Status = res.StatusCode
 		return d
 	}
+	if res.StatusCode < http.StatusOK || res.StatusCode >= http.StatusMultipleChoices {
+		return &StatusError{Address: address, Status: res.StatusCode}
+	}
 	if call.Out == nil || res.StatusCode == http.StatusNoContent {
 		return nil
 	}
