Check the fields of replies that other hosts pass on

Of nine broken fields in a stand-in's replies, eight reached the caller as 200 with the target's signature, and one, a zero byte in a value, broke the response.

Cause: the status, the identity and the signature of such a reply were checked, its other fields were not.

Change: names and values are checked by the grammar of heads; a reply that breaks it is no response.

No format has changed.

--- a/limit/grammar.go
+++ b/limit/grammar.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // statusForm is the start of a status line, in which 0 stands for any digit.
@@ -90,6 +93,17 @@
 	}
 }
 
+// CheckFields returns an error if a name or a value is none of HTTP.
+func CheckFields(fields http.Header) error {
+	for name, values := range fields {
+		broken := func(value string) bool { return !isFieldValue([]byte(value)) }
+		if !isToken([]byte(name)) || slices.ContainsFunc(values, broken) {
+			return errors.New("a header field breaks the grammar of HTTP")
+		}
+	}
+	return nil
+}
+
 func isField(line []byte) bool {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	return ok && isToken(name) && isFieldValue(value)
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -169,6 +169,9 @@
 		return errors.New("there is no response")
 	}
 	fields, err := reply.ExactHeader()
+	if err == nil {
+		err = limit.CheckFields(fields)
+	}
 	if err != nil {
 		return err
 	}
--- a/relay/status_test.go
+++ b/relay/status_test.go
@@ -111,3 +111,53 @@
 		})
 	}
 }
+
+// Guards against another host, perhaps of an earlier version, that passes on a reply whose head was broken.
+func TestBrokenFieldsOfOtherHosts(t *testing.T) {
+	for _, tt := range []struct {
+		name, value string
+		served      bool
+	}{
+		{"X", "a\tb", true},
+		{"X", "", true},
+		{"Transfer Encoding", "chunked", false},
+		{"Content Length", "16", false},
+		{"X ", "1", false},
+		{"X\x01y", "1", false},
+		{"X(y)", "1", false},
+		{"", "1", false},
+		{"X", "a\r\nY: 1", false},
+		{"X", "a\x00", false},
+		{headers.Signature + " ", "sign", false},
+	} {
+		for _, raw := range []string{"", "\xff"} { // a byte that is no UTF-8 makes the header travel as it is
+			t.Run(fmt.Sprintf("%q: %q, raw %t", tt.name, tt.value, raw != ""), func(t *testing.T) {
+				is := is.New(t)
+				h := newHarness(t, singleRoute(false, 1), newTarget("t1", "s1"))
+				h.cutOff()
+				h.loseLinks()
+				h.passTo(map[string]func(context.Context, *portion.Request, func(*portion.Frame, error)){
+					"other": func(_ context.Context, r *portion.Request, receive func(*portion.Frame, error)) {
+						reply := &portion.Reply{Status: http.StatusOK, Body: record("odd")}
+						reply.Header = http.Header{headers.Request: {r.Header.Get(headers.Request)}, headers.Signature: {"sign"}, tt.name: {tt.value}}
+						if raw != "" {
+							reply.Raw = fmt.Appendf(nil, "%s: %s\r\n%s: sign\r\nRaw: %s\r\n%s: %s\r\n",
+								headers.Request, r.Header.Get(headers.Request), headers.Signature, raw, tt.name, tt.value)
+						}
+						receive(&portion.Frame{Last: true, Reply: reply}, nil)
+					},
+				})
+				res, body := h.get(t, nil)
+				switch {
+				case tt.served:
+					is.Equal(res.StatusCode, http.StatusOK)
+					is.Equal(res.Header.Get("X"), tt.value)
+					is.Equal(body, string(record("odd")))
+				case raw != "" && strings.Contains(tt.value, "\n"): // it travels as two fields
+				default:
+					checkNoAnswer(t, res, body)
+				}
+			})
+		}
+	}
+}
