--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,6 +30,7 @@
 	Only          string        `help:"Inject only faults whose names contain this, and those of --stutter."`
 	Quiet         bool          `help:"Inject no other faults."`
 	Head          float64       `help:"Share of HEAD among the requests to one service that may run more than once; needs --stutter."`
+	Spoilt        float64       `help:"Share of spoilt heads among the replies that come once and whole; needs --stutter."`
 	Pause         time.Duration `help:"Pause between the requests of a caller." default:"5ms"`
 	Jobs          int           `help:"Number of seeds that run at the same time." default:"1"`
 	Dir           string        `help:"Directory for data and logs; those of seeds without a violation are removed." default:"tmp/soak"`
@@ -84,7 +85,7 @@
 		}
 		return strings.Join(append([]string{report.String()}, report.Causes...), "\n  ")
 	}
-	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Organisations: o.Organisations, DisturbStart: o.DisturbStart, Only: o.Only, Quiet: o.Quiet, HeadShare: o.Head, CallPause: o.Pause, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
+	r := &soak.Run{Seed: seed, Duration: o.Length, ControlHosts: o.Control, EntryHosts: o.Entry, Replacements: o.Replace, Stutter: o.Stutter, Organisations: o.Organisations, DisturbStart: o.DisturbStart, Only: o.Only, Quiet: o.Quiet, HeadShare: o.Head, SpoiltShare: o.Spoilt, CallPause: o.Pause, Program: o.Program, Dir: o.Dir, Logf: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -72,6 +72,8 @@
 	Only      string
 	Quiet     bool
 	HeadShare float64
+	// SpoiltShare is the share of replies that come once and whole whose head is spoilt; it needs Stutter.
+	SpoiltShare float64
 	// CallPause is the pause between the requests of a caller; the default is 5 ms. The retry budget is the
 	// tighter the fewer requests there are.
 	CallPause time.Duration
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,3 +103,10 @@
 		})
 	}
 }
+
+// Guards against answers with another body than the one of their run, while targets spoil the heads of their replies.
+func TestSpoiltHeads(t *testing.T) {
+	do(t, &Run{
+		Seed: 1, Duration: stutterDuration, ControlHosts: 3, EntryHosts: 3, Stutter: true, SpoiltShare: 0.3, Quiet: true, Program: buildNode(t), Dir: t.TempDir(), Logf: t.Logf,
+	})
+}
--- a/soak/stutter.go
+++ b/soak/stutter.go
@@ -35,7 +35,7 @@
 	pick := func(shares ...float64) float64 { return shares[rnd.IntN(len(shares))] }
 	return &standin.Stutter{
 		Seed: r.Seed, Repeated: pick(0.1, 0.3, 0.5, 0.9), Unframed: pick(0, 0.05), Broken: pick(0, 0.02, 0.05), Chunked: pick(0, 0.2),
-		Failed: pick(0, 0.02, 0.1), Refused: pick(0, 0.02, 0.1), MaxServiceTime: maxServiceTime,
+		Failed: pick(0, 0.02, 0.1), Refused: pick(0, 0.02, 0.1), Spoilt: r.SpoiltShare, MaxServiceTime: maxServiceTime,
 	}
 }
 
