Test: wait until every replica knows the leader

Again on, in 14 of 1,920 plays of a copy that prints the state of the group: always at h0, at once to 14 ms after the first commit, while h1 and h2 could read; 300 ms later all could.

Cause: the test takes a commit for a sign that the group has a leader and then sends an order through each replica. A commit needs a majority only, so the third replica may not have heard from the leader yet. Hosts refuse such an order as not executed, and an operator sends it to another one.

Change: the test waits until each replica can read through the leader, as long as it waits for the commit. All that it checks stays as it was.

--- a/quorum/fence_test.go
+++ b/quorum/fence_test.go
@@ -51,7 +51,10 @@
 func TestOvertakenOrderHasNoEffect(t *testing.T) {
 	is := is.New(t)
 	g := newDiskGroup(t, nil)
-	is.True(g.commit(20 * time.Second)) // the group has a leader
+	is.True(g.commit(20 * time.Second))
+	for _, r := range g.replicas {
+		is.NoErr(g.awaitLeader(r, 20*time.Second)) // a commit needs a majority only: the third may not know the leader yet
+	}
 	// commit commits an order through the replica, on the base that it reads, or on an older one.
 	commit := func(r *Replica, order control.Command, base uint64) error {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/quorum/storage_test.go
+++ b/quorum/storage_test.go
@@ -95,6 +95,16 @@
 	return false
 }
 
+// awaitLeader waits until the replica can read through the leader. It returns the last error if it can't within the time.
+func (g *diskGroup) awaitLeader(r *Replica, within time.Duration) (err error) {
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if _, err = r.Read(g.t.Context()); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 func (g *diskGroup) read() (uint64, error) {
 	var last error
 	for range 20 {
