limit: name the version check, and state once which bodies end with the connection

No behaviour changes: the check for replies inside bodies calls isUnframed, which has the same condition for every reply with a body. The tests of limit pass.

--- a/limit/head.go
+++ b/limit/head.go
@@ -133,8 +133,8 @@
 
 // readFields takes account of the fields that say where the body ends and whether the connection closes.
 func (h *head) readFields() error {
-	old := strings.HasPrefix(h.line, "HTTP/1.0")
-	keepAlive := !old
+	isHTTP10 := strings.HasPrefix(h.line, "HTTP/1.0")
+	keepAlive := !isHTTP10
 	for rest := h.header.text; rest != ""; {
 		var line string
 		line, rest, _ = strings.Cut(rest, "\r\n")
@@ -160,7 +160,7 @@
 		}
 	}
 	h.close = h.close || !keepAlive
-	if h.chunked && (old || h.length >= 0) {
+	if h.chunked && (isHTTP10 || h.length >= 0) {
 		return errors.New("the Transfer-Encoding contradicts the version or a Content-Length")
 	}
 	return nil
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -195,7 +195,7 @@
 		return false
 	}
 	s := splicing{
-		own: c.head.line, replyID: c.replyID, isReply: c.isReply, unframed: c.head.length < 0 && !c.head.chunked, partial: partial,
+		own: c.head.line, replyID: c.replyID, isReply: c.isReply, unframed: c.isUnframed(), partial: partial,
 		known:   func(id string) bool { return c.sent.has(xxhash.Sum64String(id)) },
 		earlier: func(line string) bool { return slices.Contains(c.lines[:], line) },
 	}
