Test: one loop over the forms and ways of broken replies

Five tests had a copy of the same loop, and the forms cut a constant at a bare index. Comments: what Malformed stands for since the head has a parser of its own, and two of the stand-in.

--- a/limit/errors.go
+++ b/limit/errors.go
@@ -100,7 +100,8 @@
 	Spliced Fault = "spliced"
 	// Continued means that bytes which are no other reply follow the end that the head states.
 	Continued Fault = "continued"
-	// Malformed means that the header is not HTTP/1.1 or exceeds 8 KiB.
+	// Malformed means that the head or the trailer breaks the grammar of HTTP/1.1 and HTTP/1.0, that the head exceeds 8 KiB, or
+	// that the body is in chunks although the head does not say so.
 	Malformed Fault = "malformed"
 )
 
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -101,6 +101,24 @@
 	}
 }
 
+// The ways in which replies are sent: in one piece and byte by byte, the connection closed behind them or kept open.
+var (
+	inAnyPieces = []reply{{}, {byByte: true}, {open: true}}
+	inOnePiece  = []reply{{}, {open: true}}
+	untilClosed = []reply{{}, {byByte: true}}
+)
+
+// checkAllRejected is checkRejected for the texts, by name, each sent in all the ways.
+func checkAllRejected(t *testing.T, texts map[string]string, ways []reply, methods ...string) {
+	t.Helper()
+	for name, text := range texts {
+		for _, r := range ways {
+			r.text = text
+			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t", name, r.byByte, r.open), func(t *testing.T) { checkRejected(t, r, methods...) })
+		}
+	}
+}
+
 // oddBody is the body of broken replies, oddChunks the same in chunks.
 var (
 	oddBody   = string(record("odd"))
@@ -108,8 +126,9 @@
 )
 
 const (
-	// soundHead is a head without its end and without a word on the body.
-	soundHead = "HTTP/1.1 200 OK\r\nReq: ID\r\nSign: sign\r\n"
+	// soundHead is a head without its end and without a word on the body, soundFields what follows its status line.
+	soundHead   = "HTTP/1.1 200 OK" + soundFields
+	soundFields = "\r\nReq: ID\r\nSign: sign\r\n"
 	// stated states the length of oddBody.
 	stated = "Content-Length: 16\r\n"
 )
@@ -155,18 +174,18 @@
 	"control byte in a value":                 soundHead + "X: \x01\r\n" + stated + "\r\n" + oddBody,
 	"continued line":                          soundHead + "X: 1\r\n 2\r\n" + stated + "\r\n" + oddBody,
 	"continued status line":                   "HTTP/1.1 200 OK\r\n X: 1\r\nReq: ID\r\nSign: sign\r\n" + stated + "\r\n" + oddBody,
-	"status 000":                              "HTTP/1.1 000 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"status with a sign":                      "HTTP/1.1 +20 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"status of four digits":                   "HTTP/1.1 2000 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"status of two digits":                    "HTTP/1.1 20 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"status behind two blanks":                "HTTP/1.1  200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"status behind a tab":                     "HTTP/1.1\t200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"tab behind the status":                   "HTTP/1.1 200\tOK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"control byte in the reason":              "HTTP/1.1 200 O\x01" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"version 2.0":                             "HTTP/2.0 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"version 1.7":                             "HTTP/1.7 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"version 1.10":                            "HTTP/1.10 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
-	"version in small letters":                "http/1.1 200 OK" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"status 000":                              "HTTP/1.1 000 OK" + soundFields + stated + "\r\n" + oddBody,
+	"status with a sign":                      "HTTP/1.1 +20 OK" + soundFields + stated + "\r\n" + oddBody,
+	"status of four digits":                   "HTTP/1.1 2000 OK" + soundFields + stated + "\r\n" + oddBody,
+	"status of two digits":                    "HTTP/1.1 20 OK" + soundFields + stated + "\r\n" + oddBody,
+	"status behind two blanks":                "HTTP/1.1  200 OK" + soundFields + stated + "\r\n" + oddBody,
+	"status behind a tab":                     "HTTP/1.1\t200 OK" + soundFields + stated + "\r\n" + oddBody,
+	"tab behind the status":                   "HTTP/1.1 200\tOK" + soundFields + stated + "\r\n" + oddBody,
+	"control byte in the reason":              "HTTP/1.1 200 O\x01" + soundFields + stated + "\r\n" + oddBody,
+	"version 2.0":                             "HTTP/2.0 200 OK" + soundFields + stated + "\r\n" + oddBody,
+	"version 1.7":                             "HTTP/1.7 200 OK" + soundFields + stated + "\r\n" + oddBody,
+	"version 1.10":                            "HTTP/1.10 200 OK" + soundFields + stated + "\r\n" + oddBody,
+	"version in small letters":                "http/1.1 200 OK" + soundFields + stated + "\r\n" + oddBody,
 	"blank before the status line":            " " + soundHead + stated + "\r\n" + oddBody,
 	"empty line before the status line":       "\r\n" + soundHead + stated + "\r\n" + oddBody,
 }
@@ -174,11 +193,7 @@
 // Guards against a caller that gets a body which is not the target's, or a line that is no field, because the head of
 // the reply is broken, and against one that waits for its deadline although the head can't become valid.
 func TestBrokenHeads(t *testing.T) {
-	for name, text := range brokenHeads {
-		for _, way := range []reply{{text: text}, {text: text, byByte: true}, {text: text, open: true}} {
-			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t", name, way.byByte, way.open), func(t *testing.T) { checkRejected(t, way, http.MethodGet, http.MethodHead) })
-		}
-	}
+	checkAllRejected(t, brokenHeads, inAnyPieces, http.MethodGet, http.MethodHead)
 }
 
 // contradictoryFraming are replies whose head states the end of the body twice, or in a way that its version doesn't have.
@@ -188,17 +203,13 @@
 	"the length of the chunks":                  soundHead + "Transfer-Encoding: chunked\r\nContent-Length: 27\r\n\r\n" + oddChunks,
 	"a length of nothing beside the coding":     soundHead + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n" + oddChunks,
 	"a coding beside the length of a body":      soundHead + "Transfer-Encoding: chunked\r\n" + stated + "\r\n" + oddBody,
-	"a coding in version 1.0":                   "HTTP/1.0 200 OK" + soundHead[15:] + "Transfer-Encoding: chunked\r\n\r\n" + oddChunks,
-	"a coding beside the length in version 1.0": "HTTP/1.0 200 OK" + soundHead[15:] + "Transfer-Encoding: chunked\r\n" + stated + "\r\n" + oddBody,
+	"a coding in version 1.0":                   "HTTP/1.0 200 OK" + soundFields + "Transfer-Encoding: chunked\r\n\r\n" + oddChunks,
+	"a coding beside the length in version 1.0": "HTTP/1.0 200 OK" + soundFields + "Transfer-Encoding: chunked\r\n" + stated + "\r\n" + oddBody,
 }
 
 // Guards against a body that ends elsewhere than the target meant because its head states two ends.
 func TestContradictoryFraming(t *testing.T) {
-	for name, text := range contradictoryFraming {
-		for _, way := range []reply{{text: text}, {text: text, byByte: true}, {text: text, open: true}} {
-			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t", name, way.byByte, way.open), func(t *testing.T) { checkRejected(t, way, http.MethodGet, http.MethodHead) })
-		}
-	}
+	checkAllRejected(t, contradictoryFraming, inAnyPieces, http.MethodGet, http.MethodHead)
 }
 
 // brokenTrailers are replies in chunks behind which a line comes that is no field.
@@ -222,28 +233,20 @@
 
 // Guards against a reply whose body may have another end, because a line behind its last chunk is no field.
 func TestBrokenTrailers(t *testing.T) {
-	for name, text := range brokenTrailers {
-		for _, way := range []reply{{text: text}, {text: text, byByte: true}, {text: text, open: true}} {
-			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t", name, way.byByte, way.open), func(t *testing.T) { checkRejected(t, way, http.MethodGet) })
-		}
-	}
+	checkAllRejected(t, brokenTrailers, inAnyPieces, http.MethodGet)
 }
 
 // Guards against the marks of chunks in the body of a caller: the head lost the word on the coding, and its body then ends with
 // the connection.
 func TestChunksWithoutCoding(t *testing.T) {
-	for name, text := range map[string]string{
+	checkAllRejected(t, map[string]string{
 		"another name":       soundHead + "Transfer-Encodinf: chunked\r\n\r\n" + oddChunks,
 		"no line":            soundHead + "\r\n" + oddChunks,
-		"HTTP/1.0":           "HTTP/1.0 200 OK" + soundHead[15:] + "\r\n" + oddChunks,
+		"HTTP/1.0":           "HTTP/1.0 200 OK" + soundFields + "\r\n" + oddChunks,
 		"several chunks":     soundHead + "\r\n8\r\nodd body\r\n" + oddChunks,
 		"extension, trailer": soundHead + "\r\n10;a=b\r\n" + oddBody + "\r\n000\r\nX: y\r\n\r\n",
 		"empty":              soundHead + "\r\n0\r\n\r\n",
-	} {
-		for _, way := range []reply{{text: text}, {text: text, byByte: true}} {
-			t.Run(fmt.Sprintf("%s, by byte: %t", name, way.byByte), func(t *testing.T) { checkRejected(t, way, http.MethodGet) })
-		}
-	}
+	}, untilClosed, http.MethodGet)
 }
 
 // Guards against losing a body without a length that only resembles chunks.
@@ -272,8 +275,8 @@
 	"a very large body":                         soundHead + "Content-Length: 40000\r\n\r\n" + strings.Repeat(oddBody, 2500) + "seven b",
 	"seven bytes behind the last chunk":         soundHead + "Transfer-Encoding: chunked\r\n\r\n" + oddChunks + "seven b",
 	"a chunk behind the last one":               soundHead + "Transfer-Encoding: chunked\r\n\r\n" + "3\r\nodd\r\n0\r\n\r\n" + oddChunks,
-	"a body behind a 204":                       "HTTP/1.1 204 No Content" + soundHead[15:] + "\r\n" + oddBody,
-	"a body behind a 304":                       "HTTP/1.1 304 Not Modified" + soundHead[15:] + stated + "\r\n" + oddBody,
+	"a body behind a 204":                       "HTTP/1.1 204 No Content" + soundFields + "\r\n" + oddBody,
+	"a body behind a 304":                       "HTTP/1.1 304 Not Modified" + soundFields + stated + "\r\n" + oddBody,
 	"bytes that begin like a status line":       soundHead + stated + "\r\n" + oddBody + "HTTP is nice",
 	"a status line that is none":                soundHead + stated + "\r\n" + oddBody + "HTTP/1.1 000 OK\r\n\r\n",
 	"a status line and a line that is no field": soundHead + stated + "\r\n" + oddBody + "HTTP/1.1 200 OK\r\nodd\r\n",
@@ -282,11 +285,7 @@
 // Guards against a body that is cut at a length which is too short: the rest comes behind it, where a sound target sends
 // nothing.
 func TestContinuedReplies(t *testing.T) {
-	for name, text := range continuedReplies {
-		for _, way := range []reply{{text: text}, {text: text, open: true}} {
-			t.Run(fmt.Sprintf("%s, open: %t", name, way.open), func(t *testing.T) { checkRejected(t, way, http.MethodGet, http.MethodHead) })
-		}
-	}
+	checkAllRejected(t, continuedReplies, inOnePiece, http.MethodGet, http.MethodHead)
 }
 
 // Guards against losing a whole reply because another one, perhaps cut, comes behind it.
