Reject replies that don't say where they end

Cause: a head that lost that line is a valid one, without a length and a coding, and the end of the connection was taken for the end of the body although nothing said so.

Change: the end of a body must be stated by a length, by chunks, or by the word that the connection closes (Connection: close, or HTTP/1.0 without keep-alive). A reply with none of them is refused as soon as its head is there.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -356,6 +356,9 @@
 	case !unframed:
 		// The body ends with the connection, so a truncated body would not be detected.
 		return nil, &ReplyError{Reason: NoLength}
+	case !c.head.close:
+		// The head has lost the field that says where the body ends, or the target doesn't send one: any part of the body would pass.
+		return nil, &ReplyError{Reason: NoLength, Err: errors.New("the head does not say that the connection closes")}
 	}
 	body, err := readUpTo(c.reader, limit)
 	if err == nil && isChunkedMessage(body) {
--- a/limit/errors.go
+++ b/limit/errors.go
@@ -92,7 +92,8 @@
 	Truncated Fault = "cut short"
 	// TooLarge means that the body exceeds MaxBody.
 	TooLarge Fault = "too large"
-	// NoLength means that the body has no length and ends only with the connection.
+	// NoLength means that the head states no end of the body: neither a length nor chunks, nor that the connection closes. Without
+	// AllowUnframed, the last is not accepted either.
 	NoLength Fault = "without length"
 	// Mismatched means that the reply belongs to another request.
 	Mismatched Fault = "crossed"
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -85,8 +85,8 @@
 	IsReply func(res *Response) bool
 	// OnSkipped, if set, is called with each late copy that is skipped and the address of its target.
 	OnSkipped func(address netip.AddrPort, res *Response)
-	// AllowUnframed accepts replies whose body ends with the connection. A reply counts as
-	// truncated in any case if its connection is reset.
+	// AllowUnframed accepts replies whose body ends with the connection if their head says that it closes. A reply
+	// counts as truncated in any case if its connection is reset.
 	AllowUnframed bool
 	// Contended is true if callers compete for room: requests wait in the order of their ranks, see AcquireFor.
 	Contended bool
--- a/limit/reply_test.go
+++ b/limit/reply_test.go
@@ -40,22 +40,27 @@
 	is.Equal(h.dials.Load(), int64(2)) // the first connection is closed
 }
 
-// Guards against accepting a reply that a reset truncated but that looks complete, and against
-// rejecting a complete reply that ends with its connection.
+// Guards against accepting a reply that a reset truncated but that looks complete, or one that has lost the field which says
+// where it ends, and against rejecting a complete reply that ends with its connection.
 func TestUnframed(t *testing.T) {
 	for _, tt := range []struct {
 		name     string
+		head     string
 		unframed bool
 		reset    bool
 		want     Fault
 	}{
-		{"not accepted", false, false, NoLength},
-		{"accepted", true, false, ""},
-		{"reset", true, true, Truncated},
+		{"not accepted", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", false, false, NoLength},
+		{"accepted", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", true, false, ""},
+		{"accepted among options", "HTTP/1.1 200 OK\r\nConnection: x, Close\r\n\r\n", true, false, ""},
+		{"accepted in HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", true, false, ""},
+		{"reset", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", true, true, Truncated},
+		{"without a word on the close", "HTTP/1.1 200 OK\r\n\r\n", true, false, NoLength},
+		{"in HTTP/1.0 that keeps the connection", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n", true, false, NoLength},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			h := newHarness(t, 1, func(w http.ResponseWriter, _ *http.Request) { writeRaw(w, "HTTP/1.1 200 OK\r\n\r\nbody", tt.reset) })
+			h := newHarness(t, 1, func(w http.ResponseWriter, _ *http.Request) { writeRaw(w, tt.head+"body", tt.reset) })
 			h.pool.AllowUnframed = tt.unframed
 			res, err := h.send(t)
 			if tt.want == "" {
@@ -123,9 +128,10 @@
 // Guards against a sub-request that waits for the body of a reply which can't be its own.
 func TestUnknownIdentityIsRejectedBeforeTheBody(t *testing.T) {
 	for name, head := range map[string]string{
-		"with a length":  "Content-Length: 5\r\n",
-		"in chunks":      "Transfer-Encoding: chunked\r\n",
-		"without length": "",
+		"with a length":   "Content-Length: 5\r\n",
+		"in chunks":       "Transfer-Encoding: chunked\r\n",
+		"without length":  "",
+		"until the close": "Connection: close\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/limit/sent_test.go
+++ b/limit/sent_test.go
@@ -157,7 +157,7 @@
 // part of it.
 func TestLateCopyWithoutLengthClosesTheConnection(t *testing.T) {
 	is := is.New(t)
-	c := &connection{reader: bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbodyHTTP/1.1 200 OK\r\nId: 2\r\n\r\n"))}
+	c := &connection{reader: bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nbodyHTTP/1.1 200 OK\r\nId: 2\r\n\r\n"))}
 	p := &Pool{AllowUnframed: true, ReplyID: func(res *Response) string { return res.Header.Get("Id") }}
 	for _, id := range []string{"1", "2"} {
 		c.current = xxhash.Sum64String(id)
--- a/limit/sequence_test.go
+++ b/limit/sequence_test.go
@@ -51,7 +51,7 @@
 		}
 		return head + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n"
 	case withoutLength:
-		return head + "\r\n" + r.body
+		return head + "Connection: close\r\n\r\n" + r.body
 	}
 	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
 }
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,10 +21,18 @@
 	text string
 	// byByte sends each byte in a piece of its own, open keeps the connection open.
 	byByte, open bool
+	// pause is the time between the head and the body; 0 sends both in one piece.
+	pause time.Duration
 }
 
 func (r reply) write(conn net.Conn, req *http.Request) {
 	text := strings.ReplaceAll(r.text, "ID", req.Header.Get(headers.Request))
+	if r.pause > 0 {
+		head, body, _ := strings.Cut(text, headEnd)
+		_, _ = io.WriteString(conn, head+headEnd) // an error means that the host has closed the connection
+		time.Sleep(r.pause)
+		text = body
+	}
 	size := len(text)
 	if r.byByte {
 		size = 1
@@ -114,7 +123,7 @@
 	for name, text := range texts {
 		for _, r := range ways {
 			r.text = text
-			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t", name, r.byByte, r.open), func(t *testing.T) { checkRejected(t, r, methods...) })
+			t.Run(fmt.Sprintf("%s, by byte: %t, open: %t, pause: %s", name, r.byByte, r.open, r.pause), func(t *testing.T) { checkRejected(t, r, methods...) })
 		}
 	}
 }
@@ -126,9 +135,12 @@
 )
 
 const (
+	headEnd = "\r\n\r\n"
 	// soundHead is a head without its end and without a word on the body, soundFields what follows its status line.
 	soundHead   = "HTTP/1.1 200 OK" + soundFields
 	soundFields = "\r\nReq: ID\r\nSign: sign\r\n"
+	// closingHead is soundHead of a reply that may end with its connection.
+	closingHead = soundHead + "Connection: close\r\n"
 	// stated states the length of oddBody.
 	stated = "Content-Length: 16\r\n"
 )
@@ -240,12 +252,12 @@
 // the connection.
 func TestChunksWithoutCoding(t *testing.T) {
 	checkAllRejected(t, map[string]string{
-		"another name":       soundHead + "Transfer-Encodinf: chunked\r\n\r\n" + oddChunks,
-		"no line":            soundHead + "\r\n" + oddChunks,
+		"another name":       closingHead + "Transfer-Encodinf: chunked\r\n\r\n" + oddChunks,
+		"no line":            closingHead + "\r\n" + oddChunks,
 		"HTTP/1.0":           "HTTP/1.0 200 OK" + soundFields + "\r\n" + oddChunks,
-		"several chunks":     soundHead + "\r\n8\r\nodd body\r\n" + oddChunks,
-		"extension, trailer": soundHead + "\r\n10;a=b\r\n" + oddBody + "\r\n000\r\nX: y\r\n\r\n",
-		"empty":              soundHead + "\r\n0\r\n\r\n",
+		"several chunks":     closingHead + "\r\n8\r\nodd body\r\n" + oddChunks,
+		"extension, trailer": closingHead + "\r\n10;a=b\r\n" + oddBody + "\r\n000\r\nX: y\r\n\r\n",
+		"empty":              closingHead + "\r\n0\r\n\r\n",
 	}, untilClosed, http.MethodGet)
 }
 
@@ -257,7 +269,7 @@
 	} {
 		t.Run(fmt.Sprintf("%q", body), func(t *testing.T) {
 			is := is.New(t)
-			res, got := newRawHarness(t, 1, reply{text: soundHead + "\r\n" + body}.serve).get(t, nil)
+			res, got := newRawHarness(t, 1, reply{text: closingHead + "\r\n" + body}.serve).get(t, nil)
 			is.Equal(res.StatusCode, http.StatusOK)
 			is.Equal(got, body)
 		})
--- a/relay/splice_test.go
+++ b/relay/splice_test.go
@@ -20,7 +20,7 @@
 }
 
 func unframedReply(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: sign\r\n%s: %s\r\n\r\n%s", headers.Signature, headers.Request, id, body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: sign\r\n%s: %s\r\nConnection: close\r\n\r\n%s", headers.Signature, headers.Request, id, body)
 }
 
 func chunkedReply(id, body string) string {
