Wait for a body behind an empty success in doubt

The length was spoilt to 0, the head came alone, and the body some 3 ms later, or the connection ended in its place.

Cause: a reply counts as whole once the bytes that its head states are there. For a length of 0 that is at once, when a body that comes in a piece of its own has not arrived yet.

Change: an empty success is accepted once nothing has come behind it for 30 ms, and refused if a body comes or the connection ends without a word on it. There is no wait for targets of which one has proved true by the next reply on its connection, unless they have sent replies with a wrong or unstated end within 30 s. A body that comes later than that makes the next ones wait for 300 ms.

Evidence: TestBodiesBehindEmptyLengths fails in 42 of 48 cases on the commit before, TestConnectionEndsInPlaceOfABody in 8 of 8. FuzzReplySequence starts with a target whose empty successes are trusted, so that connections are still reused behind them within its timeout of 20 ms.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -88,8 +87,10 @@
 	// piece is the index in the body of that reply from which on it has arrived after the rest; negative if all of it has
 	// arrived with the head.
 	piece int
-	// suspect is set if the target has sent a copy of a reply; nil if nothing notes it.
-	suspect *atomic.Bool
+	// record is what replies of the target have shown; nil if nothing notes it.
+	record *record
+	// emptied is true if the latest reply was an empty success, which the next bytes on the connection may prove false.
+	emptied bool
 	// late is true if that reply is a late copy of an earlier one, bodiless if it has no body.
 	late, bodiless bool
 	// sent holds the IDs and methods of the sub-requests that the connection has carried, current is the latest ID.
@@ -127,9 +128,6 @@
 	c.conn.Close()
 }
 
-// isSuspect reports whether the target has sent a copy of a reply.
-func (c *connection) isSuspect() bool { return c.suspect != nil && c.suspect.Load() }
-
 // expired reports whether the target is about to close the idle connection.
 func (c *connection) expired() bool { return !c.expires.IsZero() && time.Now().After(c.expires) }
 
@@ -145,6 +143,7 @@
 	}
 	pending, err := c.peek()
 	if pending {
+		c.checkEmptied()
 		return c.conn != net.Conn(c.raw) // TLS may send session tickets at any time
 	}
 	return errors.Is(err, syscall.EAGAIN)
@@ -303,26 +302,6 @@
 	}
 }
 
-// isUnframed reports whether the body of the reply ends with the connection.
-func (c *connection) isUnframed() bool { return !c.bodiless && !c.head.chunked && c.head.length < 0 }
-
-// isContinued reports whether bytes have arrived behind a reply that has been read which are no other reply: its end is
-// then not the one that its head states. The bytes behind it may arrive later and are then not seen.
-func (c *connection) isContinued() bool {
-	if c.isUnframed() {
-		return false
-	}
-	if c.reader.Buffered() == 0 {
-		if c.socket == nil || !c.raw.filled || !c.hasPending() {
-			return false
-		}
-		_, _ = c.reader.Peek(1) // the next read returns an error that ended reading
-	}
-	behind, _ := c.reader.Peek(c.reader.Buffered())
-	_, err := parseHead(behind)
-	return len(behind) > 0 && err != nil && !errors.Is(err, errHeadCut)
-}
-
 // isAnonymousCopy reports whether the reply, which names no sub-request, may be a copy of an earlier one. It is
 // skipped only if all of it has arrived: nothing tells whether the rest ever does.
 func (c *connection) isAnonymousCopy() bool {
--- a/limit/do.go
+++ b/limit/do.go
@@ -86,7 +86,7 @@
 	if !wanted.fresh {
 		c.repeatable.add(wanted.content, wanted.head)
 	}
-	c.current, c.replyID, c.isReply, c.suspect = wanted.id, p.ReplyID, p.isReply, &permit.target.suspect
+	c.current, c.replyID, c.isReply, c.record = wanted.id, p.ReplyID, p.isReply, &permit.target.record
 	w := c.watch(ctx)
 	if _, err := c.conn.Write(encoded.Bytes); err != nil {
 		if w.stop() {
@@ -119,7 +119,7 @@
 		p.drain(permit, c, func() readResult { return p.readReply(c, req) })
 		return &LostError{Sent: true, Err: ctx.Err()}
 	}
-	permit.target.noteCopy(err)
+	permit.target.record.note(err)
 	permit.target.discard(c)
 	return &LostError{Sent: true, Err: err}
 }
@@ -158,6 +158,10 @@
 func (p *Pool) readHead(c *connection, req *http.Request) (err error) {
 	defer recoverPanic(&err)
 	if err := c.readHeader(); err != nil {
+		var reply *ReplyError
+		if c.emptied && errors.As(err, &reply) {
+			c.record.denyEmpty()
+		}
 		return err
 	}
 	name, id, head := "", c.current, req.Method == http.MethodHead
@@ -185,6 +189,8 @@
 // read reads the body of the reply and checks the reply.
 func (p *Pool) read(c *connection, req *http.Request) (r readResult) {
 	defer recoverPanic(&r.err)
+	emptied := c.emptied
+	c.emptied = false
 	body, err := c.readBody(p.maxBody(), p.AllowUnframed)
 	if err != nil {
 		return readResult{err: err}
@@ -192,8 +198,8 @@
 	if c.isSpliced(body, false) {
 		return readResult{err: &ReplyError{Reason: Spliced}}
 	}
-	if c.isContinued() {
-		return readResult{err: &ReplyError{Reason: Continued}}
+	if err := c.checkEnd(); err != nil {
+		return readResult{err: err}
 	}
 	res := &Response{Status: c.head.status, Header: c.head.header, Body: body}
 	if c.late {
@@ -207,6 +213,10 @@
 			return readResult{err: &ReplyError{Reason: Mismatched, Err: err}}
 		}
 	}
+	if emptied {
+		c.record.confirmEmpty() // this reply began where the one before it ended
+	}
+	c.emptied = c.isEmptySuccess()
 	return readResult{response: res}
 }
 
@@ -235,12 +245,12 @@
 func (p *Pool) finishReply(ctx context.Context, permit *Permit, c *connection, req *http.Request) (*Response, error) {
 	finish := func(r readResult) (*Response, error) {
 		if errors.Is(r.err, errLateCopy) {
-			permit.target.noteCopy(r.err)
+			permit.target.record.note(r.err)
 			return nil, r.err
 		}
 		return permit.target.recycle(c, r)
 	}
-	if c.bodyBuffered() && !c.isSuspect() {
+	if c.bodyBuffered() && !c.isSuspect() && c.endWait() == 0 {
 		return finish(p.read(c, req))
 	}
 	done := make(chan readResult, 1)
@@ -277,7 +287,7 @@
 // closes it.
 func (t *targetPool) recycle(c *connection, r readResult) (*Response, error) {
 	if r.err != nil {
-		t.noteCopy(r.err)
+		t.record.note(r.err)
 		t.discard(c)
 		return nil, &LostError{Sent: true, Err: r.err}
 	}
@@ -289,14 +299,6 @@
 	return r.response, nil
 }
 
-// noteCopy notes the error of a reply if it shows a copy of another one.
-func (t *targetPool) noteCopy(err error) {
-	var reply *ReplyError
-	if errors.As(err, &reply) && (reply.Reason == Spliced || reply.Reason == Mismatched) {
-		t.suspect.Store(true)
-	}
-}
-
 // release makes a connection available after its use.
 func (t *targetPool) release(c *connection) {
 	t.mu.Lock()
--- /dev/null
+++ b/limit/end.go
@@ -0,0 +1,151 @@
+package limit
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// doubtTime is how long a target is in doubt after a reply that does not end where its head says.
+const doubtTime = 30 * time.Second
+
+// emptyProofs is how many empty successes of a target have to prove true, once a body has come behind one, before further ones are
+// accepted without a wait.
+const emptyProofs = 16
+
+// record is what the replies of a target have shown of it. A nil record keeps nothing.
+type record struct {
+	// copies is true once the target has sent a copy of a reply.
+	copies atomic.Bool
+	// misstated is when the target last sent a reply whose head does not say where it ends, or says it wrongly.
+	misstated atomic.Pointer[time.Time]
+	// trust is positive if the latest empty successes have proved true, 0 if none has, and negative after a false one.
+	trust atomic.Int32
+}
+
+// note takes account of the error of a reply.
+func (r *record) note(err error) {
+	var reply *ReplyError
+	if !errors.As(err, &reply) {
+		return
+	}
+	switch reply.Reason {
+	case Spliced, Mismatched:
+		r.copies.Store(true)
+	case Malformed, NoLength, Continued:
+		now := time.Now()
+		r.misstated.Store(&now)
+	}
+}
+
+// isInDoubt reports whether the target has lately sent replies that don't end where their heads say.
+func (r *record) isInDoubt() bool {
+	at := r.misstated.Load()
+	return at != nil && time.Since(*at) < doubtTime
+}
+
+// confirmEmpty notes that an empty success has proved true.
+func (r *record) confirmEmpty() {
+	if r == nil {
+		return
+	}
+	if trust := r.trust.Load(); trust <= 0 {
+		r.trust.CompareAndSwap(trust, trust+1) // if it fails, another reply has changed it
+	}
+}
+
+// denyEmpty notes that a body has come behind an empty success.
+func (r *record) denyEmpty() {
+	if r != nil {
+		r.trust.Store(-emptyProofs)
+	}
+}
+
+// emptyWait returns how long a body is waited for behind an empty success.
+func (r *record) emptyWait() time.Duration {
+	switch trust := r.trust.Load(); {
+	case trust < 0:
+		return doubtfulWait
+	case trust == 0 || r.isInDoubt():
+		return cutWait
+	}
+	return 0
+}
+
+// isSuspect reports whether the target has sent a copy of a reply.
+func (c *connection) isSuspect() bool { return c.record != nil && c.record.copies.Load() }
+
+// isUnframed reports whether the body of the reply ends with the connection.
+func (c *connection) isUnframed() bool { return !c.bodiless && !c.head.chunked && c.head.length < 0 }
+
+// isEmptySuccess reports whether the reply is a success whose head states a body of no bytes.
+func (c *connection) isEmptySuccess() bool {
+	return !c.bodiless && !c.late && c.head.length == 0 && c.head.status < http.StatusMultipleChoices
+}
+
+// endWait returns how long the bytes behind the reply are waited for if none have arrived. A wrong length of 0 passes for an empty
+// success if the body comes in a piece of its own.
+func (c *connection) endWait() time.Duration {
+	if c.record == nil || !c.isEmptySuccess() {
+		return 0
+	}
+	return c.record.emptyWait()
+}
+
+// checkEnd returns an error if the reply that has been read does not end where its head says: bytes are behind it that are no other
+// reply, or the connection has ended behind an empty success whose head does not say so.
+func (c *connection) checkEnd() error {
+	if c.isUnframed() {
+		return nil
+	}
+	if c.reader.Buffered() == 0 && c.raw != nil {
+		if err := c.readBehind(); err != nil && c.isEmptySuccess() && !c.head.close {
+			return &ReplyError{Reason: Truncated, Err: errors.Wrap(err, "the connection ended behind a body of no bytes")}
+		}
+	}
+	if !c.isContinued() {
+		return nil
+	}
+	if c.isEmptySuccess() {
+		c.record.denyEmpty()
+	}
+	return &ReplyError{Reason: Continued}
+}
+
+// readBehind reads bytes behind the reply into the buffer if some have arrived or do within endWait. Later ones are not seen.
+func (c *connection) readBehind() error {
+	arrived := c.raw.filled && c.hasPending()
+	if wait := c.endWait(); !arrived && wait > 0 {
+		_ = c.conn.SetReadDeadline(time.Now().Add(wait)) // fails only if the connection is closed
+		_, err := c.reader.Peek(1)
+		_ = c.conn.SetReadDeadline(time.Time{})
+		if !isTimeout(err) {
+			return err
+		}
+		arrived = c.hasPending() // a process without processor time sees the deadline first
+	}
+	if !arrived {
+		return nil
+	}
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// isContinued reports whether the buffer holds bytes that are no other reply.
+func (c *connection) isContinued() bool {
+	behind, _ := c.reader.Peek(c.reader.Buffered())
+	_, err := parseHead(behind)
+	return len(behind) > 0 && err != nil && !errors.Is(err, errHeadCut)
+}
+
+// checkEmptied notes that the latest reply, an empty success, has proved false if a body has arrived behind it.
+func (c *connection) checkEmptied() {
+	if !c.emptied || !c.hasPending() {
+		return
+	}
+	if _, err := c.reader.Peek(1); err == nil && c.isContinued() {
+		c.record.denyEmpty()
+	}
+}
--- a/limit/errors.go
+++ b/limit/errors.go
@@ -88,7 +88,8 @@
 
 // Values of Fault.
 const (
-	// Truncated means that the body ended before its length or its last chunk.
+	// Truncated means that the body ended before its length or its last chunk, or the connection behind a length of 0 without a word on
+	// it.
 	Truncated Fault = "cut short"
 	// TooLarge means that the body exceeds MaxBody.
 	TooLarge Fault = "too large"
--- a/limit/sequence_test.go
+++ b/limit/sequence_test.go
@@ -204,6 +204,7 @@
 		}
 		defer p.Close()
 		p.SetShares(map[string]Share{"t0": {Incarnation: "1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Connections: 1}})
+		p.targets["t0"].record.confirmEmpty() // a wait behind each empty body would exceed the timeout of most requests
 		for range requests {
 			b := target.next()
 			id := fmt.Sprint("r", b%4)
--- a/limit/target_pool.go
+++ b/limit/target_pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,8 +74,7 @@
 	// target.
 	expiredUnused bool
 
-	// suspect is true once the target has sent a copy of a reply.
-	suspect atomic.Bool
+	record record
 
 	stats TargetStats
 }
