Test: drawn ends of the replies of shards

TestDrawnParts merges the replies of four shards that are drawn like those of TestDrawnEnds, and checks that a merged response holds all records of the parts that it names.

--- a/relay/drawn_end_test.go
+++ b/relay/drawn_end_test.go
@@ -16,6 +16,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+
+	"wasabirelay/control"
+	"wasabirelay/limit"
 )
 
 const (
@@ -42,9 +45,9 @@
 }
 
 // drawReply draws a reply to the request. Its body is its own, so that a caller can tell whether it got all of it.
-func drawReply(rnd *rand.Rand, id, method, whole string) *drawnReply {
+func drawReply(rnd *rand.Rand, id, signature, method, whole string) *drawnReply {
 	r := &drawnReply{whole: whole, body: whole, status: "HTTP/1.1 200 OK\r\n", sent: make(chan struct{})}
-	r.fields = fmt.Sprintf("%s: %s\r\n%s: sign-%s\r\n", headers.Request, id, headers.Signature, id)
+	r.fields = fmt.Sprintf("%s: %s\r\n%s: %s\r\n", headers.Request, id, headers.Signature, signature)
 	r.broken, r.closes = rnd.IntN(2) == 0, rnd.IntN(4) == 0
 	switch kind := rnd.IntN(8); {
 	case kind == 0 && !r.broken:
@@ -188,11 +191,18 @@
 // drawnTarget answers requests with drawn replies and keeps them by the identity of the request.
 type drawnTarget struct {
 	seed    uint64
+	name    string
 	body    func(rnd *rand.Rand, id string) string
 	mu      sync.Mutex
 	replies map[string]*drawnReply
 }
 
+func newDrawnTarget(seed uint64, name string, body func(*rand.Rand, string) string) *drawnTarget {
+	return &drawnTarget{seed: seed, name: name, body: body, replies: map[string]*drawnReply{}}
+}
+
+func (d *drawnTarget) signature(id string) string { return d.name + "-" + id }
+
 func (d *drawnTarget) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
@@ -203,8 +213,8 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		id := req.Header.Get(headers.Request)
-		rnd := rand.New(rand.NewPCG(d.seed, xxhash.Sum64String(id)))
-		r := drawReply(rnd, id, req.Method, d.body(rnd, id))
+		rnd := rand.New(rand.NewPCG(d.seed, xxhash.Sum64String(d.name+id)))
+		r := drawReply(rnd, id, d.signature(id), req.Method, d.body(rnd, id))
 		d.mu.Lock()
 		d.replies[id] = r
 		d.mu.Unlock()
@@ -243,35 +253,123 @@
 // Guards against a body that is not the whole one of the target, whatever becomes of the line that tells where it ends, of
 // the pieces in which the reply comes, and of the connection behind it; and against losing sound replies.
 func TestDrawnEnds(t *testing.T) {
-	const workers, requests = 8, 125
+	const requests = 1000
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			target := &drawnTarget{seed: seed, body: drawnBody, replies: map[string]*drawnReply{}}
-			h := newRawHarness(t, 8, target.serve)
-			answers := make(chan drawnAnswer, workers*requests)
-			var group sync.WaitGroup
-			for w := range workers {
-				group.Go(func() {
-					for i := range requests {
-						a := drawnAnswer{id: fmt.Sprintf("r%d-%d", w, i)}
-						a.response, a.body = h.get(t, func(req *http.Request) {
-							req.Header.Set(headers.Request, a.id)
-							if i%10 == 9 {
-								req.Method = http.MethodHead
-							}
-						})
-						answers <- a
+			target := newDrawnTarget(seed, "a", drawnBody)
+			h := newRawHarness(t, drawnWorkers, target.serve)
+			counts := map[string]int{}
+			for a := range h.getDrawn(t, requests) {
+				counts[checkDrawn(t, &a, target.find(a.id))]++
+			}
+			t.Log(counts)
+			is.New(t).True(counts["broken, refused"] > requests/8)
+		})
+	}
+}
+
+// drawnWorkers is the number of requests in flight.
+const drawnWorkers = 8
+
+// getDrawn sends the requests, some of them with HEAD, and returns what their callers got.
+func (h *harness) getDrawn(t *testing.T, requests int) <-chan drawnAnswer {
+	t.Helper()
+	answers := make(chan drawnAnswer, requests)
+	defer close(answers)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for w := range drawnWorkers {
+		group.Go(func() {
+			for i := range requests / drawnWorkers {
+				a := drawnAnswer{id: fmt.Sprintf("r%d-%d", w, i)}
+				a.response, a.body = h.get(t, func(req *http.Request) {
+					req.Header.Set(headers.Request, a.id)
+					if i%10 == 9 {
+						req.Method = http.MethodHead
 					}
 				})
+				answers <- a
 			}
-			group.Wait()
-			close(answers)
+		})
+	}
+	return answers
+}
+
+// drawnRecords returns up to eight records of the request.
+func drawnRecords(rnd *rand.Rand, id string) (records string) {
+	for range rnd.IntN(9) {
+		records += string(record(fmt.Sprintf("%03d %s", rnd.IntN(1000), id)))
+	}
+	return records
+}
+
+// drawnShards are the targets of the shards of a route, by service.
+type drawnShards map[string]*drawnTarget
+
+// newDrawnShards returns a relay with a route to shards that send drawn replies.
+func newDrawnShards(t *testing.T, seed uint64) (drawnShards, *harness) {
+	t.Helper()
+	targets, shares, views := drawnShards{}, map[string]limit.Share{}, map[string][]*control.Target{}
+	r := shardsRoute(0.25, "s0", "s1", "s2", "s3")
+	r.ResultLimit = 64
+	for _, name := range r.Shards {
+		targets[name] = newDrawnTarget(seed, name, drawnRecords)
+		address := listenRaw(t, targets[name].serve)
+		shares[name] = limit.Share{Incarnation: "1", Address: address, Connections: drawnWorkers, Slots: drawnWorkers}
+		views[name] = []*control.Target{{Name: name, Incarnation: "1", Service: name, Centre: "c", Address: address, State: control.Warm}}
+	}
+	h := newHarness(t, r)
+	h.view.Targets = views
+	h.service.Pool.SetShares(shares)
+	return targets, h
+}
+
+// check checks a merged response with what the targets have sent, and says what became of it.
+func (d drawnShards) check(t *testing.T, a *drawnAnswer) string {
+	t.Helper()
+	if !isSuccess(a.StatusCode) {
+		return "refused"
+	}
+	var records []string
+	for _, signature := range strings.Split(a.Header.Get(headers.Parts), ", ") {
+		name, id, _ := strings.Cut(signature, "-")
+		target := d[name]
+		if target == nil || id != a.id || target.find(id) == nil {
+			t.Errorf("%s: no shard has sent the part %q", a.id, signature)
+			return "wrong"
+		}
+		r := target.find(id)
+		if r.indistinct() != "" && r.broken {
+			return r.indistinct()
+		}
+		for whole := r.whole; whole != ""; whole = whole[recordSize:] {
+			records = append(records, whole[:recordSize])
+		}
+	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	if a.body != strings.Join(records, "") {
+		t.Errorf("%s: %d records of %d of the parts %s", a.id, len(a.body)/recordSize, len(records), a.Header.Get(headers.Parts))
+		return "wrong"
+	}
+	return "merged, missing " + a.Header.Get(headers.Missing)
+}
+
+// Guards against a merged response that lacks records of a part that it names, because the reply of the shard was cut or is no
+// empty one.
+func TestDrawnParts(t *testing.T) {
+	const requests = 400
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			shards, h := newDrawnShards(t, seed)
 			counts := map[string]int{}
-			for a := range answers {
-				counts[checkDrawn(t, &a, target.find(a.id))]++
+			for a := range h.getDrawn(t, requests) {
+				counts[shards.check(t, &a)]++
 			}
 			t.Log(counts)
-			is.New(t).True(counts["broken, refused"] > workers*requests/8)
+			is := is.New(t)
+			is.True(counts["merged, missing 0"] > 0)
+			is.True(counts["merged, missing 2"] > 0)
 		})
 	}
 }
--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -20,9 +20,8 @@
 	"wasabirelay/limit"
 )
 
-// newRawHarness returns a relay with a route for requests that may run once, to one target of which serve serves each
-// connection, and which this host may open so many connections to.
-func newRawHarness(t *testing.T, connections int, serve func(net.Conn)) *harness {
+// listenRaw returns the address of a listener of which serve serves each connection.
+func listenRaw(t *testing.T, serve func(net.Conn)) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,8 +37,15 @@
 			go serve(conn)
 		}
 	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// newRawHarness returns a relay with a route for requests that may run once, to one target of which serve serves each
+// connection, and which this host may open so many connections to.
+func newRawHarness(t *testing.T, connections int, serve func(net.Conn)) *harness {
+	t.Helper()
+	address := listenRaw(t, serve)
 	h := newHarness(t, singleRoute(false, 1))
-	address := netip.MustParseAddrPort(listener.Addr().String())
 	h.view.Targets["s1"] = []*control.Target{{Name: "a", Incarnation: "1", Service: "s1", Centre: "c", Address: address, State: control.Warm}}
 	h.service.Pool.SetShares(map[string]limit.Share{"a": {Incarnation: "1", Address: address, Connections: connections, Slots: 2}})
 	return h
