Test: end the portion only after its host has been suspected

Its portion could end before the test suspected the host, so that the last frame came first and nothing ended the suspicion. The stand-in now waits for it; the checks are the same.

--- a/portion/portion_test.go
+++ b/portion/portion_test.go
@@ -195,8 +195,13 @@
 func TestSuspectedHostIsAvoided(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	p := newPair(t, func(context.Context, *Request, func(*Frame)) *Frame { return &Frame{} })
+	suspected := make(chan struct{})
+	p := newPair(t, func(context.Context, *Request, func(*Frame)) *Frame {
+		<-suspected
+		return &Frame{}
+	})
 	p.collect(t, nil).Suspect()
+	close(suspected)
 	p.next(t)
 	is.True(p.helpers.Usable("h1")) // its last frame has arrived
 	p.helpers.Clock = clock
