Test: one harness for drawn replies, and deadlines that a busy machine keeps

TestDrawnEnds and TestDrawnParts share their harness. Requests have 20 s, so that a sound reply on a busy machine is not taken for a lost one, and a cut reply in chunks counts as wrong also if its connection closes as the head says.

--- a/relay/drawn_end_test.go
+++ b/relay/drawn_end_test.go
@@ -19,6 +19,7 @@
 
 	"wasabirelay/control"
 	"wasabirelay/limit"
+	"wasabirelay/routing"
 )
 
 const (
@@ -26,6 +27,10 @@
 	// came later than lateRest, because the machine was busy, can't be told from none.
 	drawnPause = 3 * time.Millisecond
 	lateRest   = 15 * time.Millisecond
+	// drawnTimeout is the timeout of requests. Nothing waits for it: a broken reply ends with its connection.
+	drawnTimeout = 20 * time.Second
+	// drawnWorkers is the number of requests in flight.
+	drawnWorkers = 8
 )
 
 // drawnReply is a reply that is drawn at random. If it is broken, the line that tells where its body ends is spoilt.
@@ -132,6 +137,12 @@
 	return n
 }
 
+// isChunked reports whether the head says that the body is in chunks.
+func (r *drawnReply) isChunked() bool {
+	name, value, _ := strings.Cut(strings.TrimSuffix(r.line, "\r\n"), ":")
+	return strings.EqualFold(name, "Transfer-Encoding") && strings.EqualFold(strings.Trim(value, " \t"), "chunked")
+}
+
 // indistinct says why nothing tells the reply from a sound one; empty if something does.
 func (r *drawnReply) indistinct() string {
 	n, sent := r.length(), 0
@@ -140,7 +151,7 @@
 	}
 	before := sent - len(r.body)
 	switch {
-	case n < 0 && r.closes && (r.early || r.line == "\r\n"):
+	case n < 0 && !r.isChunked() && r.closes && (r.early || r.line == "\r\n"):
 		return "ends with its connection, as it says"
 	case n >= 0 && n == len(r.body):
 		return "states the length of what was sent"
@@ -256,11 +267,10 @@
 	const requests = 1000
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			target := newDrawnTarget(seed, "a", drawnBody)
-			h := newRawHarness(t, drawnWorkers, target.serve)
+			targets, h := newDrawnHarness(t, seed, drawnBody, singleRoute(false, 1))
 			counts := map[string]int{}
 			for a := range h.getDrawn(t, requests) {
-				counts[checkDrawn(t, &a, target.find(a.id))]++
+				counts[checkDrawn(t, &a, targets["s1"].find(a.id))]++
 			}
 			t.Log(counts)
 			is.New(t).True(counts["broken, refused"] > requests/8)
@@ -268,9 +278,6 @@
 	}
 }
 
-// drawnWorkers is the number of requests in flight.
-const drawnWorkers = 8
-
 // getDrawn sends the requests, some of them with HEAD, and returns what their callers got.
 func (h *harness) getDrawn(t *testing.T, requests int) <-chan drawnAnswer {
 	t.Helper()
@@ -284,6 +291,7 @@
 				a := drawnAnswer{id: fmt.Sprintf("r%d-%d", w, i)}
 				a.response, a.body = h.get(t, func(req *http.Request) {
 					req.Header.Set(headers.Request, a.id)
+					req.Header.Set(headers.Timeout, strconv.FormatInt(drawnTimeout.Milliseconds(), 10))
 					if i%10 == 9 {
 						req.Method = http.MethodHead
 					}
@@ -303,29 +311,32 @@
 	return records
 }
 
-// drawnShards are the targets of the shards of a route, by service.
-type drawnShards map[string]*drawnTarget
+// drawnTargets are the targets of a route, by service.
+type drawnTargets map[string]*drawnTarget
 
-// newDrawnShards returns a relay with a route to shards that send drawn replies.
-func newDrawnShards(t *testing.T, seed uint64) (drawnShards, *harness) {
+// newDrawnHarness returns a relay with a route to targets that send drawn replies.
+func newDrawnHarness(t *testing.T, seed uint64, body func(*rand.Rand, string) string, r routing.Route) (drawnTargets, *harness) {
 	t.Helper()
-	targets, shares, views := drawnShards{}, map[string]limit.Share{}, map[string][]*control.Target{}
-	r := shardsRoute(0.25, "s0", "s1", "s2", "s3")
-	r.ResultLimit = 64
-	for _, name := range r.Shards {
-		targets[name] = newDrawnTarget(seed, name, drawnRecords)
+	targets, shares, views := drawnTargets{}, map[string]limit.Share{}, map[string][]*control.Target{}
+	services := r.Shards
+	for _, b := range r.Backends {
+		services = append(services, b.Service)
+	}
+	for _, name := range services {
+		targets[name] = newDrawnTarget(seed, name, body)
 		address := listenRaw(t, targets[name].serve)
 		shares[name] = limit.Share{Incarnation: "1", Address: address, Connections: drawnWorkers, Slots: drawnWorkers}
 		views[name] = []*control.Target{{Name: name, Incarnation: "1", Service: name, Centre: "c", Address: address, State: control.Warm}}
 	}
+	r.Timeout = drawnTimeout
 	h := newHarness(t, r)
 	h.view.Targets = views
 	h.service.Pool.SetShares(shares)
 	return targets, h
 }
 
-// check checks a merged response with what the targets have sent, and says what became of it.
-func (d drawnShards) check(t *testing.T, a *drawnAnswer) string {
+// checkMerged checks a merged response with what the targets have sent, and says what became of it.
+func (d drawnTargets) checkMerged(t *testing.T, a *drawnAnswer) string {
 	t.Helper()
 	if !isSuccess(a.StatusCode) {
 		return "refused"
@@ -361,10 +372,12 @@
 	const requests = 400
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			shards, h := newDrawnShards(t, seed)
+			r := shardsRoute(0.25, "s0", "s1", "s2", "s3")
+			r.ResultLimit = 64
+			targets, h := newDrawnHarness(t, seed, drawnRecords, r)
 			counts := map[string]int{}
 			for a := range h.getDrawn(t, requests) {
-				counts[shards.check(t, &a)]++
+				counts[targets.checkMerged(t, &a)]++
 			}
 			t.Log(counts)
 			is := is.New(t)
