Wait longer behind an empty success of a target in doubt

The wait for a target of which no empty success had proved true was 30 ms, whatever else it had sent.

Change: it is 300 ms, longer than the pauses of targets, while the target has sent a reply with a wrong or unstated end within 30 s.

--- a/limit/record.go
+++ b/limit/record.go
@@ -64,10 +64,10 @@
 
 // emptyWait returns how long a body is waited for behind an empty success.
 func (r *record) emptyWait() time.Duration {
-	switch trust := r.trust.Load(); {
-	case trust < 0:
+	switch trust, doubt := r.trust.Load(), r.isInDoubt(); {
+	case trust < 0 || trust == 0 && doubt:
 		return doubtfulWait
-	case trust == 0 || r.isInDoubt():
+	case trust == 0 || doubt:
 		return cutWait
 	}
 	return 0
