limit: wait for bytes, and measure pauses, in one place each

The wait for bytes behind a reply set and reset the deadline of reads as the look for copies does, the pause in a reply was measured by the reader of heads and by that of bodies, and an idle connection with bytes on it was looked into twice. Now await serves both waits, the connection to the target measures its reads, and usable looks once. isSuspect is hasCopies, so that it isn't taken for isInDoubt.

No decision has changed. go test -race ./limit passes, and the tests of broken, drawn and late replies in relay.

--- a/limit/connection.go
+++ b/limit/connection.go
@@ -45,6 +45,8 @@
 	readErr error
 	// filled is true if the latest read got as many bytes as it asked for: more may have arrived.
 	filled bool
+	// pause is the longest time that a read has taken since it was reset.
+	pause time.Duration
 }
 
 // Read reads bytes. A timeout doesn't end reading.
@@ -52,8 +54,9 @@
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
+	started := time.Now()
 	n, err := c.Conn.Read(b)
-	c.filled = n == len(b)
+	c.filled, c.pause = n == len(b), max(c.pause, time.Since(started))
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
@@ -87,8 +90,6 @@
 	// piece is the index in the body of that reply from which on it has arrived after the rest; negative if all of it has
 	// arrived with the head.
 	piece int
-	// pause is the longest pause between two pieces of that reply.
-	pause time.Duration
 	// record is what replies of the target have shown; nil if nothing notes it.
 	record *record
 	// emptied is true if the latest reply was an empty success, which the next bytes on the connection may prove false.
@@ -130,6 +131,9 @@
 	c.conn.Close()
 }
 
+// hasCopies reports whether the target has sent a copy of a reply.
+func (c *connection) hasCopies() bool { return c.record != nil && c.record.copies.Load() }
+
 // expired reports whether the target is about to close the idle connection.
 func (c *connection) expired() bool { return !c.expires.IsZero() && time.Now().After(c.expires) }
 
@@ -144,11 +148,14 @@
 		return c.socketErr == nil
 	}
 	pending, err := c.peek()
-	if pending {
-		c.checkEmptied()
-		return c.conn != net.Conn(c.raw) // TLS may send session tickets at any time
+	switch {
+	case !pending:
+		return errors.Is(err, syscall.EAGAIN)
+	case c.conn != net.Conn(c.raw):
+		return true // TLS may send session tickets at any time
 	}
-	return errors.Is(err, syscall.EAGAIN)
+	c.checkEmptied()
+	return false
 }
 
 // peek reports whether bytes have arrived in the socket that are not in the buffer yet. Otherwise the error is EAGAIN
@@ -242,15 +249,13 @@
 
 // parseBuffered waits for the next complete head and consumes it. It returns as soon as the head can't become valid.
 func (c *connection) parseBuffered() error {
-	c.pause = 0
 	for seen := 0; ; {
-		started := time.Now()
 		text, err := c.buffer(seen)
 		if err != nil {
 			return err
 		}
-		if seen > 0 {
-			c.pause = max(c.pause, time.Since(started))
+		if seen == 0 && c.raw != nil {
+			c.raw.pause = 0 // the time until the first byte is no pause in the reply
 		}
 		h, err := parseHead(text)
 		if errors.Is(err, errHeadCut) {
@@ -282,6 +287,14 @@
 	return c.reader.Peek(c.reader.Buffered())
 }
 
+// await waits until n bytes are in the buffer, at most for the time. An error that ended reading is returned by the next read, too.
+func (c *connection) await(n int, wait time.Duration) error {
+	_ = c.conn.SetReadDeadline(time.Now().Add(wait)) // fails only if the connection is closed
+	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	_, err := c.reader.Peek(n)
+	return err
+}
+
 // idleMargin is how long before its announced expiry an idle connection is no longer used,
 // because a request takes some time to arrive.
 const idleMargin = 500 * time.Millisecond
--- a/limit/do.go
+++ b/limit/do.go
@@ -250,7 +250,7 @@
 		}
 		return permit.target.recycle(c, r)
 	}
-	if c.bodyBuffered() && !c.isSuspect() && c.endWait() == 0 {
+	if c.bodyBuffered() && !c.hasCopies() && c.endWait() == 0 {
 		return finish(p.read(c, req))
 	}
 	done := make(chan readResult, 1)
--- a/limit/end.go
+++ b/limit/end.go
@@ -7,9 +7,6 @@
 	"github.com/pkg/errors"
 )
 
-// isSuspect reports whether the target has sent a copy of a reply.
-func (c *connection) isSuspect() bool { return c.record != nil && c.record.copies.Load() }
-
 // isUnframed reports whether the body of the reply ends with the connection.
 func (c *connection) isUnframed() bool { return !c.bodiless && !c.head.chunked && c.head.length < 0 }
 
@@ -28,7 +25,7 @@
 	case c.isEmptySuccess():
 		return c.record.emptyWait()
 	case c.record.isInDoubt():
-		return min(2*c.pause, cutWait)
+		return min(2*c.raw.pause, cutWait)
 	}
 	return 0
 }
@@ -57,10 +54,7 @@
 func (c *connection) readBehind() error {
 	arrived := c.raw.filled && c.hasPending()
 	if wait := c.endWait(); !arrived && wait > 0 {
-		_ = c.conn.SetReadDeadline(time.Now().Add(wait)) // fails only if the connection is closed
-		_, err := c.reader.Peek(1)
-		_ = c.conn.SetReadDeadline(time.Time{})
-		if !isTimeout(err) {
+		if err := c.await(1, wait); !isTimeout(err) {
 			return err
 		}
 		arrived = c.hasPending() // a process without processor time sees the deadline first
@@ -79,9 +73,10 @@
 	return len(behind) > 0 && err != nil && !errors.Is(err, errHeadCut)
 }
 
-// checkEmptied notes that the latest reply, an empty success, has proved false if a body has arrived behind it.
+// checkEmptied takes account of bytes that have arrived on the idle connection: if the latest reply was an empty success, and they are
+// no other reply, it has proved false.
 func (c *connection) checkEmptied() {
-	if !c.emptied || !c.hasPending() {
+	if !c.emptied {
 		return
 	}
 	if _, err := c.reader.Peek(1); err == nil && c.isContinued() {
--- a/limit/splice.go
+++ b/limit/splice.go
@@ -22,12 +22,13 @@
 // for. Fewer end too many binary bodies.
 const minCutVersion = len("HTTP/")
 
-// cutWait bounds how long the bytes behind a body are waited for if its end may cut the head of another reply: the
-// rest of a late copy may arrive in further pieces.
+// cutWait bounds how long the bytes behind a reply are waited for if its end may cut the head of another reply, of which the
+// rest may arrive in further pieces, or if it may not be its end, see endWait.
 const cutWait = 30 * time.Millisecond
 
 // doubtfulWait bounds it where the end came later than the rest of the body, just from the first byte of a status line
-// on, or where the target has sent copies before. It exceeds the pauses of targets that are busy.
+// on, where the target has sent copies before, or where it is in doubt whether its empty successes are empty. It exceeds the
+// pauses of targets that are busy.
 const doubtfulWait = 300 * time.Millisecond
 
 // splicing finds the start of another reply inside a body. It gets there if a reply without a length is followed
@@ -213,15 +214,14 @@
 	if !pending && !s.cut {
 		return false
 	}
-	if !pending {
-		wait := cutWait
-		if s.cutAt == c.piece || c.isSuspect() {
-			wait = doubtfulWait
-		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(wait)) // fails only if the connection is closed
-		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	switch {
+	case pending:
+		_, _ = c.reader.Peek(len(behind) + 1) // the next read returns an error that ended reading
+	case s.cutAt == c.piece || c.hasCopies():
+		_ = c.await(len(behind)+1, doubtfulWait)
+	default:
+		_ = c.await(len(behind)+1, cutWait)
 	}
-	_, _ = c.reader.Peek(len(behind) + 1) // the next read returns an error that ended reading
 	behind, _ = c.reader.Peek(c.reader.Buffered())
 	return s.in(body, behind)
 }
@@ -229,15 +229,11 @@
 // readFull fills the body. It ends early if another reply starts in it, because the rest may then never come.
 func (c *connection) readFull(body []byte) error {
 	for n := 0; n < len(body); {
-		blocks, started := c.reader.Buffered() == 0, time.Now()
-		if blocks {
+		if c.reader.Buffered() == 0 {
 			c.piece = n
 		}
 		m, err := c.reader.Read(body[n:])
 		n += m
-		if blocks {
-			c.pause = max(c.pause, time.Since(started))
-		}
 		switch {
 		case n == len(body):
 		case errors.Is(err, io.EOF):
--- a/limit/target_pool.go
+++ b/limit/target_pool.go
@@ -74,6 +74,7 @@
 	// target.
 	expiredUnused bool
 
+	// record is kept for the incarnation: another one may be sound.
 	record record
 
 	stats TargetStats
