Test: one loop for targets that read requests from a connection

Four targets of relay's tests, one of them older, had a copy of it. The replies, pauses and assertions are the same. drawnReply keeps no status, which was always the same.

--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -49,18 +48,10 @@
 
 // serve is a target on a connection.
 func (r reply) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		if r.write(conn, req); !r.open {
-			return
-		}
-	}
+	serveRequests(conn, func(req *http.Request) bool {
+		r.write(conn, req)
+		return r.open
+	})
 }
 
 // replyOf makes the target send the reply.
--- a/relay/drawn_end_test.go
+++ b/relay/drawn_end_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -35,7 +34,7 @@
 
 // drawnReply is a reply that is drawn at random. If it is broken, the line that tells where its body ends is spoilt.
 type drawnReply struct {
-	status, fields string
+	fields string
 	// whole is the body of the answer, body what is sent of it, with the marks of chunks if it is in chunks.
 	whole, body string
 	// line tells where the body ends; empty if the connection does.
@@ -51,7 +50,7 @@
 
 // drawReply draws a reply to the request. Its body is its own, so that a caller can tell whether it got all of it.
 func drawReply(rnd *rand.Rand, id, signature, method, whole string) *drawnReply {
-	r := &drawnReply{whole: whole, body: whole, status: "HTTP/1.1 200 OK\r\n", sent: make(chan struct{})}
+	r := &drawnReply{whole: whole, body: whole, sent: make(chan struct{})}
 	r.fields = fmt.Sprintf("%s: %s\r\n%s: %s\r\n", headers.Request, id, headers.Signature, signature)
 	r.broken, r.closes = rnd.IntN(2) == 0, rnd.IntN(4) == 0
 	switch kind := rnd.IntN(8); {
@@ -74,7 +73,7 @@
 	if r.closes {
 		r.fields += "Connection: close\r\n"
 	}
-	head := r.status + r.fields + r.line + "\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + r.fields + r.line + "\r\n"
 	switch rnd.IntN(4) {
 	case 0:
 		r.pieces = []string{head + r.body}
@@ -145,11 +144,7 @@
 
 // indistinct says why nothing tells the reply from a sound one; empty if something does.
 func (r *drawnReply) indistinct() string {
-	n, sent := r.length(), 0
-	for _, piece := range r.pieces {
-		sent += len(piece)
-	}
-	before := sent - len(r.body)
+	n := r.length()
 	switch {
 	case n < 0 && !r.isChunked() && r.closes && (r.early || r.line == "\r\n"):
 		return "ends with its connection, as it says"
@@ -158,9 +153,9 @@
 	case n == 0 && r.longest > lateRest:
 		return "a rest that came late"
 	}
-	sent = 0
+	sent := -len(strings.Join(r.pieces, "")) + len(r.body) // behind the head
 	for _, piece := range r.pieces {
-		if sent += len(piece); n > 0 && sent == before+n {
+		if sent += len(piece); n > 0 && sent == n {
 			return "a piece ends where the stated length does"
 		}
 	}
@@ -215,14 +210,7 @@
 func (d *drawnTarget) signature(id string) string { return d.name + "-" + id }
 
 func (d *drawnTarget) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
+	serveRequests(conn, func(req *http.Request) bool {
 		id := req.Header.Get(headers.Request)
 		rnd := rand.New(rand.NewPCG(d.seed, xxhash.Sum64String(d.name+id)))
 		r := drawReply(rnd, id, d.signature(id), req.Method, d.body(rnd, id))
@@ -232,10 +220,8 @@
 		if rnd.IntN(8) == 0 {
 			_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
 		}
-		if !r.write(conn, rnd.IntN(3)) {
-			return
-		}
-	}
+		return r.write(conn, rnd.IntN(3))
+	})
 }
 
 // find returns the reply to the request once it has been sent, or nil if there is none.
--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -40,6 +40,23 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// serveRequests reads requests with their bodies from the connection, and closes it once answer, which writes the reply, reports
+// that it carries no other request.
+func serveRequests(conn net.Conn, answer func(*http.Request) (open bool)) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !answer(r) {
+			return
+		}
+	}
+}
+
 // newRawHarness returns a relay with a route for requests that may run once, to one target of which serve serves each
 // connection, and which this host may open so many connections to.
 func newRawHarness(t *testing.T, connections int, serve func(net.Conn)) *harness {
@@ -58,28 +75,22 @@
 }
 
 func (f *repeatingTarget) serve(conn net.Conn) {
-	defer conn.Close()
 	f.connections.Add(1)
-	reader := bufio.NewReader(conn)
 	refusal := ""
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
+	serveRequests(conn, func(r *http.Request) bool {
 		id := r.Header.Get(headers.Request)
 		if f.refused.Add(1) == 1 {
 			refusal = fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headers.Request, id, headers.NotRun)
 			_, _ = io.WriteString(conn, refusal)
-			continue
+			return true
 		}
 		f.ran.Add(1)
 		_, _ = io.WriteString(conn, refusal)
 		refusal = ""
 		time.Sleep(30 * time.Millisecond)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sign\r\nContent-Length: 16\r\n\r\n%s", headers.Request, id, headers.Signature, record("x"))
-	}
+		return true
+	})
 }
 
 // Guards against a late copy of a refusal that passes for the reply to the second sending of the same
--- a/relay/status_test.go
+++ b/relay/status_test.go
@@ -1,10 +1,8 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -21,16 +19,10 @@
 // serveStatus returns a target that answers each request with the status, a good identity and a good signature.
 func serveStatus(status string) func(net.Conn) {
 	return func(conn net.Conn) {
-		defer conn.Close()
-		reader := bufio.NewReader(conn)
-		for {
-			r, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
+		serveRequests(conn, func(r *http.Request) bool {
 			writeStatus(conn, status, r)
-		}
+			return true
+		})
 	}
 }
 
